--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Every target sets up what it needs: a clean clone needs only python3 and make.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+CASES ?=
+
+.PHONY: test demo binary bench faults mutants format check clean
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/pytest $(CASES)
+
+check: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV) dist build
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of a small mesh of real processes."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and its callers, for the demo and the tests."""
--- /dev/null
+++ b/tests/test_contexts.py
@@ -0,0 +1,30 @@
+from carawaywheel.contexts import Flight, InFlight, RequestContext
+from carawaywheel.refusals import Importance
+from carawaywheel.retries import ChainBudget
+
+
+def make_context():
+    return RequestContext(
+        root_id="r",
+        attempt_id="a",
+        service="mapdesk",
+        route="maps",
+        account="hall",
+        key_id="k1",
+        importance=Importance.NORMAL,
+        idempotent=True,
+        remaining=1.0,
+        attempts=3,
+        depth=1,
+        team="okonkwo",
+    )
+
+
+def test_an_id_of_a_finished_request_is_no_longer_honoured():
+    """Guards against a target that goes on calling for a caller that is gone."""
+    table = InFlight()
+    flight = Flight(make_context(), 1.0, ChainBudget(3))
+    request_id = table.add(flight)
+    assert table.get(request_id) is flight
+    table.remove(request_id)
+    assert table.get(request_id) is None
