Add the adaptive concurrency limit

Cause: a fixed limit does not follow a cold, slowed or shedding target. Change: AdaptiveLimit grows while latency holds. When latency rises, a trial cuts the limit and keeps the cut only if latency falls with the requests in flight, so that a slow dependency does not collapse it. Sheds cut it to the slots that did useful work. LimitSettings gains growth, trial and shed settings.

--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -11,12 +11,22 @@
         minimum: Lowest limit, in slots.
         latency_tolerance: Ratio of latency over its recent low that is accepted.
         window: Seconds over which latency is sampled before a step.
+        growth: Largest step up, as a share of the limit.
+        trial_cut: Share of the limit that a trial takes away to find out whether
+            concurrency is the cause of the latency.
+        trial_interval: Seconds between two trials of a limit that is in use while
+            latency is within the tolerance.
+        shed_tolerance: Share of requests that the target may shed without a cut.
     """
 
     cold_start_share: float = 0.25
     minimum: int = 1
     latency_tolerance: float = 2.0
     window: float = 0.25
+    growth: float = 0.25
+    trial_cut: float = 0.25
+    trial_interval: float = 30.0
+    shed_tolerance: float = 0.01
 
 
 class AdmissionSettings(NamedTuple):
