--- /dev/null
+++ b/src/carawaywheel/lenders.py
@@ -0,0 +1,343 @@
+"""Lender of tokens: the owner of the parts of the accounts in its slots."""
+
+import heapq
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from .buckets import TOLERANCE_TOKENS, TokenBucket
+from .settings import ShareSettings
+from .shares import (
+    MARGIN,
+    GrantStatus,
+    Part,
+    ShareGrant,
+    ShareRequest,
+    part_of,
+    slot_of,
+)
+
+BorrowerKey = tuple[str, int]
+
+
+class Loan:
+    """Tokens that one borrower may hold.
+
+    Attributes:
+        sequence: Last request of the borrower.
+        grant: Answer to that request.
+        outstanding: Tokens lent and not reported as spent or returned.
+        expires_at: Time in seconds from which on the borrower can spend none.
+    """
+
+    def __init__(self, sequence: int, expires_at: float) -> None:
+        self.sequence = sequence
+        self.grant: ShareGrant | None = None
+        self.outstanding = 0
+        self.expires_at = expires_at
+
+
+class HeldSlot(NamedTuple):
+    """A slot that this node holds.
+
+    Attributes:
+        term: Term of the claim.
+        ready_at: Time in seconds from which on tokens are lent.
+        lease_until: Time in seconds at which the lease lapses.
+    """
+
+    term: int
+    ready_at: float
+    lease_until: float
+
+
+class Account:
+    """Part of one account: a bucket and the loans made from it.
+
+    The tokens in the bucket and in loans together never exceed the part's burst:
+    the bucket's own burst is what the outstanding loans leave of it.
+
+    Attributes:
+        slot: Slot of the account.
+        part: Rate by the lender's clock and burst of the part.
+        bucket: Tokens that are not lent.
+        loans: Loans by borrower and incarnation.
+        outstanding: Sum of all loans, abandoned ones included.
+        expiries: Heap of times and borrowers; a time may be out of date.
+        abandoned: Heap of times and tokens of loans that were not continued.
+        next_turn: Time in seconds of the next turn that is not given away.
+    """
+
+    def __init__(self, slot: int, part: Part, start: float) -> None:
+        self.slot = slot
+        self.part = part
+        self.bucket = TokenBucket(part.rate, part.burst, start, level=0.0)
+        self.loans: dict[BorrowerKey, Loan] = {}
+        self.outstanding = 0
+        self.expiries: list[tuple[float, BorrowerKey]] = []
+        self.abandoned: list[tuple[float, int]] = []
+        self.next_turn = start
+
+    def resize(self, now: float) -> None:
+        """Fit the bucket to what the outstanding loans leave of the burst."""
+        room = max(0.0, self.part.burst - self.outstanding)
+        self.bucket.reconfigure(self.part.rate, room, now)
+
+    def expire(self, now: float) -> None:
+        """Write off loans that have expired; their tokens are not refunded."""
+        before = self.outstanding
+        while self.abandoned and self.abandoned[0][0] <= now:
+            self.outstanding -= heapq.heappop(self.abandoned)[1]
+        while self.expiries and self.expiries[0][0] <= now:
+            key = heapq.heappop(self.expiries)[1]
+            loan = self.loans[key]
+            if loan.expires_at > now:
+                heapq.heappush(self.expiries, (loan.expires_at, key))
+            else:
+                self.outstanding -= loan.outstanding
+                del self.loans[key]
+        if self.outstanding != before:
+            self.resize(now)
+
+    def open_loan(self, key: BorrowerKey, sequence: int, expires_at: float) -> Loan:
+        """Start a loan; tokens of a former one stay lent until they expire."""
+        former = self.loans.get(key)
+        loan = Loan(sequence, expires_at)
+        if former is None:
+            heapq.heappush(self.expiries, (expires_at, key))
+        elif former.outstanding:
+            entry = (former.expires_at, former.outstanding)
+            heapq.heappush(self.abandoned, entry)
+        self.loans[key] = loan
+        return loan
+
+    def settle(self, loan: Loan, spent: int, returned: int, now: float) -> None:
+        """Take note of tokens of a loan that were spent or returned."""
+        spent = max(0, min(spent, loan.outstanding))
+        returned = max(0, min(returned, loan.outstanding - spent))
+        loan.outstanding -= spent + returned
+        self.outstanding -= spent + returned
+        self.resize(now)
+        if returned:
+            self.bucket.refund(returned, now)
+
+    def lend(self, loan: Loan, tokens: int, now: float) -> None:
+        """Move tokens from the bucket to a loan."""
+        self.bucket.take(tokens, now)
+        loan.outstanding += tokens
+        self.outstanding += tokens
+        self.resize(now)
+
+
+class Lender:
+    """Lends the tokens of the accounts in the slots that this node holds.
+
+    Attributes:
+        settings: Settings of fleet-wide rates.
+        domain: Failure domain of this node.
+        domains: All failure domains; each account is divided among them.
+        rng: Source of the spread of turns.
+        slots: Slots that this node holds.
+        accounts: Parts by account, whether this node holds the slot or not.
+        paused: Whether the process was frozen and has not read the log since.
+    """
+
+    def __init__(
+        self,
+        settings: ShareSettings,
+        domain: str,
+        domains: Sequence[str],
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.domain = domain
+        self.domains = tuple(domains)
+        self.rng = rng
+        self.slots: dict[int, HeldSlot] = {}
+        self.accounts: dict[str, Account] = {}
+        self.paused = False
+
+    def set_account(self, account: str, rate: float, burst: float, now: float) -> None:
+        """Add an account or change its rate and burst.
+
+        An account that is added starts with a bucket that is empty for one loan
+        time, since this node may have had it before and lent its tokens.
+
+        Args:
+            account: Client account.
+            rate: Tokens each second over the fleet.
+            burst: Burst over the fleet, in tokens.
+            now: Time in seconds.
+        """
+        whole = part_of(account, rate, burst, self.domain, self.domains)
+        # The bucket fills by a clock that may run fast.
+        part = Part(whole.rate / (1 + self.settings.drift), whole.burst)
+        entry = self.accounts.get(account)
+        if entry is None:
+            slot = slot_of(account, self.settings)
+            start = now + self.settings.loan_time * MARGIN
+            if slot in self.slots:
+                start = max(start, self.slots[slot].ready_at)
+            self.accounts[account] = Account(slot, part, start)
+            return
+        entry.expire(now)
+        entry.part = part
+        entry.resize(now)
+
+    def remove_account(self, account: str) -> None:
+        """Forget an account; unknown ones are ignored."""
+        self.accounts.pop(account, None)
+
+    def take_slot(
+        self,
+        slot: int,
+        now: float,
+        ready_at: float,
+        term: int = 1,
+        lease_until: float | None = None,
+    ) -> None:
+        """Start to hold a slot, with empty buckets.
+
+        Args:
+            slot: Slot.
+            now: Time in seconds.
+            ready_at: Time in seconds from which on tokens may be lent. Loans of the
+                former holder have expired by then.
+            term: Term of the claim.
+            lease_until: Time in seconds at which the lease lapses; one lease time
+                after ``now`` by default.
+        """
+        if lease_until is None:
+            lease_until = now + self.settings.lease_time
+        self.slots[slot] = HeldSlot(term, ready_at, lease_until)
+        for account, entry in self.accounts.items():
+            if entry.slot == slot:
+                self.accounts[account] = Account(slot, entry.part, ready_at)
+
+    def extend_slot(self, slot: int, lease_until: float) -> None:
+        """Set the time in seconds at which a held slot's lease lapses."""
+        held = self.slots.get(slot)
+        if held is not None:
+            self.slots[slot] = held._replace(lease_until=lease_until)
+
+    def release_slot(self, slot: int) -> None:
+        """Stop to hold a slot; must precede the release record in the log."""
+        self.slots.pop(slot, None)
+
+    def pause(self) -> None:
+        """Lend nothing until ``resume``, after a gap in the process's run.
+
+        The slots may have been given to another node during the gap.
+        """
+        self.paused = True
+
+    def resume(self) -> None:
+        """Lend again; the log has been read up to a position of after the gap."""
+        self.paused = False
+
+    def holds(self, slot: int, term: int, now: float) -> bool:
+        """Tell whether tokens of a slot may be lent at ``now``."""
+        held = self.slots.get(slot)
+        if held is None or self.paused or held.term != term:
+            return False
+        return held.ready_at <= now < held.lease_until
+
+    def handle(self, request: ShareRequest, now: float) -> ShareGrant | None:
+        """Answer one request.
+
+        ``now`` must be read after the request was received. A process that is
+        frozen between the two would otherwise lend after its lease has lapsed.
+
+        Returns:
+            The answer, or None if the borrower expects none.
+        """
+        entry = self.accounts.get(request.account)
+        if entry is None or not self.holds(entry.slot, request.term, now):
+            return self.decline(request)
+        entry.expire(now)
+        key = (request.borrower, request.incarnation)
+        loan = entry.loans.get(key)
+        if loan is not None and request.sequence <= loan.sequence:
+            return loan.grant if request.sequence == loan.sequence else None
+        expires_at = now + self.settings.loan_time * MARGIN
+        renewed = loan is not None and request.sequence == loan.sequence + 1
+        if loan is None or not renewed:
+            loan = entry.open_loan(key, request.sequence, expires_at)
+        else:
+            entry.settle(loan, request.spent, request.returned, now)
+            loan.sequence = request.sequence
+            loan.expires_at = expires_at
+        loan.grant = None
+        if not request.settles:
+            loan.grant = self.grant(entry, loan, request, renewed, now)
+        return loan.grant
+
+    def grant(
+        self,
+        entry: Account,
+        loan: Loan,
+        request: ShareRequest,
+        renewed: bool,
+        now: float,
+    ) -> ShareGrant:
+        """Lend tokens for a request and describe the loan."""
+        urgent = max(0, request.urgent)
+        level = int(entry.bucket.available(now) + TOLERANCE_TOKENS)
+        tokens = min(urgent, level)
+        # Only a share of what is left is lent ahead of demand, so that the last
+        # tokens of a small burst go to the nodes where callers wait.
+        ahead = int((level - tokens) * self.settings.ahead_share)
+        tokens += max(0, min(request.wanted - urgent, ahead))
+        if tokens:
+            entry.lend(loan, tokens, now)
+        status = GrantStatus.GRANTED
+        retry_after = 0.0
+        if tokens < urgent or (request.wanted > 0 and entry.bucket.level < 1):
+            status = GrantStatus.EXHAUSTED
+            retry_after = self.turn(entry, now)
+        threshold = entry.part.burst * self.settings.prompt_share
+        prompt = entry.bucket.level < threshold
+        return ShareGrant(
+            request.sequence,
+            request.account,
+            request.term,
+            tokens,
+            self.settings.loan_time,
+            renewed,
+            prompt,
+            status,
+            retry_after,
+        )
+
+    def turn(self, entry: Account, now: float) -> float:
+        """Give the next turn at an empty bucket; return the seconds until it.
+
+        Turns are spaced by the time that a token takes. Without them, every node
+        would ask again at once while an account is over its rate.
+        """
+        longest = self.settings.turn_max
+        if entry.part.rate <= 0:
+            return longest
+        missing = max(0.0, 1 - entry.bucket.level) / entry.part.rate
+        spacing = max(self.settings.turn_spacing, 1 / entry.part.rate)
+        at = max(entry.next_turn, now + missing)
+        if at - now > longest:
+            return longest * self.rng.uniform(0.5, 1.0)
+        entry.next_turn = at + spacing
+        return at - now
+
+    def decline(self, request: ShareRequest) -> ShareGrant | None:
+        """Answer for a slot that this node may not lend from."""
+        if request.settles:
+            return None
+        return ShareGrant(
+            request.sequence,
+            request.account,
+            request.term,
+            0,
+            0.0,
+            False,
+            False,
+            GrantStatus.NOT_HOLDER,
+            self.settings.ask_interval,
+        )
--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -111,6 +111,16 @@
         lease_time: Seconds after which a slot whose holder is silent may be taken.
         ask_interval: Seconds between two requests of a borrower to one lender.
         reply_timeout: Seconds to wait for an answer of a lender.
+        silence_max: Longest time in seconds that a silent lender is left alone.
+        demand_window: Seconds over which a borrower averages the demand.
+        ahead_time: Seconds of demand that a borrower holds ahead.
+        ahead_floor: Calls each second below which nothing is held ahead.
+        ahead_share: Share of a bucket that one request may take ahead of demand.
+        turn_spacing: Shortest time in seconds between the turns that a lender with
+            no tokens gives to the borrowers that it turned down.
+        turn_max: Longest time in seconds until a turn.
+        prompt_share: Level of a bucket, as a share of the burst, below which spent
+            tokens are to be reported at once.
     """
 
     slots: int = 64
@@ -119,3 +129,11 @@
     lease_time: float = 7200.0
     ask_interval: float = 0.2
     reply_timeout: float = 0.1
+    silence_max: float = 5.0
+    demand_window: float = 2.0
+    ahead_time: float = 0.5
+    ahead_floor: float = 2.0
+    ahead_share: float = 0.25
+    turn_spacing: float = 0.04
+    turn_max: float = 5.0
+    prompt_share: float = 0.5
--- /dev/null
+++ b/src/carawaywheel/slots.py
@@ -0,0 +1,286 @@
+"""Fold of the claims in the log that say which node lends which slot."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from .evidence import (
+    ClaimKind,
+    ForgetNode,
+    SlotClaim,
+    SlotNotice,
+    SlotObjection,
+    SlotRecord,
+    SlotRelease,
+    SlotState,
+    is_by_holder,
+    is_valid,
+)
+from .lenders import Lender
+from .settings import ShareSettings
+from .shares import MARGIN, digest
+
+
+class SlotMember(NamedTuple):
+    """A node that may hold slots.
+
+    Attributes:
+        node: Node id.
+        incarnation: Incarnation of the node.
+        address: Peer address of the node.
+        domain: Failure domain of the node.
+    """
+
+    node: str
+    incarnation: int
+    address: str
+    domain: str
+
+
+SlotKey = tuple[str, int]
+
+
+class SlotTable:
+    """Fold of the shares stream, and the claims that this node should append.
+
+    Every node comes to the same holders, since validity depends on the records and
+    their order only. The wait before a takeover is kept by the claimant.
+
+    Attributes:
+        settings: Settings of fleet-wide rates.
+        own: This node.
+        states: State by failure domain and slot; a free slot has none.
+        renewed_at: Time in seconds of the newest proof that this node has read the
+            whole log, or None before the first.
+        lease_from: For slots under notice, the value of ``renewed_at`` when the
+            notice was read, by slot.
+    """
+
+    def __init__(self, settings: ShareSettings, own: SlotMember) -> None:
+        self.settings = settings
+        self.own = own
+        self.states: dict[SlotKey, SlotState] = {}
+        self.renewed_at: float | None = None
+        self.lease_from: dict[int, float] = {}
+
+    def apply(self, record: SlotRecord, now: float) -> None:
+        """Fold one record, in log order.
+
+        Args:
+            record: Record of the shares stream.
+            now: Time in seconds at which it was read.
+        """
+        if isinstance(record, SlotClaim):
+            self.apply_claim(record, now)
+        elif isinstance(record, SlotRelease):
+            self.apply_release(record)
+        elif isinstance(record, SlotNotice):
+            self.apply_notice(record, now)
+        elif isinstance(record, SlotObjection):
+            self.apply_objection(record)
+        else:
+            self.apply_forget(record)
+
+    def apply_claim(self, claim: SlotClaim, now: float) -> None:
+        """Fold a claim; one of a former term or without evidence is ignored."""
+        key = (claim.domain, claim.slot)
+        state = self.states.get(key)
+        if not is_valid(claim, state):
+            return
+        self.states[key] = SlotState(claim, False, False, None, 0, now, now)
+        if claim.domain == self.own.domain:
+            self.lease_from.pop(claim.slot, None)
+
+    def apply_release(self, record: SlotRelease) -> None:
+        """Fold a release by the present holder."""
+        key = (record.domain, record.slot)
+        state = self.states.get(key)
+        if state is not None and is_by_holder(record, state.claim):
+            self.states[key] = state._replace(released=True)
+
+    def apply_notice(self, record: SlotNotice, now: float) -> None:
+        """Fold a notice; the first one since the last objection counts."""
+        key = (record.domain, record.slot)
+        state = self.states.get(key)
+        if state is None or state.notice or record.term != state.claim.term:
+            return
+        self.states[key] = state._replace(
+            notice=record, notices=state.notices + 1, notice_at=now
+        )
+        if self.is_own(state.claim) and self.renewed_at is not None:
+            self.lease_from[record.slot] = self.renewed_at
+
+    def apply_objection(self, record: SlotObjection) -> None:
+        """Fold an objection by the present holder."""
+        key = (record.domain, record.slot)
+        state = self.states.get(key)
+        if state is not None and is_by_holder(record, state.claim):
+            self.states[key] = state._replace(notice=None)
+            if record.domain == self.own.domain:
+                self.lease_from.pop(record.slot, None)
+
+    def apply_forget(self, record: ForgetNode) -> None:
+        """Fold an operator's word that a node has gone."""
+        for key, state in self.states.items():
+            claim = state.claim
+            if claim.holder == record.node and claim.incarnation <= record.incarnation:
+                self.states[key] = state._replace(forgotten=True)
+
+    def renew(self, now: float) -> None:
+        """Take note that the whole log as of ``now`` has been applied.
+
+        ``now`` must not be later than the moment at which the end of the log was
+        looked up: the time at which the read was sent, or for relayed news the time
+        at which the peer was asked less the age that it states.
+        """
+        if self.renewed_at is None or now > self.renewed_at:
+            self.renewed_at = now
+
+    def is_own(self, claim: SlotClaim) -> bool:
+        """Tell whether a claim is by this incarnation of this node."""
+        return claim.holder == self.own.node and (
+            claim.incarnation == self.own.incarnation
+        )
+
+    def held(self) -> dict[int, SlotState]:
+        """Return the slots that this node holds by the log, lapsed leases included."""
+        found = {}
+        for (domain, slot), state in self.states.items():
+            if domain == self.own.domain and self.is_own(state.claim):
+                if not state.released and not state.forgotten:
+                    found[slot] = state
+        return found
+
+    def holders(self, slot: int) -> list[SlotClaim]:
+        """Return the claims of the lenders of a slot, one for each domain at most."""
+        claims = []
+        for (_, number), state in self.states.items():
+            if number == slot and not state.released and not state.forgotten:
+                claims.append(state.claim)
+        return claims
+
+    def update_lender(self, lender: Lender, now: float) -> None:
+        """Tell the lender which slots this node holds and until when.
+
+        To be called after each batch of ``apply`` and after ``renew``.
+        """
+        held = self.held()
+        for slot in list(lender.slots):
+            if slot not in held or held[slot].claim.term != lender.slots[slot].term:
+                lender.release_slot(slot)
+        for slot, state in held.items():
+            if slot not in lender.slots:
+                ready_at = state.read_at + self.settings.loan_time * MARGIN
+                term = state.claim.term
+                lender.take_slot(slot, now, ready_at, term, self.lease_until(slot))
+            else:
+                lender.extend_slot(slot, self.lease_until(slot))
+
+    def lease_until(self, slot: int) -> float:
+        """Return the time in seconds at which the own lease of a slot lapses.
+
+        A slot under notice is not renewed until the objection has been read back:
+        the claimant counts on the log that an objection would have been in it.
+        """
+        start = self.lease_from.get(slot, self.renewed_at)
+        if start is None:
+            return float("-inf")
+        return start + self.settings.lease_time
+
+    def wanted_claims(
+        self, members: Iterable[SlotMember], now: float
+    ) -> list[SlotRecord]:
+        """Return the claims, notices and objections that this node should append.
+
+        Args:
+            members: The live nodes, this one included or not.
+            now: Time in seconds.
+        """
+        nodes = {member.node: member for member in members}
+        nodes[self.own.node] = self.own
+        peers = [name for name, m in nodes.items() if m.domain == self.own.domain]
+        records: list[SlotRecord] = []
+        for slot in range(self.settings.slots):
+            state = self.states.get((self.own.domain, slot))
+            record = self.wanted(slot, state, nodes, peers, now)
+            if record is not None:
+                records.append(record)
+        return records
+
+    def wanted(
+        self,
+        slot: int,
+        state: SlotState | None,
+        nodes: dict[str, SlotMember],
+        peers: list[str],
+        now: float,
+    ) -> SlotRecord | None:
+        """Return the record for one slot, or None if there is nothing to do."""
+        if state is None:
+            return (
+                self.claim(slot, 0, ClaimKind.FREE) if self.ranks(slot, peers) else None
+            )
+        claim = state.claim
+        term = claim.term
+        if self.is_own(claim) and not (state.released or state.forgotten):
+            if state.notice is None:
+                return None
+            return SlotObjection(slot, claim.domain, term, *claim[3:5])
+        if claim.holder == self.own.node and claim.address == self.own.address:
+            if claim.incarnation < self.own.incarnation:
+                return self.claim(slot, term, ClaimKind.RESTARTED)
+        if not self.ranks(slot, peers):
+            return None
+        if state.released:
+            return self.claim(slot, term, ClaimKind.RELEASED)
+        if state.forgotten:
+            return self.claim(slot, term, ClaimKind.FORGOTTEN)
+        return self.wanted_of_silent(slot, state, nodes, now)
+
+    def wanted_of_silent(
+        self, slot: int, state: SlotState, nodes: dict[str, SlotMember], now: float
+    ) -> SlotRecord | None:
+        """Return the notice or claim for a slot whose holder may be gone."""
+        claim = state.claim
+        holder = nodes.get(claim.holder)
+        if holder is not None and holder.incarnation == claim.incarnation:
+            return None
+        notice = state.notice
+        if notice is None:
+            own = (self.own.node, self.own.incarnation)
+            return SlotNotice(slot, claim.domain, claim.term, *own)
+        # Any node may claim on a notice that it has read one lease time ago.
+        if now < state.notice_at + self.settings.lease_time * MARGIN:
+            return None
+        record = self.claim(slot, claim.term, ClaimKind.LAPSED)
+        return record._replace(notice=state.notices)
+
+    def claim(self, slot: int, former_term: int, kind: ClaimKind) -> SlotClaim:
+        """Return a claim by this node."""
+        own = self.own
+        return SlotClaim(
+            slot,
+            own.domain,
+            former_term + 1,
+            own.node,
+            own.incarnation,
+            own.address,
+            kind,
+        )
+
+    def ranks(self, slot: int, peers: list[str]) -> bool:
+        """Tell whether this node ranks first for a slot among its domain's nodes."""
+        first = max(peers, key=lambda node: digest("holder", str(slot), node))
+        return first == self.own.node
+
+    def wanted_releases(self, release: Callable[[int], None]) -> list[SlotRelease]:
+        """Stop lending and return the releases to append at a graceful stop.
+
+        Args:
+            release: ``Lender.release_slot``; called before a record is made.
+        """
+        records = []
+        for slot, state in self.held().items():
+            release(slot)
+            claim = state.claim
+            records.append(SlotRelease(slot, claim.domain, claim.term, *claim[3:5]))
+        return records
