--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -53,12 +53,16 @@
         service_share: Retries allowed as a share of first attempts.
         service_window: Seconds over which the share is counted.
         service_floor: Retries allowed in a window whatever the share.
+        backoff_base: Longest pause in seconds before the first retry; doubles.
+        backoff_max: Longest pause in seconds before any retry.
     """
 
     attempts: int = 3
     service_share: float = 0.1
     service_window: float = 10.0
     service_floor: int = 3
+    backoff_base: float = 0.02
+    backoff_max: float = 0.5
 
 
 class RoutingSettings(NamedTuple):
@@ -71,6 +75,9 @@
         eject_max: Longest ejection in seconds.
         eject_share: Largest share of a service's targets ejected at once.
         slow_start: Seconds over which a cold target takes its full share.
+        pressure_age: Seconds over which the load carried on an answer fades.
+        latency_tolerance: Ratio of a target's latency over the mean of its
+            service above which the target counts as more loaded.
     """
 
     domain_margin: float = 0.25
@@ -79,6 +86,8 @@
     eject_max: float = 30.0
     eject_share: float = 0.34
     slow_start: float = 10.0
+    pressure_age: float = 2.0
+    latency_tolerance: float = 2.0
 
 
 class MembershipSettings(NamedTuple):
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,185 @@
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carawaywheel.refusals import Outcome, Reason, Refusal
+from carawaywheel.routing import Candidate, Router, TargetState
+from carawaywheel.settings import RoutingSettings
+
+SETTINGS = RoutingSettings()
+
+
+def make_candidate(name, domain="a", state=TargetState.READY, cold_until=0.0):
+    return Candidate(name, f"n-{name}", "svc", name, domain, 100, state, cold_until)
+
+
+def make_router(*candidates):
+    router = Router(SETTINGS, "a", random.Random(7))
+    router.update(list(candidates), 0.0)
+    return router
+
+
+def fail(router, name, now, times=SETTINGS.eject_after):
+    for _ in range(times):
+        router.start(name, now)
+        router.finish(name, now, Outcome.FAILED, 0.01, None)
+
+
+def chosen(router, now, times=400):
+    names = []
+    for _ in range(times):
+        choice = router.choose("svc", now)
+        names.append(choice.target_id)
+    return names
+
+
+@pytest.mark.parametrize("state", [TargetState.DRAINING, TargetState.LEFT])
+def test_no_new_work_goes_to_a_target_that_leaves(state):
+    """Guards against requests that are cut off by a target's shutdown."""
+    router = make_router(make_candidate("x", state=state), make_candidate("y"))
+    assert set(chosen(router, 0.0)) == {"y"}
+    router.update([make_candidate("x", state=state)], 1.0)
+    refusal = router.choose("svc", 1.0)
+    assert isinstance(refusal, Refusal)
+    assert (refusal.reason, refusal.step, refusal.peer) == (
+        Reason.NO_TARGET,
+        "routing",
+        "svc",
+    )
+    assert refusal.retry_after > 0
+
+
+def test_less_loaded_target_is_chosen():
+    """Guards against work that is sent to a full target beside an idle one."""
+    router = make_router(make_candidate("x"), make_candidate("y"))
+    for name, pressure in (("x", 0.9), ("y", 0.1)):
+        router.start(name, 0.0)
+        router.finish(name, 0.0, Outcome.OK, 0.01, pressure)
+    assert set(chosen(router, 0.1)) == {"y"}
+    assert set(chosen(router, SETTINGS.pressure_age + 0.1)) == {"x", "y"}
+
+
+def test_own_domain_is_kept_until_its_load_exceeds_the_margin():
+    """Guards against needless cross-domain calls and against a hot domain."""
+    router = make_router(make_candidate("x", "a"), make_candidate("y", "b"))
+    router.finish("x", 0.0, Outcome.OK, 0.01, 0.2)
+    assert set(chosen(router, 0.0)) == {"x"}
+    for _ in range(60):
+        router.finish("x", 0.0, Outcome.OK, 0.01, 0.95)
+        router.finish("y", 0.0, Outcome.OK, 0.01, 0.1)
+    assert set(chosen(router, 0.0)) == {"y"}
+
+
+def test_ejected_target_returns_after_one_probe():
+    """Guards against a burst of requests on a target that is still broken."""
+    router = make_router(*(make_candidate(name) for name in "xyz"))
+    fail(router, "x", 0.0)
+    assert "x" not in chosen(router, 0.5)
+    assert "x" in chosen(router, 1.0)
+    router.start("x", 1.0)
+    assert isinstance(router.choose("svc", 1.1, {"y", "z"}), Refusal)
+    router.finish("x", 1.2, Outcome.FAILED, 0.2, None)
+    assert "x" not in chosen(router, 3.1)
+    assert "x" in chosen(router, 3.2)
+    router.start("x", 3.2)
+    router.finish("x", 3.3, Outcome.OK, 0.01, 0.0)
+    assert router.ejected("svc") == 0
+
+
+def test_late_answer_does_not_end_an_ejection():
+    """Guards against answers sent before the failure that undo the ejection."""
+    router = make_router(*(make_candidate(name) for name in "xyz"))
+    router.start("x", 0.0)
+    fail(router, "x", 0.1)
+    router.finish("x", 0.2, Outcome.OK, 0.2, 0.0)
+    assert "x" not in chosen(router, 0.3)
+
+
+def test_silence_ejects_unless_other_connections_answer():
+    """Guards against both a hung host in use and a lost host for one connection."""
+    router = make_router(*(make_candidate(name) for name in "xyz"))
+    router.finish("y", 4.9, Outcome.OK, 0.01, 0.0)
+    router.silent("y", 5.0)
+    assert router.ejected("svc") == 0
+    router.silent("x", 5.0)
+    assert "x" not in chosen(router, 5.0)
+
+
+def test_shedding_and_cancellation_never_eject():
+    """Guards against ejection under overload, which moves the load to the rest."""
+    router = make_router(*(make_candidate(name) for name in "xyz"))
+    for outcome in (Outcome.SHED, Outcome.CANCELLED) * 20:
+        router.finish("x", 0.0, outcome, 0.01, None)
+    assert router.ejected("svc") == 0
+
+
+def test_cancelled_probe_lets_another_probe_through():
+    """Guards against a target that stays out after its probe's caller went away."""
+    router = make_router(*(make_candidate(name) for name in "xyz"))
+    fail(router, "x", 0.0)
+    router.start("x", 2.0)
+    router.finish("x", 2.1, Outcome.CANCELLED, 0.1, None)
+    assert "x" in chosen(router, 2.2)
+
+
+def test_cold_target_gets_a_small_share_at_first():
+    """Guards against an idle cold target that draws all requests at once."""
+    cold = make_candidate("x", state=TargetState.COLD, cold_until=10.0)
+    router = make_router(cold, *(make_candidate(name) for name in "uvwyz"))
+    counts = []
+    for now in (0.0, 9.9):
+        for name in "uvwyz":
+            router.finish(name, now, Outcome.OK, 0.01, 0.5)
+        counts.append(chosen(router, now, 2000).count("x"))
+    assert 0 < counts[0] < 0.4 * counts[1]
+
+
+def test_replaced_target_starts_without_the_old_failures():
+    """Guards against a new host that inherits the ejection of the old one."""
+    router = make_router(*(make_candidate(name) for name in "xyz"))
+    fail(router, "x", 0.0)
+    replaced = make_candidate("x")._replace(address="elsewhere")
+    router.update([replaced, make_candidate("y"), make_candidate("z")], 0.1)
+    assert "x" in chosen(router, 0.1)
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["fail", "silent", "ok", "cancel", "start", "update"]),
+        st.integers(0, 7),
+        st.floats(0.0, 3.0),
+    ),
+    max_size=80,
+)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(size=st.integers(1, 8), steps=steps)
+def test_ejection_is_bounded_under_any_history(size, steps):
+    """Guards against a service that loses its targets to ejection alone."""
+    names = [str(number) for number in range(size)]
+    router = make_router(*(make_candidate(name) for name in names))
+    now, count = 0.0, size
+    outcomes = {"ok": Outcome.OK, "cancel": Outcome.CANCELLED}
+    for action, number, pause in steps:
+        now += pause
+        name = names[number % size]
+        if action == "fail":
+            fail(router, name, now)
+        elif action == "silent":
+            router.silent(name, now)
+        elif action == "start":
+            router.start(name, now)
+        elif action == "update":
+            count = number % size + 1
+            router.update([make_candidate(name) for name in names[:count]], now)
+        else:
+            router.finish(name, now, outcomes[action], 0.01, 0.5)
+        assert isinstance(router.choose("svc", now), Candidate)
+        assert router.ejected("svc") <= count * SETTINGS.eject_share
+        ejector = router.pools["svc"].ejector
+        out = sum(record.ejected for record in ejector.records.values())
+        assert out == router.ejected("svc")
+        assert all(target.in_flight >= 0 for target in router.targets.values())
