Add SWIM membership

Cause: nodes must learn of each other without a coordination service. Change: add Membership with probes, carried updates, pushed urgent updates, refutation by incarnation, reconnection to lost members and repair of views by digests. A dead or left member is now remembered for 2 h instead of 60 s, because a partition of an hour must heal without the log.

--- /dev/null
+++ b/src/carawaywheel/dissemination.py
@@ -0,0 +1,145 @@
+"""Queue of the updates that are carried on messages, and their composition.
+
+Each update is sent about ``3 * log2(n)`` times, the least often sent first. Urgent
+updates are also pushed to a few random members, with a bounded rate.
+"""
+
+import heapq
+import math
+
+from .members import Member, MemberTable
+from .settings import MembershipSettings
+from .swim import Kind, Message, update_room
+
+TRANSMIT_FACTOR = 3
+
+
+class UpdateQueue:
+    """Updates that are still to be carried, by node id.
+
+    Attributes:
+        sent: How often each update has been carried.
+        urgent: How many more times each urgent update is pushed.
+    """
+
+    def __init__(self, settings: MembershipSettings) -> None:
+        self.settings = settings
+        self.sent: dict[str, int] = {}
+        self.urgent: dict[str, int] = {}
+        self.tokens = float(settings.urgent_burst)
+        self.refilled_at: float | None = None
+
+    def add(self, node_id: str, urgent: bool) -> None:
+        """Queue the newest description of a member, in place of an older one."""
+        self.sent[node_id] = 0
+        if urgent:
+            self.urgent[node_id] = self.settings.urgent_rounds
+
+    def take(self, table: MemberTable, room: int) -> list[str]:
+        """Return the ids to carry on one message of ``room`` bytes."""
+        if not self.sent:
+            return []
+        if len(self.sent) <= self.settings.updates_per_message:
+            ids = sorted(self.sent, key=self.sent.__getitem__)
+        else:
+            count = self.settings.updates_per_message
+            ids = heapq.nsmallest(count, self.sent, key=self.sent.__getitem__)
+        taken = self._fit(table, ids, room)
+        limit = self.limit(len(table.entries))
+        for node_id in taken:
+            self.sent[node_id] += 1
+            if self.sent[node_id] >= limit:
+                del self.sent[node_id]
+        return taken
+
+    def take_urgent(self, table: MemberTable, room: int, now: float) -> list[str]:
+        """Return the ids to push now; empty when there are none or too early."""
+        if not self.urgent:
+            return []
+        self._refill(now)
+        if self.tokens < self.settings.urgent_fanout:
+            return []
+        self.tokens -= self.settings.urgent_fanout
+        ids = list(self.urgent)[: self.settings.updates_per_message]
+        taken = self._fit(table, ids, room)
+        for node_id in taken:
+            rounds = self.urgent.pop(node_id) - 1
+            if rounds:
+                # Goes to the end of the queue, behind those never pushed.
+                self.urgent[node_id] = rounds
+        return taken
+
+    def limit(self, size: int) -> int:
+        """Return how often an update is carried among ``size`` members."""
+        return TRANSMIT_FACTOR * max(1, math.ceil(math.log2(max(2, size))))
+
+    def _fit(self, table: MemberTable, ids: list[str], room: int) -> list[str]:
+        taken = []
+        for node_id in ids:
+            entry = table.entries.get(node_id)
+            if entry is None:
+                self.sent.pop(node_id, None)
+                self.urgent.pop(node_id, None)
+                continue
+            if entry.size > room:
+                break
+            room -= entry.size
+            taken.append(node_id)
+        return taken
+
+    def _refill(self, now: float) -> None:
+        if self.refilled_at is not None:
+            earned = (now - self.refilled_at) * self.settings.urgent_rate
+            self.tokens = min(self.settings.urgent_burst, self.tokens + earned)
+        self.refilled_at = now
+
+
+class Composer:
+    """Builds the messages of one node."""
+
+    def __init__(self, table: MemberTable, queue: UpdateQueue) -> None:
+        self.table = table
+        self.queue = queue
+
+    def own_size(self) -> int:
+        """Return the bytes of the description of this node."""
+        return self.table.entries[self.table.own_id].size
+
+    def plain(
+        self,
+        kind: Kind,
+        now: float,
+        sequence: int = 0,
+        subject: str = "",
+        address: str = "",
+    ) -> Message:
+        """Return a message without updates at ``now``, in seconds."""
+        own = self.table.current(self.table.own_id, now)
+        view = self.table.view
+        offset = own.log_offset
+        return Message(kind, sequence, own, subject, address, offset, view, [], [])
+
+    def digest(self, sequence: int, now: float) -> Message:
+        """Return a message with the digests of all buckets."""
+        message = self.plain(Kind.DIGEST, now, sequence)
+        return message._replace(buckets=list(self.table.buckets))
+
+    def with_updates(
+        self,
+        kind: Kind,
+        now: float,
+        sequence: int = 0,
+        subject: str = "",
+        address: str = "",
+        first: Member | None = None,
+    ) -> Message:
+        """Return a message that carries updates, ``first`` before all others."""
+        message = self.plain(kind, now, sequence, subject, address)
+        room = update_room(self.own_size(), subject, address)
+        if first is not None:
+            message.updates.append(first)
+            room -= self.table.entries[first.node_id].size
+        for node_id in self.queue.take(self.table, room):
+            if node_id != self.table.own_id:
+                message.updates.append(self.table.current(node_id, now))
+        return message
--- /dev/null
+++ b/src/carawaywheel/probing.py
@@ -0,0 +1,126 @@
+"""Schedule of probes: one direct ping, then indirect ones, then suspicion."""
+
+import random
+from collections import OrderedDict
+from typing import NamedTuple
+
+from .settings import MembershipSettings
+
+MAX_RELAYS = 64
+
+
+class Probe:
+    """A ping that waits for its acknowledgement.
+
+    Attributes:
+        node_id: Member that was pinged.
+        sequence: Number of the ping.
+        indirect_at: Time in seconds at which others are asked to ping.
+        ends_at: Time in seconds at which the member is suspected.
+        asked: Whether others have been asked.
+    """
+
+    __slots__ = ("node_id", "sequence", "indirect_at", "ends_at", "asked")
+
+    def __init__(
+        self, node_id: str, sequence: int, indirect_at: float, ends_at: float
+    ) -> None:
+        self.node_id = node_id
+        self.sequence = sequence
+        self.indirect_at = indirect_at
+        self.ends_at = ends_at
+        self.asked = False
+
+
+class Relay(NamedTuple):
+    """A ping on behalf of another member.
+
+    Attributes:
+        address: Gossip address of the member that asked.
+        sequence: Number that its acknowledgement must carry.
+        node_id: Member that is pinged.
+    """
+
+    address: str
+    sequence: int
+    node_id: str
+
+
+class Prober:
+    """Keeps the probe of this node and the pings it sends for others.
+
+    Attributes:
+        pending: The probe that waits for its acknowledgement, or None.
+        next_at: Time in seconds of the next probe.
+    """
+
+    def __init__(self, settings: MembershipSettings, rng: random.Random) -> None:
+        self.settings = settings
+        self.rng = rng
+        self.pending: Probe | None = None
+        self.next_at: float | None = None
+        self.relays: OrderedDict[int, Relay] = OrderedDict()
+        self.sequence = 0
+
+    def new_sequence(self) -> int:
+        """Return a number for a new ping."""
+        self.sequence += 1
+        return self.sequence
+
+    def is_due(self, now: float) -> bool:
+        """Return whether a new probe is due, and schedule the one after it."""
+        interval = self.settings.probe_interval
+        if self.next_at is None:
+            # A random phase keeps nodes that start together from probing together.
+            self.next_at = now + self.rng.random() * interval
+        if now < self.next_at:
+            return False
+        self.next_at = max(self.next_at + interval, now)
+        return True
+
+    def begin(self, node_id: str, now: float) -> int:
+        """Start a probe of a member and return its number."""
+        sequence = self.new_sequence()
+        self.pending = Probe(
+            node_id,
+            sequence,
+            now + self.settings.probe_timeout,
+            now + self.settings.probe_interval,
+        )
+        return sequence
+
+    def must_ask(self, now: float) -> Probe | None:
+        """Return the probe that others must now be asked to repeat, once."""
+        probe = self.pending
+        if probe is None or probe.asked or now < probe.indirect_at:
+            return None
+        probe.asked = True
+        return probe
+
+    def failed(self, now: float) -> str | None:
+        """Return the member whose probe has now failed, and end the probe."""
+        probe = self.pending
+        if probe is None or now < probe.ends_at:
+            return None
+        self.pending = None
+        return probe.node_id
+
+    def add_relay(self, relay: Relay) -> int:
+        """Store a ping on behalf of another member and return its number."""
+        sequence = self.new_sequence()
+        self.relays[sequence] = relay
+        if len(self.relays) > MAX_RELAYS:
+            self.relays.popitem(last=False)
+        return sequence
+
+    def acknowledged(self, sequence: int, node_id: str) -> Relay | None:
+        """Note an acknowledgement and return the relay that it belongs to."""
+        probe = self.pending
+        if probe is not None and probe.sequence == sequence:
+            if probe.node_id == node_id:
+                self.pending = None
+            return None
+        relay = self.relays.get(sequence)
+        if relay is None or relay.node_id != node_id:
+            return None
+        return self.relays.pop(sequence)
--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -98,16 +98,32 @@
         probe_timeout: Seconds to wait for an acknowledgement.
         indirect_probes: Members asked to probe on behalf of this one.
         suspect_time: Seconds a member is suspected before it counts as dead.
-        forget_time: Seconds a dead or left member is remembered.
+        forget_time: Seconds a dead or left member is remembered. Longer than a
+            partition that is to be healed, as the parts find each other again
+            through the members that they remember.
         updates_per_message: Updates carried on one datagram.
+        urgent_fanout: Members that an urgent update is pushed to at a time.
+        urgent_rounds: How many times a node pushes an urgent update.
+        urgent_rate: Pushed datagrams a second on average.
+        urgent_burst: Pushed datagrams at once.
+        reconnect_interval: Seconds between pings to a dead member or a contact.
+        digest_interval: Least seconds between two digests that a node sends.
+        digest_after: Messages in a row with another view before a digest is sent.
     """
 
     probe_interval: float = 1.0
     probe_timeout: float = 0.5
     indirect_probes: int = 3
     suspect_time: float = 3.0
-    forget_time: float = 60.0
+    forget_time: float = 7200.0
     updates_per_message: int = 8
+    urgent_fanout: int = 4
+    urgent_rounds: int = 2
+    urgent_rate: float = 4.0
+    urgent_burst: int = 24
+    reconnect_interval: float = 5.0
+    digest_interval: float = 3.0
+    digest_after: int = 10
 
 
 class ShareSettings(NamedTuple):
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,292 @@
+import heapq
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from carawaywheel.errors import ProtocolError, SettingsError
+from carawaywheel.members import ChangeKind, Member, MemberState, is_live
+from carawaywheel.membership import Membership
+from carawaywheel.routing import TargetState
+from carawaywheel.settings import MembershipSettings
+from carawaywheel.swim import MAX_MESSAGE_BYTES, decode, encode
+
+SETTINGS = MembershipSettings()
+STEP_S = 0.1
+
+
+def make_member(name, **changes):
+    member = Member(
+        name, 0, MemberState.ALIVE, "a", f"peer-{name}", f"udp-{name}", "svc",
+        "127.0.0.1:1", TargetState.READY, 100, 0.0, 0,
+    )  # fmt: skip
+    return member._replace(**changes)
+
+
+class Fleet:
+    """Nodes on a simulated network that loses, delays and repeats datagrams."""
+
+    def __init__(self, seed=7, loss=0.0, repeat=0.0, delay=0.05):
+        self.rng = random.Random(seed)
+        self.loss, self.repeat, self.delay = loss, repeat, delay
+        self.now = 0.0
+        self.nodes = {}
+        self.frozen = set()
+        self.parted = set()
+        self.wire = []
+        self.sent = 0
+
+    def start(self, name, **changes):
+        node = Membership(SETTINGS, make_member(name, **changes), self.rng)
+        node.seed([make_member(other) for other in self.nodes if other != name], 0.0)
+        self.nodes[name] = node
+        self.frozen.discard(name)
+        return node
+
+    def send(self, source, outgoing):
+        for address, message in outgoing:
+            data = encode(message)
+            assert len(data) <= MAX_MESSAGE_BYTES
+            copies = 1 + (self.rng.random() < self.repeat)
+            for _ in range(copies if self.rng.random() >= self.loss else 0):
+                self.sent += 1
+                due = self.now + self.rng.uniform(0.001, self.delay)
+                item = (due, self.sent, source, address.removeprefix("udp-"), data)
+                heapq.heappush(self.wire, item)
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            while self.wire and self.wire[0][0] <= self.now:
+                self.deliver(*heapq.heappop(self.wire)[2:])
+            for name, node in list(self.nodes.items()):
+                if name not in self.frozen:
+                    self.send(name, node.tick(self.now))
+
+    def deliver(self, source, target, data):
+        cut = (source in self.parted) != (target in self.parted)
+        if cut or target not in self.nodes or target in self.frozen:
+            return
+        node = self.nodes[target]
+        self.send(target, node.receive(decode(data), f"udp-{source}", self.now))
+
+    def views(self):
+        return {
+            name: sorted(member[:10] for member in node.members(self.now))
+            for name, node in self.nodes.items()
+            if is_live(node.own)
+        }
+
+    def agree(self):
+        views = self.views()
+        live = sorted(self.nodes[name].own[:10] for name in views)
+        return all(view == live for view in views.values())
+
+
+def make_fleet(size, **faults):
+    fleet = Fleet(**faults)
+    for number in range(size):
+        fleet.start(f"n{number}")
+    fleet.run(60.0)
+    assert fleet.agree()
+    return fleet
+
+
+def test_silent_death_is_noticed_by_all():
+    """Guards against members that stay listed after their host was replaced."""
+    fleet = make_fleet(8)
+    del fleet.nodes["n0"]
+    fleet.run(10.0)
+    assert fleet.agree()
+    changes = fleet.nodes["n1"].changes()
+    assert (ChangeKind.LEFT, "n0") in [(kind, m.node_id) for kind, m in changes]
+
+
+def test_loss_of_datagrams_alone_kills_nobody():
+    """Guards against false deaths on a lossy network with all hosts up."""
+    fleet = make_fleet(8)
+    fleet.loss = 0.2
+    for node in fleet.nodes.values():
+        node.changes()
+    fleet.run(120.0)
+    kinds = {c.kind for node in fleet.nodes.values() for c in node.changes()}
+    assert ChangeKind.LEFT not in kinds
+
+
+def test_frozen_member_refutes_its_death():
+    """Guards against a resumed node that stays dead, or that kills the others."""
+    fleet = make_fleet(8)
+    fleet.frozen.add("n0")
+    fleet.run(20.0)
+    assert "n0" not in [m.node_id for m in fleet.nodes["n1"].members(fleet.now)]
+    for node in fleet.nodes.values():
+        node.changes()
+    fleet.frozen.clear()
+    fleet.run(15.0)
+    assert fleet.agree()
+    kinds = [c.kind for node in fleet.nodes.values() for c in node.changes()]
+    assert ChangeKind.LEFT not in kinds
+    assert fleet.nodes["n0"].own.incarnation > 0
+
+
+def test_draining_target_is_known_to_all_within_three_seconds():
+    """Guards against new work for a target that has begun to leave."""
+    fleet = make_fleet(60)
+    fleet.nodes["n0"].update_self(fleet.now, target_state=TargetState.DRAINING)
+    fleet.run(3.0)
+    assert fleet.agree()
+
+
+def test_pushed_datagrams_are_bounded():
+    """Guards against a push storm when many targets drain at once."""
+    fleet = make_fleet(30)
+    before, start = fleet.sent, fleet.now
+    for node in fleet.nodes.values():
+        node.update_self(fleet.now, target_state=TargetState.DRAINING)
+    fleet.run(10.0)
+    pushed = SETTINGS.urgent_burst + SETTINGS.urgent_rate * (fleet.now - start)
+    probes = 2.5 * (fleet.now - start)
+    assert fleet.sent - before <= 30 * (pushed + probes)
+    assert fleet.agree()
+
+
+def test_member_that_left_stays_gone_and_may_return():
+    """Guards against old news that brings a departed member back."""
+    fleet = make_fleet(5)
+    state = fleet.nodes["n1"].full_state(fleet.now)
+    fleet.send("n0", fleet.nodes["n0"].leave(fleet.now))
+    fleet.run(2.0)
+    del fleet.nodes["n0"]
+    fleet.nodes["n2"].merge(state, fleet.now)
+    fleet.run(2.0)
+    assert fleet.agree()
+    fleet.start("n0")
+    fleet.run(20.0)
+    assert fleet.agree()
+    assert fleet.nodes["n0"].own.incarnation > 0
+
+
+def test_death_in_old_state_is_only_a_suspicion():
+    """Guards against a mass death when the parts of a fleet meet again."""
+    fleet = make_fleet(3)
+    node = fleet.nodes["n1"]
+    dead = make_member("n0", state=MemberState.DEAD, incarnation=9)
+    node.merge([dead], fleet.now)
+    assert node.table.get("n0").state is MemberState.SUSPECT
+    fleet.run(10.0)
+    assert fleet.agree()
+
+
+def test_log_position_and_cold_time_travel():
+    """Guards against stale configuration and against a slow start without end."""
+    fleet = make_fleet(3)
+    fleet.nodes["n0"].set_position(42)
+    cold = {"target_state": TargetState.COLD, "cold_remaining": 8.0}
+    fleet.nodes["n0"].update_self(fleet.now, **cold)
+    fleet.run(6.0)
+    assert fleet.nodes["n1"].newest_position[0] == 42
+    seen = fleet.nodes["n1"].table.current("n0", fleet.now)
+    assert seen.target_state is TargetState.COLD
+    assert 1.0 <= seen.cold_remaining <= 2.5
+
+
+def test_exchange_at_join_fills_an_empty_view():
+    """Guards against a joiner that waits for probes to learn of the fleet."""
+    fleet = make_fleet(20)
+    joiner = fleet.start("late")
+    assert joiner.exchange_peer() is None
+    fleet.run(2.0)
+    peer = fleet.nodes[joiner.exchange_peer().node_id]
+    joiner.merge(peer.full_state(fleet.now), fleet.now)
+    assert joiner.exchange_peer() is None
+    assert len(joiner.members(fleet.now)) == 21
+
+
+def test_bad_input_is_refused():
+    """Guards against a crash on a foreign datagram and an oversized description."""
+    for data in (b"", b"\xc1", encode(make_member("x")), b"\x91" * 5000):
+        with pytest.raises(ProtocolError):
+            decode(data)
+    with pytest.raises(SettingsError):
+        Membership(SETTINGS, make_member("x" * 999), random.Random(1))
+
+
+class Faults(RuleBasedStateMachine):
+    """Guards against views that differ for good, and against resurrection."""
+
+    NAMES = [f"n{number}" for number in range(6)]
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = Fleet(loss=0.2, repeat=0.2, delay=1.5)
+        self.gone = {}
+        for name in self.NAMES:
+            self.fleet.start(name)
+        self.fleet.run(10.0)
+
+    names = st.sampled_from(NAMES)
+
+    @rule(name=names)
+    def kill(self, name):
+        self.fleet.nodes.pop(name, None)
+        self.forget_view(name)
+
+    @rule(name=names)
+    def restart(self, name):
+        self.fleet.start(name, peer_address=f"peer-{self.fleet.now}")
+        for other in self.NAMES:
+            if other != name:
+                self.fleet.nodes[name].seed([make_member(other)], self.fleet.now)
+        self.forget_view(name)
+
+    @rule(name=names)
+    def freeze_or_resume(self, name):
+        self.fleet.frozen ^= {name}
+
+    @rule(names=st.sets(names))
+    def part(self, names):
+        self.fleet.parted = names
+
+    @rule(name=names, state=st.sampled_from(TargetState))
+    def change(self, name, state):
+        if name in self.fleet.nodes and name not in self.fleet.frozen:
+            self.fleet.nodes[name].update_self(self.fleet.now, target_state=state)
+
+    @rule(name=names)
+    def leave(self, name):
+        node = self.fleet.nodes.get(name)
+        if node is not None and name not in self.fleet.frozen:
+            self.fleet.send(name, node.leave(self.fleet.now))
+
+    @rule(seconds=st.sampled_from([0.5, 3.0, 12.0]))
+    def wait(self, seconds):
+        self.fleet.run(seconds)
+
+    def forget_view(self, name):
+        self.gone = {key: at for key, at in self.gone.items() if key[0] != name}
+
+    @invariant()
+    def nobody_returns_with_an_old_incarnation(self):
+        for viewer, node in self.fleet.nodes.items():
+            for entry in node.table.entries.values():
+                member = entry.member
+                key = (viewer, member.node_id)
+                if member.state is MemberState.LEFT:
+                    self.gone[key] = member.incarnation
+                elif is_live(member):
+                    assert member.incarnation > self.gone.get(key, -1)
+
+    def teardown(self):
+        self.fleet.loss = self.fleet.repeat = 0.0
+        self.fleet.frozen, self.fleet.parted = set(), set()
+        self.fleet.run(90.0)
+        assert self.fleet.agree(), self.fleet.views()
+
+
+TestFaults = Faults.TestCase
+TestFaults.settings = settings(
+    derandomize=True, max_examples=40, stateful_step_count=25, deadline=None
+)
