--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -63,12 +63,16 @@
         service_share: Retries allowed as a share of first attempts.
         service_window: Seconds over which the share is counted.
         service_floor: Retries allowed in a window whatever the share.
+        backoff_base: Longest pause in seconds before the first retry; doubles.
+        backoff_max: Longest pause in seconds before any retry.
     """
 
     attempts: int = 3
     service_share: float = 0.1
     service_window: float = 10.0
     service_floor: int = 3
+    backoff_base: float = 0.02
+    backoff_max: float = 0.5
 
 
 class RoutingSettings(NamedTuple):
@@ -81,6 +85,9 @@
         eject_max: Longest ejection in seconds.
         eject_share: Largest share of a service's targets ejected at once.
         slow_start: Seconds over which a cold target takes its full share.
+        pressure_age: Seconds over which the load carried on an answer fades.
+        latency_tolerance: Ratio of a target's latency over the mean of its
+            service above which the target counts as more loaded.
     """
 
     domain_margin: float = 0.25
@@ -89,6 +96,8 @@
     eject_max: float = 30.0
     eject_share: float = 0.34
     slow_start: float = 10.0
+    pressure_age: float = 2.0
+    latency_tolerance: float = 2.0
 
 
 class MembershipSettings(NamedTuple):
@@ -99,16 +108,32 @@
         probe_timeout: Seconds to wait for an acknowledgement.
         indirect_probes: Members asked to probe on behalf of this one.
         suspect_time: Seconds a member is suspected before it counts as dead.
-        forget_time: Seconds a dead or left member is remembered.
+        forget_time: Seconds a dead or left member is remembered. Longer than a
+            partition that is to be healed, as the parts find each other again
+            through the members that they remember.
         updates_per_message: Updates carried on one datagram.
+        urgent_fanout: Members that an urgent update is pushed to at a time.
+        urgent_rounds: How many times a node pushes an urgent update.
+        urgent_rate: Pushed datagrams a second on average.
+        urgent_burst: Pushed datagrams at once.
+        reconnect_interval: Seconds between pings to a dead member or a contact.
+        digest_interval: Least seconds between two digests that a node sends.
+        digest_after: Messages in a row with another view before a digest is sent.
     """
 
     probe_interval: float = 1.0
     probe_timeout: float = 0.5
     indirect_probes: int = 3
     suspect_time: float = 3.0
-    forget_time: float = 60.0
+    forget_time: float = 7200.0
     updates_per_message: int = 8
+    urgent_fanout: int = 4
+    urgent_rounds: int = 2
+    urgent_rate: float = 4.0
+    urgent_burst: int = 24
+    reconnect_interval: float = 5.0
+    digest_interval: float = 3.0
+    digest_after: int = 10
 
 
 class ShareSettings(NamedTuple):
