--- /dev/null
+++ b/src/carawaywheel/records.py
@@ -0,0 +1,339 @@
+"""Records of the platform's log and their signed encoding.
+
+An encoded record is an HMAC-SHA256 with the fleet secret, followed by the msgpack
+encoding of the tag and the fields. Times are seconds since the Unix epoch by the
+clock of the author's node. Offsets and positions count records of one stream; a
+position is the offset of the next record to read.
+"""
+
+import hashlib
+import hmac
+from typing import Annotated, Any, NamedTuple
+
+import msgspec
+from msgspec import Meta
+
+from .errors import RecordError
+from .policies import PolicyDocument
+
+# Version of an entry that does not exist; offset 0 is a valid version.
+NO_VERSION = -1
+MAC_BYTES = 32
+MAX_RECORD_BYTES = 64 * 1024
+# Keeps these signatures apart from those of peer messages with the same secret.
+MAC_CONTEXT = b"carawaywheel record 1\0"
+TEAMS = "/teams/"
+
+Version = Annotated[int, Meta(ge=NO_VERSION)]
+Position = Annotated[int, Meta(ge=0)]
+Time = Annotated[float, Meta(ge=0.0, le=1e12)]
+
+
+class PolicyPublished(NamedTuple):
+    """A policy document for a path.
+
+    Attributes:
+        change_id: Id of the change; a repeated append carries the same one.
+        path: ``/teams/<team>``.
+        base_version: Version that the change replaces.
+        as_of: Position up to which the author's node had read the stream when it
+            found ``base_version`` to be current.
+        author: Who published.
+        reason: Why, in the operator's words.
+        time: When, in seconds since the epoch.
+        document: The policy.
+    """
+
+    change_id: str
+    path: str
+    base_version: Version
+    as_of: Position
+    author: str
+    reason: str
+    time: Time
+    document: PolicyDocument
+
+
+class KeyIssued(NamedTuple):
+    """A new key of a client account; ``digest`` is that of the whole key text."""
+
+    change_id: str
+    team: str
+    key_id: str
+    as_of: Position
+    digest: str
+    account: str
+    author: str
+    reason: str
+    time: Time
+
+
+class KeyWithdrawn(NamedTuple):
+    """The final withdrawal of a key; it needs no base version."""
+
+    change_id: str
+    key_id: str
+    team: str
+    author: str
+    reason: str
+    time: Time
+
+
+class TeamTokenSet(NamedTuple):
+    """A team's token, as a digest; see `PolicyPublished` for the versions."""
+
+    change_id: str
+    team: str
+    base_version: Version
+    as_of: Position
+    digest: str
+    author: str
+    reason: str
+    time: Time
+
+
+class Entry(NamedTuple):
+    """State of one path of the configuration.
+
+    Attributes:
+        path: Path of the policy, the key or the token.
+        version: Offset of the record that changed the entry last.
+        change_id: Change that made this version.
+        author: Who made it.
+        reason: Why.
+        time: When, in seconds since the epoch.
+        document: The policy, or None for keys and tokens.
+        digest: Digest of the key or token, empty for policies.
+        account: Client account of a key, without the team.
+        withdrawn: Whether the key is withdrawn; this never goes back.
+    """
+
+    path: str
+    version: Version
+    change_id: str
+    author: str
+    reason: str
+    time: Time
+    document: PolicyDocument | None = None
+    digest: str = ""
+    account: str = ""
+    withdrawn: bool = False
+
+
+class Restated(NamedTuple):
+    """Entries repeated with their original versions before the log forgets them.
+
+    Attributes:
+        entries: State of the entries at ``as_of``.
+        as_of: Position up to which the author's node had read the stream.
+        time: When, in seconds since the epoch.
+    """
+
+    entries: list[Entry]
+    as_of: Position
+    time: Time
+
+
+class NodeForgotten(NamedTuple):
+    """An operator's statement that a node is gone for good."""
+
+    node_id: str
+    author: str
+    reason: str
+    time: Time
+
+
+class NodeJoined(NamedTuple):
+    """A node that started; a higher incarnation replaces a lower one."""
+
+    node_id: str
+    incarnation: int
+    domain: str
+    addresses: list[str]
+    time: Time
+
+
+class NodeLeft(NamedTuple):
+    """A node that stopped gracefully."""
+
+    node_id: str
+    incarnation: int
+    time: Time
+
+
+class SlotClaimed(NamedTuple):
+    """A claim to lend the client accounts of a slot during a term."""
+
+    change_id: str
+    domain: str
+    slot: int
+    term: int
+    holder: str
+    incarnation: int
+
+
+class SlotReleased(NamedTuple):
+    """The end of a term by its holder's own release."""
+
+    change_id: str
+    domain: str
+    slot: int
+    term: int
+    holder: str
+    incarnation: int
+
+
+class ClaimMade(NamedTuple):
+    """A claim to run a request that must not be repeated."""
+
+    claim_id: str
+    change_id: str
+    node_id: str
+
+
+class ClaimReleased(NamedTuple):
+    """The release of a claim whose request has provably not run."""
+
+    claim_id: str
+    change_id: str
+
+
+class Summary(NamedTuple):
+    """Event counts of a node over a span.
+
+    Attributes:
+        node_id: Node that counted.
+        incarnation: Incarnation of the node.
+        start: Start of the span in seconds since the epoch.
+        span: Length of the span in seconds.
+        counts: Number of events by kind.
+    """
+
+    node_id: str
+    incarnation: int
+    start: Time
+    span: float
+    counts: dict[str, float]
+
+
+Record = (
+    PolicyPublished
+    | KeyIssued
+    | KeyWithdrawn
+    | TeamTokenSet
+    | Restated
+    | NodeForgotten
+    | NodeJoined
+    | NodeLeft
+    | SlotClaimed
+    | SlotReleased
+    | ClaimMade
+    | ClaimReleased
+    | Summary
+)
+
+# Tags are part of the format of the log and must not change.
+TYPE_BY_TAG: dict[str, type] = {
+    "policy": PolicyPublished,
+    "key": KeyIssued,
+    "withdraw": KeyWithdrawn,
+    "token": TeamTokenSet,
+    "restate": Restated,
+    "forget": NodeForgotten,
+    "join": NodeJoined,
+    "leave": NodeLeft,
+    "slot": SlotClaimed,
+    "slot-release": SlotReleased,
+    "claim": ClaimMade,
+    "claim-release": ClaimReleased,
+    "summary": Summary,
+}
+TAG_BY_TYPE = {record_type: tag for tag, record_type in TYPE_BY_TAG.items()}
+
+
+class Envelope(NamedTuple):
+    """Tag and encoded fields of a record."""
+
+    tag: str
+    fields: msgspec.Raw
+
+
+ENCODER = msgspec.msgpack.Encoder()
+ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
+DECODER_BY_TAG: dict[str, msgspec.msgpack.Decoder[Any]] = {
+    tag: msgspec.msgpack.Decoder(record_type)
+    for tag, record_type in TYPE_BY_TAG.items()
+}
+
+
+def sign(body: bytes, secret: bytes) -> bytes:
+    """Return the signature of an encoded record."""
+    return hmac.digest(secret, MAC_CONTEXT + body, hashlib.sha256)
+
+
+def encode(record: Record, secret: bytes) -> bytes:
+    """Encode and sign a record.
+
+    Raises:
+        RecordError: If the record is larger than 64 KiB.
+    """
+    tag = TAG_BY_TYPE[type(record)]
+    body = ENCODER.encode([tag, record])
+    if MAC_BYTES + len(body) > MAX_RECORD_BYTES:
+        raise RecordError(f"the record takes {len(body)} bytes", "encode", tag)
+    return sign(body, secret) + body
+
+
+def decode(data: bytes, secret: bytes) -> Record:
+    """Verify and decode a record.
+
+    Raises:
+        RecordError: If the signature is wrong or the content is malformed.
+    """
+    if not MAC_BYTES < len(data) <= MAX_RECORD_BYTES:
+        raise RecordError(f"a record cannot have {len(data)} bytes", "decode")
+    body = data[MAC_BYTES:]
+    if not hmac.compare_digest(data[:MAC_BYTES], sign(body, secret)):
+        raise RecordError("the signature is wrong", "verify")
+    return decode_body(body)
+
+
+def decode_body(body: bytes) -> Record:
+    """Decode the signed part of a record.
+
+    Raises:
+        RecordError: If it is malformed or has an unknown tag.
+    """
+    try:
+        tag, fields = ENVELOPE_DECODER.decode(body)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise RecordError(str(error), "decode envelope") from None
+    decoder = DECODER_BY_TAG.get(tag)
+    if decoder is None:
+        raise RecordError("the tag of the record is unknown", "decode envelope", tag)
+    try:
+        return decoder.decode(fields)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise RecordError(str(error), "decode fields", tag) from None
+
+
+def policy_path(team: str) -> str:
+    """Return the path of a team's policy."""
+    return f"{TEAMS}{team}"
+
+
+def token_path(team: str) -> str:
+    """Return the path of a team's token."""
+    return f"{TEAMS}{team}/token"
+
+
+def key_path(team: str, key_id: str) -> str:
+    """Return the path of a key."""
+    return f"{TEAMS}{team}/keys/{key_id}"
+
+
+def team_of(path: str) -> str:
+    """Return the team whose subtree holds a path, empty if there is none."""
+    if not path.startswith(TEAMS):
+        return ""
+    return path[len(TEAMS) :].partition("/")[0]
