--- /dev/null
+++ b/src/carawaywheel/changes.py
@@ -0,0 +1,130 @@
+"""Changes of the configuration, their results and the parts of restatements."""
+
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+import msgspec
+
+from .records import (
+    MAX_RECORD_BYTES,
+    NO_VERSION,
+    Entry,
+    KeyIssued,
+    PolicyPublished,
+    Record,
+    TeamTokenSet,
+    key_path,
+    policy_path,
+    token_path,
+)
+
+# Leaves room for the signature, the tag and the fields around the entries.
+RESTATED_BYTES = MAX_RECORD_BYTES - 1024
+
+
+class Applied(NamedTuple):
+    """A record that took effect; ``duplicate`` marks a repeated append."""
+
+    path: str
+    version: int
+    duplicate: bool = False
+
+
+class Conflict(NamedTuple):
+    """A change that lost; the other fields describe the version in force."""
+
+    path: str
+    version: int
+    change_id: str
+    author: str
+
+
+class Deferred(NamedTuple):
+    """A change that this reader cannot decide yet."""
+
+    path: str
+    offset: int
+
+
+class Ignored(NamedTuple):
+    """A record without effect on the configuration."""
+
+    reason: str
+
+
+Result = Applied | Conflict | Deferred | Ignored
+
+
+class Carrier(NamedTuple):
+    """Newest record from which a new reader learns an entry.
+
+    Attributes:
+        as_of: Position at which the record's author knew the entry.
+        time: Time of the record in seconds since the epoch.
+    """
+
+    as_of: int
+    time: float
+
+
+class Candidate(NamedTuple):
+    """A change with the version that it replaces."""
+
+    entry: Entry
+    base_version: int
+    as_of: int
+
+
+def candidate_of(offset: int, record: Record) -> Candidate | None:
+    """Return the change that a record proposes, or None if it proposes none.
+
+    A policy whose path does not fit its team proposes none.
+    """
+    if not isinstance(record, PolicyPublished | KeyIssued | TeamTokenSet):
+        return None
+    base_version = NO_VERSION
+    if not isinstance(record, KeyIssued):
+        base_version = record.base_version
+    path = path_of(record)
+    if isinstance(record, PolicyPublished) and record.path != path:
+        return None
+    entry = Entry(
+        path=path,
+        version=offset,
+        change_id=record.change_id,
+        author=record.author,
+        reason=record.reason,
+        time=record.time,
+    )
+    if isinstance(record, PolicyPublished):
+        entry = entry._replace(document=record.document)
+    else:
+        entry = entry._replace(digest=record.digest)
+    if isinstance(record, KeyIssued):
+        entry = entry._replace(account=record.account)
+    return Candidate(entry, base_version, record.as_of)
+
+
+def path_of(record: PolicyPublished | KeyIssued | TeamTokenSet) -> str:
+    """Return the path that a change is for."""
+    if isinstance(record, PolicyPublished):
+        return policy_path(record.document["team"])
+    if isinstance(record, KeyIssued):
+        return key_path(record.team, record.key_id)
+    return token_path(record.team)
+
+
+def chunks(entries: Iterable[Entry]) -> Iterator[list[Entry]]:
+    """Split entries so that each part fits into one record."""
+    part: list[Entry] = []
+    size = 0
+    for entry in entries:
+        entry_size = len(msgspec.msgpack.encode(entry))
+        if part and size + entry_size > RESTATED_BYTES:
+            yield part
+            part = []
+            size = 0
+        part.append(entry)
+        size += entry_size
+    if part:
+        yield part
--- a/src/carawaywheel/keys.py
+++ b/src/carawaywheel/keys.py
@@ -14,9 +14,11 @@
 KEY_ID_BYTES = 8
 SECRET_BYTES = 32
 KEY = re.compile(r"cw_([0-9a-f]{16})_[0-9a-f]{64}")
-# Wider than the exact form: also removes cut, upper-case and URL-encoded keys.
+# Wider than the exact form: also finds cut, upper-case and URL-encoded keys, and
+# text that was redacted before.
 KEY_IN_TEXT = re.compile(
-    r"cw(?P<team>t?)(?:_|%5f)(?P<rest>[0-9a-z_%-]*)", re.IGNORECASE
+    r"cw(?P<team>t?)(?:_|%5f)(?P<rest>[0-9a-f](?:[0-9a-f_]|%5f)*)(?:\[redacted\])?",
+    re.IGNORECASE,
 )
 KEY_ID_IN_TEXT = re.compile(r"([0-9a-f]{16})(?:_|%5f|\Z)", re.IGNORECASE)
 REDACTED = "[redacted]"
--- a/src/carawaywheel/records.py
+++ b/src/carawaywheel/records.py
@@ -14,7 +14,7 @@
 from msgspec import Meta
 
 from .errors import RecordError
-from .policies import PolicyDocument
+from .policies import Name, PolicyDocument
 
 # Version of an entry that does not exist; offset 0 is a valid version.
 NO_VERSION = -1
@@ -24,8 +24,16 @@
 MAC_CONTEXT = b"carawaywheel record 1\0"
 TEAMS = "/teams/"
 
+ENTRY_PATH_PATTERN = (
+    r"^/teams/[a-z0-9][a-z0-9-]{0,62}(/token|/keys/[0-9a-f]{16})?(?![\s\S])"
+)
 Version = Annotated[int, Meta(ge=NO_VERSION)]
 Position = Annotated[int, Meta(ge=0)]
+# Bounded, so that a restatement of any published entry fits into one record.
+Label = Annotated[str, Meta(max_length=200)]
+Text = Annotated[str, Meta(max_length=1000)]
+KeyId = Annotated[str, Meta(pattern=r"^[0-9a-f]{16}(?![\s\S])")]
+Path = Annotated[str, Meta(pattern=ENTRY_PATH_PATTERN)]
 Time = Annotated[float, Meta(ge=0.0, le=1e12)]
 
 
@@ -44,12 +52,12 @@
         document: The policy.
     """
 
-    change_id: str
-    path: str
+    change_id: Label
+    path: Path
     base_version: Version
     as_of: Position
-    author: str
-    reason: str
+    author: Label
+    reason: Text
     time: Time
     document: PolicyDocument
 
@@ -57,38 +65,38 @@
 class KeyIssued(NamedTuple):
     """A new key of a client account; ``digest`` is that of the whole key text."""
 
-    change_id: str
-    team: str
-    key_id: str
+    change_id: Label
+    team: Name
+    key_id: KeyId
     as_of: Position
-    digest: str
-    account: str
-    author: str
-    reason: str
+    digest: Label
+    account: Label
+    author: Label
+    reason: Text
     time: Time
 
 
 class KeyWithdrawn(NamedTuple):
     """The final withdrawal of a key; it needs no base version."""
 
-    change_id: str
-    key_id: str
-    team: str
-    author: str
-    reason: str
+    change_id: Label
+    key_id: KeyId
+    team: Name
+    author: Label
+    reason: Text
     time: Time
 
 
 class TeamTokenSet(NamedTuple):
     """A team's token, as a digest; see `PolicyPublished` for the versions."""
 
-    change_id: str
-    team: str
+    change_id: Label
+    team: Name
     base_version: Version
     as_of: Position
-    digest: str
-    author: str
-    reason: str
+    digest: Label
+    author: Label
+    reason: Text
     time: Time
 
 
@@ -108,15 +116,15 @@
         withdrawn: Whether the key is withdrawn; this never goes back.
     """
 
-    path: str
+    path: Path
     version: Version
-    change_id: str
-    author: str
-    reason: str
+    change_id: Label
+    author: Label
+    reason: Text
     time: Time
     document: PolicyDocument | None = None
-    digest: str = ""
-    account: str = ""
+    digest: Label = ""
+    account: Label = ""
     withdrawn: bool = False
 
 
@@ -137,18 +145,18 @@
 class NodeForgotten(NamedTuple):
     """An operator's statement that a node is gone for good."""
 
-    node_id: str
-    author: str
-    reason: str
+    node_id: Label
+    author: Label
+    reason: Text
     time: Time
 
 
 class NodeJoined(NamedTuple):
     """A node that started; a higher incarnation replaces a lower one."""
 
-    node_id: str
+    node_id: Label
     incarnation: int
-    domain: str
+    domain: Label
     addresses: list[str]
     time: Time
 
@@ -156,7 +164,7 @@
 class NodeLeft(NamedTuple):
     """A node that stopped gracefully."""
 
-    node_id: str
+    node_id: Label
     incarnation: int
     time: Time
 
@@ -164,38 +172,38 @@
 class SlotClaimed(NamedTuple):
     """A claim to lend the client accounts of a slot during a term."""
 
-    change_id: str
-    domain: str
+    change_id: Label
+    domain: Label
     slot: int
     term: int
-    holder: str
+    holder: Label
     incarnation: int
 
 
 class SlotReleased(NamedTuple):
     """The end of a term by its holder's own release."""
 
-    change_id: str
-    domain: str
+    change_id: Label
+    domain: Label
     slot: int
     term: int
-    holder: str
+    holder: Label
     incarnation: int
 
 
 class ClaimMade(NamedTuple):
     """A claim to run a request that must not be repeated."""
 
-    claim_id: str
-    change_id: str
-    node_id: str
+    claim_id: Label
+    change_id: Label
+    node_id: Label
 
 
 class ClaimReleased(NamedTuple):
     """The release of a claim whose request has provably not run."""
 
-    claim_id: str
-    change_id: str
+    claim_id: Label
+    change_id: Label
 
 
 class Summary(NamedTuple):
@@ -209,7 +217,7 @@
         counts: Number of events by kind.
     """
 
-    node_id: str
+    node_id: Label
     incarnation: int
     start: Time
     span: float
@@ -275,12 +283,13 @@
     """Encode and sign a record.
 
     Raises:
-        RecordError: If the record is larger than 64 KiB.
+        RecordError: If the record is larger than 64 KiB or readers would refuse it.
     """
     tag = TAG_BY_TYPE[type(record)]
     body = ENCODER.encode([tag, record])
     if MAC_BYTES + len(body) > MAX_RECORD_BYTES:
         raise RecordError(f"the record takes {len(body)} bytes", "encode", tag)
+    decode_body(body)
     return sign(body, secret) + body
 
 
--- /dev/null
+++ b/src/carawaywheel/views.py
@@ -0,0 +1,335 @@
+"""Immutable snapshots of the configuration with lookups for the request path."""
+
+import re
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from .keys import matches, parse_key_id
+from .policies import (
+    AccountDocument,
+    PolicyDocument,
+    Preference,
+    RetryDocument,
+    RouteDocument,
+    ServiceDocument,
+)
+from .refusals import Importance, Reason, Refusal
+from .settings import RetrySettings
+
+DEFAULT_PREFERENCE: Preference = "goodput"
+DEFAULT_COLD_START_SECONDS = 10.0
+DEFAULT_DEADLINE_SECONDS = 10.0
+DEFAULT_METHODS = ("GET",)
+IMPORTANCES = {
+    "critical": Importance.CRITICAL,
+    "normal": Importance.NORMAL,
+    "sheddable": Importance.SHEDDABLE,
+}
+
+# A target may resolve such a path to another route than the node does: empty and dot
+# segments, encoded separators and encoded characters that need no encoding.
+AMBIGUOUS = re.compile(
+    r"//|\\|[\x00-\x20\x7f#]|/\.{1,2}(?:[/;]|\Z)"
+    r"|%(?:00|2[DEF]|3[0-9]|[46][1-9A-F]|[57][0-9A]|5[CF]|7E)",
+    re.IGNORECASE,
+)
+
+
+class Service(NamedTuple):
+    """A service; slots and connections are those of one endpoint.
+
+    Attributes:
+        name: Name of the service.
+        team: Team that owns it.
+        slots: Declared concurrent requests.
+        connections: Declared connections.
+        cold_start: Seconds that a new target needs to warm up.
+        endpoints: Usual number of targets, 0 if not given.
+        preference: What the mesh gives more weight to.
+    """
+
+    name: str
+    team: str
+    slots: int
+    connections: int
+    cold_start: float
+    endpoints: int
+    preference: Preference
+
+
+class Route(NamedTuple):
+    """A route of a policy.
+
+    Attributes:
+        name: Name of the route, unique in its team.
+        team: Team that owns it.
+        prefix: Path prefix, matched by whole segments.
+        methods: HTTP methods.
+        service: Service that answers.
+        open: Whether requests need no key.
+        importance: Importance class of its requests.
+        idempotent: Whether its requests may be repeated.
+        deadline: Longest time for a request, in seconds.
+        accounts: Qualified client accounts allowed, or None for all of the team.
+    """
+
+    name: str
+    team: str
+    prefix: str
+    methods: tuple[str, ...]
+    service: str
+    open: bool
+    importance: Importance
+    idempotent: bool
+    deadline: float
+    accounts: frozenset[str] | None
+
+    def allows(self, account: "Account") -> bool:
+        """Tell whether a client account may use this route."""
+        if self.open:
+            return True
+        if self.accounts is None:
+            return account.team == self.team
+        return account.name in self.accounts
+
+
+class Account(NamedTuple):
+    """A client account.
+
+    Attributes:
+        name: Qualified name, ``team/account``.
+        team: Team that owns it.
+        rate: Rate in requests per second over the fleet.
+        burst: Requests that may come at once over the fleet.
+    """
+
+    name: str
+    team: str
+    rate: float
+    burst: float
+
+
+class KeyEntry(NamedTuple):
+    """A key; ``account`` is the qualified name of its client account."""
+
+    key_id: str
+    team: str
+    account: str
+    digest: str
+    withdrawn: bool
+
+
+class Team(NamedTuple):
+    """Compiled policy of one team, with defaults filled in."""
+
+    name: str
+    version: int
+    preference: Preference
+    retries: RetrySettings
+    services: tuple[Service, ...]
+    routes: tuple[Route, ...]
+    accounts: tuple[Account, ...]
+
+
+class View(NamedTuple):
+    """Snapshot of the configuration at one position; not changed once built.
+
+    Attributes:
+        position: Position of the stream that the snapshot reflects.
+        teams: Compiled policies by team.
+        services: Services by name.
+        accounts: Client accounts by qualified name.
+        routes: Routes by prefix and method.
+        keys: Keys by key id.
+        deepest: Largest number of path segments in a prefix.
+    """
+
+    position: int
+    teams: Mapping[str, Team]
+    services: Mapping[str, Service]
+    accounts: Mapping[str, Account]
+    routes: Mapping[str, Mapping[str, Route]]
+    keys: Mapping[str, KeyEntry]
+    deepest: int
+
+    def route(self, method: str, path: str) -> Route | None:
+        """Return the route of a request, or None if there is none.
+
+        The longest matching prefix decides, also when it lacks the method: a request
+        never falls through to a shorter prefix with weaker rules. A path that a
+        target could resolve differently has no route.
+
+        Args:
+            method: HTTP method in capitals.
+            path: Path of the request, with or without a query.
+        """
+        path = path.partition("?")[0]
+        if not path.startswith("/") or AMBIGUOUS.search(path):
+            return None
+        parts = path.split("/", self.deepest + 1)
+        for length in range(min(len(parts), self.deepest + 1), 0, -1):
+            methods = self.routes.get("/".join(parts[:length]) or "/")
+            if methods is not None:
+                return methods.get(method)
+        return None
+
+    def key(self, text: str) -> KeyEntry | Refusal:
+        """Return the entry of a key text, or why the key is refused."""
+        if not text:
+            return refuse_key(Reason.KEY_MISSING)
+        entry = self.keys.get(parse_key_id(text) or "")
+        if entry is None:
+            return refuse_key(Reason.KEY_UNKNOWN)
+        if entry.withdrawn:
+            return refuse_key(Reason.KEY_WITHDRAWN, entry.key_id)
+        if not matches(text, entry.digest):
+            return refuse_key(Reason.KEY_UNKNOWN, entry.key_id)
+        if entry.account not in self.accounts:
+            return refuse_key(Reason.FORBIDDEN, entry.account)
+        return entry
+
+    def account(self, name: str) -> Account | None:
+        """Return a client account by its qualified name, ``team/account``."""
+        return self.accounts.get(name)
+
+    def service(self, name: str) -> Service | None:
+        """Return a service by its name."""
+        return self.services.get(name)
+
+    def team(self, name: str) -> Team | None:
+        """Return the compiled policy of a team."""
+        return self.teams.get(name)
+
+    def clashes(self, document: PolicyDocument) -> list[str]:
+        """Return where a document collides with the policies of other teams.
+
+        Services and path prefixes are shared by all teams. A prefix collides with an
+        equal one and with one above or below it. To be checked before a document is
+        published; if two teams publish at the same moment, the first team by name
+        gets the service or route.
+        """
+        others = [team for team in self.teams.values() if team.name != document["team"]]
+        names = {service["name"] for service in document["services"]}
+        prefixes = [route["path"] for route in document["routes"]]
+        lines = []
+        for team in others:
+            for service in team.services:
+                if service.name in names:
+                    lines.append(f"service {service.name} belongs to team {team.name}")
+            for route in team.routes:
+                if any(nested(route.prefix, prefix) for prefix in prefixes):
+                    lines.append(f"path {route.prefix} belongs to team {team.name}")
+        return lines
+
+
+def refuse_key(reason: Reason, peer: str = "") -> Refusal:
+    """Return the refusal of a request for its key."""
+    return Refusal(reason, step="authenticate", peer=peer)
+
+
+def nested(first: str, second: str) -> bool:
+    """Tell whether one of two prefixes contains the other."""
+    first = first.rstrip("/") + "/"
+    second = second.rstrip("/") + "/"
+    return first.startswith(second) or second.startswith(first)
+
+
+def qualify(team: str, account: str) -> str:
+    """Return the name of a client account that is unique over all teams."""
+    return f"{team}/{account}"
+
+
+def compile_team(document: PolicyDocument, version: int) -> Team:
+    """Compile a policy document; fields that are not given get their defaults."""
+    team = document["team"]
+    preference = document.get("preference", DEFAULT_PREFERENCE)
+    return Team(
+        name=team,
+        version=version,
+        preference=preference,
+        retries=compile_retries(document.get("retries", {})),
+        services=tuple(
+            compile_service(service, team, preference)
+            for service in document["services"]
+        ),
+        routes=tuple(compile_route(route, team) for route in document["routes"]),
+        accounts=tuple(
+            compile_account(account, team) for account in document["accounts"]
+        ),
+    )
+
+
+def compile_service(
+    service: ServiceDocument, team: str, preference: Preference
+) -> Service:
+    """Compile one service."""
+    return Service(
+        name=service["name"],
+        team=team,
+        slots=service["slots"],
+        connections=service["connections"],
+        cold_start=service.get("cold_start", DEFAULT_COLD_START_SECONDS),
+        endpoints=service.get("endpoints", 0),
+        preference=preference,
+    )
+
+
+def compile_route(route: RouteDocument, team: str) -> Route:
+    """Compile one route."""
+    accounts = route.get("accounts")
+    return Route(
+        name=route["name"],
+        team=team,
+        prefix=route["path"],
+        methods=tuple(route.get("methods", DEFAULT_METHODS)),
+        service=route["service"],
+        open=route.get("access") == "open",
+        importance=IMPORTANCES[route.get("importance", "normal")],
+        idempotent=route.get("idempotent", False),
+        deadline=route.get("deadline", DEFAULT_DEADLINE_SECONDS),
+        accounts=None
+        if accounts is None
+        else frozenset(qualify(team, name) for name in accounts),
+    )
+
+
+def compile_account(account: AccountDocument, team: str) -> Account:
+    """Compile one client account."""
+    name = qualify(team, account["name"])
+    return Account(name, team, account["rate"], account["burst"])
+
+
+def compile_retries(retries: RetryDocument) -> RetrySettings:
+    """Compile the retry limits of a team."""
+    defaults = RetrySettings()
+    return defaults._replace(
+        attempts=retries.get("attempts", defaults.attempts),
+        service_share=retries.get("service_share", defaults.service_share),
+    )
+
+
+def build_view(
+    position: int, teams: Iterable[Team], keys: Mapping[str, KeyEntry]
+) -> View:
+    """Build a snapshot; on a collision the first team by name comes first."""
+    ordered = sorted(teams, key=lambda team: team.name)
+    services: dict[str, Service] = {}
+    accounts: dict[str, Account] = {}
+    routes: dict[str, dict[str, Route]] = {}
+    for team in ordered:
+        accounts.update((account.name, account) for account in team.accounts)
+        for service in team.services:
+            services.setdefault(service.name, service)
+        for route in team.routes:
+            methods = routes.setdefault(route.prefix, {})
+            for method in route.methods:
+                methods.setdefault(method, route)
+    return View(
+        position=position,
+        teams={team.name: team for team in ordered},
+        services=services,
+        accounts=accounts,
+        routes=routes,
+        keys=dict(keys),
+        deepest=max((prefix.count("/") for prefix in routes), default=0),
+    )
