--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,283 @@
+"""HTTP client and load generator that plays the callers of a mesh."""
+
+import argparse
+import json
+import os
+import random
+import secrets
+import time
+from collections import Counter
+from typing import Any, NamedTuple
+
+import curio
+import h11
+from curio import socket
+
+READ_BYTES = 65536
+NO_ANSWER = 0
+MAX_OUTSTANDING = 2000
+RETRY_STATUSES = frozenset({429, 502, 503})
+
+
+class Answer(NamedTuple):
+    """An HTTP answer.
+
+    Attributes:
+        status: HTTP status; 0 if no answer came.
+        headers: Headers by name in lower case; the last one wins.
+        body: The part of the body that arrived.
+        whole: Whether the answer arrived to its announced end.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+    def reason(self) -> str:
+        """Return the reason of a refusal, or an empty string."""
+        try:
+            document = json.loads(self.body)
+        except ValueError:
+            return ""
+        return str(document.get("reason", "")) if isinstance(document, dict) else ""
+
+
+async def request(
+    address: str,
+    method: str,
+    path: str,
+    headers: list[tuple[str, str]] | None = None,
+    body: bytes = b"",
+    timeout: float | None = None,
+) -> Answer:
+    """Send one request on a new connection and read its answer.
+
+    Args:
+        address: ``HOST:PORT`` with a numeric host.
+        method: HTTP method.
+        path: Path with its query.
+        headers: Extra headers.
+        body: Request body.
+        timeout: Seconds to wait for the whole answer, or None to wait for ever.
+
+    Returns:
+        The answer. A failed connection gives status 0; a cut answer is not whole.
+    """
+    exchange = Exchange()
+    sending = exchange.run(address, method, path, headers or [], body)
+    if timeout is None:
+        await sending
+    else:
+        await curio.ignore_after(timeout, sending)
+    return exchange.answer()
+
+
+class Exchange:
+    """Client side of one HTTP request."""
+
+    def __init__(self) -> None:
+        self.machine = h11.Connection(h11.CLIENT)
+        self.status = NO_ANSWER
+        self.headers: dict[str, str] = {}
+        self.body = bytearray()
+        self.whole = False
+
+    def answer(self) -> Answer:
+        """Return what has arrived."""
+        return Answer(self.status, self.headers, bytes(self.body), self.whole)
+
+    async def run(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        """Send the request and read its answer."""
+        fields = [("host", address), ("connection", "close"), *headers]
+        if body or method in ("POST", "PUT", "PATCH"):
+            fields.append(("content-length", str(len(body))))
+        head = h11.Request(method=method, target=path, headers=fields)
+        data = self.machine.send(head) or b""
+        if body:
+            data += self.machine.send(h11.Data(body)) or b""
+        data += self.machine.send(h11.EndOfMessage()) or b""
+        host, _, port = address.rpartition(":")
+        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        async with connection:
+            try:
+                await connection.connect((host, int(port)))
+                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                await connection.sendall(data)
+                await self.read(connection)
+            except (OSError, h11.ProtocolError):
+                return
+
+    async def read(self, connection: Any) -> None:
+        """Read events until the end of the answer."""
+        while not self.whole:
+            event = self.machine.next_event()
+            if event is h11.NEED_DATA:
+                self.machine.receive_data(await connection.recv(READ_BYTES))
+            elif isinstance(event, h11.Response):
+                self.status = event.status_code
+                self.headers = {n.decode(): v.decode() for n, v in event.headers}
+            elif isinstance(event, h11.Data):
+                self.body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                self.whole = True
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+
+class Load:
+    """Open-loop load: requests start at a constant rate whatever comes back."""
+
+    def __init__(self, options: argparse.Namespace, key: str) -> None:
+        self.options = options
+        self.key = key
+        self.nodes = options.node.split(",")
+        self.statuses: Counter[str] = Counter()
+        self.reasons: Counter[str] = Counter()
+        self.by_second: list[list[int]] = []
+        self.latencies: list[float] = []
+        self.whole = 0
+        self.retries = 0
+        self.outstanding = 0
+        self.not_sent = 0
+
+    async def run(self) -> None:
+        """Send the load, then wait for the last answers."""
+        start = time.monotonic()
+        total = int(self.options.rate * self.options.seconds)
+        async with curio.TaskGroup() as group:
+            reaper = await curio.spawn(self.reap, group, daemon=True)
+            for i in range(total):
+                due = start + i / self.options.rate
+                await curio.sleep(max(0.0, due - time.monotonic()))
+                if self.outstanding >= MAX_OUTSTANDING:
+                    self.not_sent += 1
+                    continue
+                self.outstanding += 1
+                await group.spawn(self.send, i, int(due - start))
+            await reaper.cancel()
+
+    async def reap(self, group: Any) -> None:
+        """Join finished tasks, so that a long run holds no finished ones."""
+        while True:
+            if await group.next_done() is None:
+                await curio.sleep(0.05)
+
+    async def send(self, number: int, second: int) -> None:
+        """Send one request with its retries and count its result."""
+        node = self.nodes[number % len(self.nodes)]
+        headers = self.make_headers()
+        began = time.monotonic()
+        for attempt in range(self.options.retries + 1):
+            self.retries += attempt > 0
+            answer = await request(
+                node,
+                self.options.method,
+                self.options.path,
+                headers,
+                self.options.body.encode(),
+                self.options.timeout,
+            )
+            self.count(answer)
+            if answer.whole and answer.status not in RETRY_STATUSES:
+                break
+            await curio.sleep(random.uniform(0, self.options.backoff))
+        self.finish(answer, second, time.monotonic() - began)
+
+    def make_headers(self) -> list[tuple[str, str]]:
+        """Return the headers of one request; its retries carry the same ones."""
+        headers = []
+        if self.key:
+            headers.append(("authorization", f"Bearer {self.key}"))
+        if self.options.deadline_ms:
+            headers.append(("x-deadline-ms", str(self.options.deadline_ms)))
+        if self.options.dispatch:
+            dispatch_id = secrets.token_hex(8)
+            headers.append(("x-dispatch-id", dispatch_id))
+            headers.append(("idempotency-key", dispatch_id))
+        return headers
+
+    def count(self, answer: Answer) -> None:
+        """Count the answer to one attempt."""
+        if not answer.whole:
+            name = "no_answer" if answer.status == NO_ANSWER else "cut"
+            self.statuses[name] += 1
+            return
+        self.statuses[str(answer.status)] += 1
+        if answer.status >= 400:
+            self.reasons[answer.reason() or "none"] += 1
+
+    def finish(self, answer: Answer, second: int, latency: float) -> None:
+        """Count the final result of one request."""
+        self.outstanding -= 1
+        good = answer.whole and answer.status < 400
+        while len(self.by_second) <= second:
+            self.by_second.append([0, 0])
+        self.by_second[second][0 if good else 1] += 1
+        if good:
+            self.whole += 1
+            self.latencies.append(latency)
+
+    def summary(self) -> dict[str, Any]:
+        """Return the counts; latencies are in seconds, of whole answers only."""
+        return {
+            "requests": sum(sum(pair) for pair in self.by_second),
+            "whole": self.whole,
+            "retries": self.retries,
+            "not_sent": self.not_sent,
+            "by_status": dict(self.statuses),
+            "by_reason": dict(self.reasons),
+            "by_second": self.by_second,
+            "latency": quantiles(self.latencies),
+        }
+
+
+def quantiles(values: list[float]) -> dict[str, float]:
+    """Return the median, the 95th and 99th percentile and the largest value."""
+    if not values:
+        return {}
+    ordered = sorted(values)
+    last = len(ordered) - 1
+    points = {"p50": 0.5, "p95": 0.95, "p99": 0.99, "max": 1.0}
+    return {name: ordered[round(share * last)] for name, share in points.items()}
+
+
+async def run(options: argparse.Namespace) -> None:
+    """Send the load and print its counts as one JSON line."""
+    key = os.environ[options.key_env] if options.key_env else ""
+    load = Load(options, key)
+    await load.run()
+    print(json.dumps(load.summary()), flush=True)
+
+
+def main() -> None:
+    """Run the load generator from the command line."""
+    parser = argparse.ArgumentParser(prog="standins.caller", description=__doc__)
+    parser.add_argument("--node", required=True, help="ADDR[,ADDR], in turn")
+    parser.add_argument("--path", required=True)
+    parser.add_argument("--rate", type=float, required=True, help="requests/s")
+    parser.add_argument("--seconds", type=float, required=True)
+    parser.add_argument("--key-env", help="environment variable with the key")
+    parser.add_argument("--retries", type=int, default=0)
+    parser.add_argument("--backoff", type=float, default=0.1, help="largest, seconds")
+    parser.add_argument("--method", default="GET")
+    parser.add_argument("--body", default="")
+    parser.add_argument("--timeout", type=float, default=30.0, help="seconds")
+    parser.add_argument("--deadline-ms", type=int, default=0)
+    parser.add_argument(
+        "--dispatch",
+        action="store_true",
+        help="give each request its own x-dispatch-id and idempotency-key",
+    )
+    curio.run(run, parser.parse_args())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,188 @@
+import base64
+import json
+import signal
+import subprocess
+import sys
+
+import curio
+import pytest
+
+from standins import caller
+from standins.target import pattern
+
+REACH_S = 20
+
+
+@pytest.fixture
+def start():
+    """Start stand-ins as processes and end them after the test."""
+    processes = []
+
+    def start_standin(module, *arguments):
+        command = [sys.executable, "-m", f"standins.{module}", *arguments]
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        processes.append(process)
+        return process, json.loads(process.stdout.readline())["address"]
+
+    yield start_standin
+    for process in processes:
+        process.kill()
+        process.wait()
+        process.stdout.close()
+
+
+def ask(address, method, path, body=b"", headers=()):
+    return curio.run(
+        caller.request, address, method, path, list(headers), body, REACH_S
+    )
+
+
+def control(address, **wanted):
+    answer = ask(address, "POST", "/control", json.dumps(wanted).encode())
+    assert answer.status == 200
+
+
+def read_log(address, query):
+    return json.loads(ask(address, "GET", f"/streams/s/records?{query}").body)
+
+
+def test_a_lost_answer_still_leaves_the_record_and_the_log_removes_no_repeat(start):
+    """Guards against a log that is kinder than the platform's."""
+    _, address = start("log", "--control")
+    control(address, lose_answers=1)
+    path = "/streams/s/records"
+    identity = [("x-append-id", "1")]
+    assert ask(address, "POST", path, b"a", identity).status == caller.NO_ANSWER
+    assert json.loads(ask(address, "POST", path, b"a", identity).body) == {"offset": 1}
+    found = read_log(address, "from=0&limit=9")
+    assert [base64.b64decode(data) for _, data in found["records"]] == [b"a", b"a"]
+    assert found["next"] == 2
+
+
+def test_forgotten_records_are_reported_by_the_first_offset(start):
+    """Guards against a reader that cannot tell that it missed records."""
+    _, address = start("log", "--control")
+    for data in (b"a", b"b", b"c"):
+        ask(address, "POST", "/streams/s/records", data)
+    control(address, forget_before={"s": 2})
+    found = read_log(address, "from=0&limit=1")
+    assert found["first"] == 2
+    assert found["records"] == [[2, base64.b64encode(b"c").decode()]]
+    assert read_log(address, "from=3")["next"] == 3
+
+
+def test_a_long_poll_ends_with_a_record_and_is_cut_when_the_log_goes_down(start):
+    """Guards against a poll that hides an outage of the log until it ends."""
+    _, address = start("log", "--control")
+    path = f"/streams/s/records?from=0&wait={REACH_S}"
+
+    async def poll_while(method, other_path, body):
+        poll = await curio.spawn(caller.request, address, "GET", path)
+        counts = b""
+        while b'"reads": 1' not in counts:
+            counts = (await caller.request(address, "GET", "/counts")).body
+        await caller.request(address, method, other_path, [], body)
+        return await poll.join()
+
+    cut = curio.run(
+        curio.timeout_after, REACH_S, poll_while, "POST", "/control", b'{"down": true}'
+    )
+    assert cut.status == caller.NO_ANSWER
+    assert ask(address, "GET", path).status == caller.NO_ANSWER
+    control(address, down=False)
+    _, address = start("log")
+    answer = curio.run(
+        curio.timeout_after, REACH_S, poll_while, "POST", "/streams/s/records", b"a"
+    )
+    assert json.loads(answer.body)["next"] == 1
+
+
+def test_a_target_counts_runs_and_leaked_keys_and_sends_whole_bodies(start):
+    """Guards against double runs and leaked keys that no test would notice."""
+    _, address = start("target", "--service", "mapdesk", "--service-time", "0")
+    headers = [("x-dispatch-id", "d1"), ("authorization", "Bearer cw_k")]
+    ask(address, "POST", "/x", b"", headers)
+    ask(address, "POST", "/x", b"", headers)
+    for chunked in (0, 1):
+        answer = ask(address, "GET", f"/x?size=100000&chunked={chunked}")
+        assert answer.whole and answer.body == pattern(100000)
+    counts = json.loads(ask(address, "GET", "/counts").body)
+    assert counts["runs"]["d1"] == 2
+    assert counts["leaked"] == ["Bearer cw_k", "Bearer cw_k"]
+
+
+@pytest.mark.parametrize("chunked", [0, 1])
+@pytest.mark.parametrize("fault", ["cut_answers", "short_answers"])
+def test_a_broken_answer_is_never_whole(start, fault, chunked):
+    """Guards against a client that takes part of an answer for all of it."""
+    _, address = start("target", "--service", "mapdesk", "--service-time", "0")
+    control(address, **{fault: 1})
+    path = f"/x?size=1000&chunked={chunked}"
+    assert not ask(address, "GET", path).whole
+    assert ask(address, "GET", path).whole
+
+
+def test_a_full_target_sheds_and_a_client_that_goes_away_is_cancelled(start):
+    """Guards against a target whose slots stay taken by callers that are gone."""
+    shed = ("--slots", "1", "--shed", "--service-time", str(REACH_S))
+    _, address = start("target", "--service", "mapdesk", *shed)
+
+    async def scenario():
+        first = await curio.spawn(caller.request, address, "GET", "/x")
+        while (await counts())["running"] == 0:
+            pass
+        assert (await caller.request(address, "GET", "/x")).status == 503
+        await first.cancel()
+        while (await counts())["cancelled"] == 0:
+            pass
+        assert (await counts())["running"] == 0
+
+    async def counts():
+        return json.loads((await caller.request(address, "GET", "/counts")).body)
+
+    curio.run(curio.timeout_after, REACH_S, scenario)
+
+
+def test_sigterm_announces_draining_finishes_requests_and_announces_left(start):
+    """Guards against a target that cuts off its requests when it stops."""
+    _, log = start("log")
+    announce = f"http://{log}/streams/s/records"
+    options = ("--announce", announce, "--service-time", "0.5")
+    process, address = start("target", "--service", "mapdesk", *options)
+
+    async def scenario():
+        running = await curio.spawn(caller.request, address, "GET", "/x")
+        path = f"/streams/s/records?from=0&wait={REACH_S}"
+        await caller.request(log, "GET", path)
+        counts = b""
+        while b'"running": 1' not in counts:
+            counts = (await caller.request(address, "GET", "/counts")).body
+        process.send_signal(signal.SIGTERM)
+        return await running.join()
+
+    assert curio.run(curio.timeout_after, REACH_S, scenario).whole
+    assert process.wait(REACH_S) == 0
+    records = [json.loads(base64.b64decode(d)) for _, d in read_log(log, "")["records"]]
+    states = list(dict.fromkeys(record["state"] for record in records))
+    assert states == ["ready", "draining", "left"]
+    assert records[0]["address"] == address
+
+
+def test_the_load_generator_counts_answers_and_sends_the_key(start):
+    """Guards against a load whose refusals and lost answers go uncounted."""
+    _, address = start("target", "--service", "mapdesk", "--service-time", "0")
+    control(address, cut_answers=1)
+    arguments = ["--node", address, "--path", "/x", "--rate", "50", "--seconds", "1"]
+    command = [sys.executable, "-m", "standins.caller", *arguments]
+    result = subprocess.run(
+        [*command, "--key-env", "K", "--retries", "1"],
+        env={"K": "cw_k"},
+        capture_output=True,
+        check=True,
+        timeout=REACH_S,
+    )
+    summary = json.loads(result.stdout)
+    assert (summary["whole"], summary["retries"]) == (50, 1)
+    assert summary["by_status"] == {"200": 50, "cut": 1}
+    counts = json.loads(ask(address, "GET", "/counts").body)
+    assert len(counts["leaked"]) == 51
