--- /dev/null
+++ b/src/carawaywheel/causality.py
@@ -0,0 +1,75 @@
+"""Total order of events that respects their causes, whatever the clocks say."""
+
+import heapq
+from collections import Counter, defaultdict, deque
+from collections.abc import Iterable, Iterator
+
+EventKey = tuple[str, int]
+
+
+class CausalOrder:
+    """Iterates over the keys of events so that none comes before its cause.
+
+    Args:
+        times: Wall clock in seconds of each event, by node id and sequence number.
+        edges: Pairs of a cause and its effect; a pair with an unknown event is passed
+            over. That the events of one node are ordered need not be said.
+    """
+
+    def __init__(
+        self,
+        times: dict[EventKey, float],
+        edges: Iterable[tuple[EventKey, EventKey]],
+    ) -> None:
+        self.times = times
+        self.chains = chains_by_node(times)
+        self.effects: dict[EventKey, list[EventKey]] = defaultdict(list)
+        self.missing: Counter[EventKey] = Counter()
+        self.shown: set[EventKey] = set()
+        for chain in self.chains.values():
+            for cause, effect in zip(chain, list(chain)[1:], strict=False):
+                self.add_edge(cause, effect)
+        for cause, effect in edges:
+            if cause in times and effect in times and cause != effect:
+                self.add_edge(cause, effect)
+
+    def add_edge(self, cause: EventKey, effect: EventKey) -> None:
+        """Note that an event comes after another one."""
+        self.effects[cause].append(effect)
+        self.missing[effect] += 1
+
+    def __iter__(self) -> Iterator[EventKey]:
+        ready = [self.rank(key) for key in self.times if not self.missing[key]]
+        heapq.heapify(ready)
+        while len(self.shown) < len(self.times):
+            key = heapq.heappop(ready)[1:] if ready else self.break_cycle()
+            if key in self.shown:
+                continue
+            self.shown.add(key)
+            yield key
+            for effect in self.effects[key]:
+                self.missing[effect] -= 1
+                if not self.missing[effect]:
+                    heapq.heappush(ready, self.rank(effect))
+
+    def rank(self, key: EventKey) -> tuple[float, str, int]:
+        """Return the place of an event among those that may be shown next."""
+        return (self.times[key], *key)
+
+    def break_cycle(self) -> EventKey:
+        """Return the earliest among the first events not yet shown of each node."""
+        heads = []
+        for chain in self.chains.values():
+            while chain and chain[0] in self.shown:
+                chain.popleft()
+            if chain:
+                heads.append(self.rank(chain[0]))
+        return min(heads)[1:]
+
+
+def chains_by_node(keys: Iterable[EventKey]) -> dict[str, deque[EventKey]]:
+    """Return the keys of each node's events, in order."""
+    chains: dict[str, deque[EventKey]] = defaultdict(deque)
+    for key in sorted(keys):
+        chains[key[0]].append(key)
+    return chains
