--- /dev/null
+++ b/src/carawaywheel/charging.py
@@ -0,0 +1,125 @@
+"""Charging client accounts at the entry, with tokens lent by other nodes."""
+
+from typing import Any
+
+import curio
+
+from .borrowers import Borrower, NeedsTokens
+from .clock import Clock
+from .datagrams import Address, DatagramHandler, DatagramSocket, format_address
+from .errors import ProtocolError
+from .lenders import Lender
+from .refusals import Refusal
+from .shares import ShareGrant, ShareRequest, decode_message, encode_message
+
+SHARE_KIND = b"s"
+FLUSH_INTERVAL_SECONDS = 0.05
+
+
+class ChargingService(DatagramHandler):
+    """Exchanges tokens with other nodes and lets callers wait for them.
+
+    Attributes:
+        addresses: Gossip address of each node by its id.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        borrower: Borrower,
+        lender: Lender,
+        sock: DatagramSocket,
+        clock: Clock,
+    ) -> None:
+        self.node_id = node_id
+        self.borrower = borrower
+        self.lender = lender
+        self.sock = sock
+        self.clock = clock
+        self.addresses: dict[str, str] = {}
+        self.nodes: dict[str, str] = {}
+        self.waiting: dict[str, Any] = {}
+        sock.handlers[SHARE_KIND] = self
+
+    def set_addresses(self, addresses: dict[str, str]) -> None:
+        """Set the gossip addresses of the nodes by id."""
+        self.addresses = addresses
+        self.nodes = {address: node for node, address in addresses.items()}
+
+    async def charge(self, account: str) -> Refusal | None:
+        """Charge one request to a client account, waiting for tokens if needed.
+
+        Returns:
+            None when the request is charged, or the refusal.
+        """
+        result = self.borrower.take(account, self.clock.now())
+        while isinstance(result, NeedsTokens):
+            try:
+                await self.flush(account)
+                await self.wait(account, result.retry_at - self.clock.now())
+            except curio.CancelledError:
+                self.borrower.give_up(account)
+                raise
+            result = self.borrower.take(account, self.clock.now(), waited=True)
+        return result if isinstance(result, Refusal) else None
+
+    def refund(self, account: str) -> None:
+        """Give back the charge of a request that has provably not run."""
+        self.borrower.refund(account, self.clock.now())
+
+    async def wait(self, account: str, seconds: float) -> None:
+        """Wait until a grant for an account arrives, or for some seconds."""
+        event = self.waiting.get(account)
+        if event is None:
+            event = self.waiting[account] = curio.Event()
+        try:
+            await curio.timeout_after(max(0.0, seconds), event.wait)
+        except curio.TaskTimeout:
+            return
+
+    async def flush(self, account: str | None = None) -> None:
+        """Send the requests for tokens that are due."""
+        for ref, request in self.borrower.requests(self.clock.now(), account):
+            if ref.node == self.node_id:
+                await self.lend_to_self(request)
+            elif ref.node in self.addresses:
+                data = encode_message(request)
+                await self.sock.send(SHARE_KIND, data, self.addresses[ref.node])
+
+    async def lend_to_self(self, request: ShareRequest) -> None:
+        """Answer a request of this node without a datagram."""
+        grant = self.lender.handle(request, self.clock.now())
+        if grant is not None:
+            await self.take_grant(self.node_id, grant)
+
+    async def receive(self, data: bytes, sender: Address) -> None:
+        """Take a request or a grant of another node."""
+        try:
+            message = decode_message(data)
+        except ProtocolError:
+            self.sock.rejected += 1
+            return
+        address = format_address(sender)
+        if isinstance(message, ShareRequest):
+            # The clock is read after the datagram arrived, see `Lender.handle`.
+            grant = self.lender.handle(message, self.clock.now())
+            if grant is not None:
+                await self.sock.send(SHARE_KIND, encode_message(grant), address)
+            return
+        node = self.nodes.get(address)
+        if node is not None:
+            await self.take_grant(node, message)
+
+    async def take_grant(self, node: str, grant: ShareGrant) -> None:
+        """Take in a grant and wake the callers that wait for it."""
+        self.borrower.receive(node, grant, self.clock.now())
+        event = self.waiting.pop(grant.account, None)
+        if event is not None:
+            await event.set()
+        await self.flush(grant.account)
+
+    async def run(self) -> None:
+        """Send what is due for all accounts until cancelled."""
+        while True:
+            await curio.sleep(FLUSH_INTERVAL_SECONDS)
+            await self.flush()
--- /dev/null
+++ b/src/carawaywheel/commands.py
@@ -0,0 +1,358 @@
+"""Commands of operators."""
+
+import json
+import time
+from datetime import datetime
+from pathlib import Path
+from typing import Annotated, Any
+from urllib.parse import urlencode
+
+import typer
+
+from .console import EXIT_FAILED, EXIT_USAGE, Console, fail, read_input, read_token
+from .contexts import new_id
+from .errors import PolicyError
+from .keys import digest, issue_key, issue_token
+from .policies import check, json_schema, parse
+from .records import policy_path
+
+SPREAD_SECONDS = 13.0
+SPREAD_POLL_SECONDS = 0.5
+
+Admin = Annotated[
+    str,
+    typer.Option(
+        "--admin",
+        envvar="CARAWAYWHEEL_ADMIN",
+        help="Admin address of any node, such as 10.0.0.5:7003.",
+        show_envvar=True,
+    ),
+]
+TokenFile = Annotated[
+    str,
+    typer.Option(
+        "--token-file",
+        envvar="CARAWAYWHEEL_TOKEN_FILE",
+        help="File with your token; the token may also stand in CARAWAYWHEEL_TOKEN.",
+        show_envvar=True,
+    ),
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Machine-readable output.")]
+Reason = Annotated[
+    str, typer.Option("--reason", help="Why, for whoever reads the history.")
+]
+Team = Annotated[str, typer.Option("--team", help="Your team.")]
+
+policy = typer.Typer(help="Check, publish and show policies.", no_args_is_help=True)
+key = typer.Typer(help="Issue, withdraw and list keys.", no_args_is_help=True)
+token = typer.Typer(help="Make and set team tokens.", no_args_is_help=True)
+
+
+def open_console(admin: str, token_file: str, as_json: bool) -> Console:
+    """Return a connection to a node for an operator."""
+    if not admin:
+        fail("no node: use --admin or set CARAWAYWHEEL_ADMIN", EXIT_USAGE)
+    return Console(admin, read_token(token_file), as_json)
+
+
+@policy.command("check")
+def check_policy(file: str, as_json: AsJson = False) -> None:
+    """Check a policy file without a node; `-` reads standard input.
+
+    Example: carawaywheel policy check examples/silt-sable.yaml
+    """
+    try:
+        document = parse(read_input(file), file)
+        check(document, policy_path(document["team"]))
+    except PolicyError as error:
+        if as_json:
+            fault = {"result": "invalid", "error": error.message, "path": error.peer}
+            typer.echo(json.dumps(fault))
+            raise typer.Exit(EXIT_FAILED) from None
+        fail(f"{file}: {error.message} at {error.peer}")
+    counts = {
+        "team": document["team"],
+        "services": len(document["services"]),
+        "routes": len(document["routes"]),
+        "accounts": len(document["accounts"]),
+    }
+    text = f"{file}: valid policy of team {document['team']}, "
+    text += ", ".join(f"{counts[name]} {name}" for name in list(counts)[1:])
+    typer.echo(json.dumps({"result": "valid", **counts}) if as_json else text)
+
+
+@policy.command("schema")
+def show_schema() -> None:
+    """Print the JSON Schema of policy files."""
+    typer.echo(json.dumps(json_schema(), indent=2))
+
+
+@policy.command("publish")
+def publish_policy(
+    file: str,
+    reason: Reason,
+    admin: Admin = "",
+    token_file: TokenFile = "",
+    base_version: Annotated[
+        int | None,
+        typer.Option(help="Version that the change is based on; default: current."),
+    ] = None,
+    dry_run: Annotated[
+        bool, typer.Option("--dry-run", help="Show the difference only.")
+    ] = False,
+    wait: Annotated[
+        bool, typer.Option(help="Wait until all nodes have the change.")
+    ] = True,
+    as_json: AsJson = False,
+) -> None:
+    """Publish a policy file for its team; `-` reads standard input.
+
+    The change is accepted only if nobody else changed the policy since its base
+    version. Exit status: 0 accepted, 1 refused or in conflict, 2 wrong use.
+    """
+    console = open_console(admin, token_file, as_json)
+    text = read_input(file)
+    try:
+        team = parse(text, file)["team"]
+    except PolicyError as error:
+        fail(f"{file}: {error.message} at {error.peer}")
+    body: dict[str, Any] = {"team": team, "text": text, "reason": reason}
+    body |= {"source": file, "dry_run": dry_run, "change_id": new_id()}
+    if base_version is not None:
+        body["base_version"] = base_version
+    finish_change(console, console.call_json("POST", "/policies", body), wait)
+
+
+@policy.command("rollback")
+def rollback_policy(
+    version: int,
+    team: Team,
+    reason: Reason,
+    admin: Admin = "",
+    token_file: TokenFile = "",
+    wait: Annotated[
+        bool, typer.Option(help="Wait until all nodes have the change.")
+    ] = True,
+    as_json: AsJson = False,
+) -> None:
+    """Publish an earlier version of a policy again, as a new version."""
+    console = open_console(admin, token_file, as_json)
+    body = {"team": team, "version": version, "reason": reason, "change_id": new_id()}
+    finish_change(console, console.call_json("POST", "/policies/rollback", body), wait)
+
+
+@policy.command("show")
+def show_policy(
+    team: Team,
+    admin: Admin = "",
+    token_file: TokenFile = "",
+    as_json: AsJson = False,
+) -> None:
+    """Show the policy of a team with its versions, newest first."""
+    console = open_console(admin, token_file, as_json)
+    answer = console.call_json("GET", "/policies?" + urlencode({"team": team}))
+    lines = [f"policy {answer['path']}"]
+    for entry in answer["versions"]:
+        at = format_time(entry["time"])
+        lines.append(
+            f"version {entry['version']}  {at}  {entry['author']}: {entry['reason']}"
+        )
+    lines.append(json.dumps(answer["versions"][0]["document"], indent=2))
+    console.show(answer, "\n".join(lines))
+
+
+def finish_change(console: Console, answer: dict[str, Any], wait: bool) -> None:
+    """Tell the operator what became of a change; end with 1 unless it was accepted."""
+    result = answer["result"]
+    if result == "accepted" and wait:
+        answer["behind"] = wait_for_spread(console, answer["offset"])
+    console.show(answer, change_text(answer))
+    if result not in ("accepted", "dry_run"):
+        raise typer.Exit(EXIT_FAILED)
+
+
+def change_text(answer: dict[str, Any]) -> str:
+    """Return the result of a change in words."""
+    result = answer["result"]
+    lines = [f"  {line}" for line in answer.get("difference", [])]
+    if result == "accepted":
+        lines.append(f"accepted as version {answer['version']} of {answer['path']}")
+        lines += spread_lines(answer)
+    elif result == "conflict":
+        lines.append(
+            f"conflict: version {answer['version']} of {answer['path']} by "
+            f"{answer['author']} came first; nothing was changed"
+        )
+    elif result == "dry_run":
+        lines.append(f"dry run: nothing was changed; base {answer['base_version']}")
+    elif result == "invalid":
+        lines.append(f"invalid: {answer['error']} at {answer['path']}")
+    else:
+        ran = "may have taken effect" if answer["ran"] == "unknown" else "not done"
+        reason = answer["reason"].replace("_", " ")
+        lines.append(f"refused: {reason} at {answer['step']}; {ran}")
+    return "\n".join(lines)
+
+
+def spread_lines(answer: dict[str, Any]) -> list[str]:
+    """Return who has a change and who has not, in words."""
+    lines = []
+    if answer.get("reached") or answer.get("missed"):
+        lines.append(f"told {len(answer['reached'])} nodes directly")
+    if answer.get("missed"):
+        lines.append(f"not reached directly: {', '.join(answer['missed'])}")
+    behind = answer.get("behind")
+    if behind:
+        lines.append(f"not confirmed by: {', '.join(behind)}")
+    elif behind is not None:
+        lines.append("in force on all nodes that are live")
+    return lines
+
+
+def wait_for_spread(console: Console, offset: int) -> list[str]:
+    """Wait until all nodes have read a record; return those that have not."""
+    deadline = time.monotonic() + SPREAD_SECONDS
+    while True:
+        answer = console.call_json("GET", "/fleet/status" + team_query(console))
+        behind = [
+            node["node"] for node in answer["nodes"] if node["position"] <= offset
+        ]
+        behind += answer["missing"]
+        if not behind or time.monotonic() >= deadline:
+            return behind
+        if not console.as_json:
+            typer.echo(f"waiting for {len(behind)} nodes", err=True)
+        time.sleep(SPREAD_POLL_SECONDS)
+
+
+def team_query(console: Console) -> str:
+    """Return the query that names the operator's team, if it is known."""
+    team = getattr(console, "team", "")
+    return "?" + urlencode({"team": team}) if team else ""
+
+
+@key.command("issue")
+def issue(
+    team: Team,
+    account: Annotated[str, typer.Option(help="Client account of the key.")],
+    reason: Reason,
+    admin: Admin = "",
+    token_file: TokenFile = "",
+    out: Annotated[
+        str, typer.Option(help="File for the key, created with mode 600.")
+    ] = "",
+    wait: Annotated[
+        bool, typer.Option(help="Wait until all nodes have the key.")
+    ] = True,
+    as_json: AsJson = False,
+) -> None:
+    """Issue a key for a client account.
+
+    The key is made here and shown once; only its digest leaves this machine.
+    """
+    console = open_console(admin, token_file, as_json)
+    console.team = team  # type: ignore[attr-defined]
+    made = issue_key()
+    body = {"team": team, "account": account, "reason": reason}
+    body |= {"key_id": made.key_id, "digest": digest(made.secret_text)}
+    answer = console.call_json("POST", "/keys", body | {"change_id": new_id()})
+    if answer["result"] == "accepted":
+        answer["key_id"] = made.key_id
+        if out:
+            write_private(out, made.secret_text)
+        else:
+            answer["key"] = made.secret_text
+            if not as_json:
+                typer.echo(made.secret_text)
+    finish_change(console, answer, wait)
+
+
+def write_private(path: str, text: str) -> None:
+    """Write a secret to a new file that only its owner can read."""
+    try:
+        target = Path(path)
+        target.touch(mode=0o600, exist_ok=False)
+        target.write_text(text + "\n")
+    except OSError as error:
+        fail(f"--out {path}: {error.strerror}")
+
+
+@key.command("withdraw")
+def withdraw(
+    key_id: str,
+    team: Team,
+    reason: Reason,
+    admin: Admin = "",
+    token_file: TokenFile = "",
+    wait: Annotated[
+        bool, typer.Option(help="Wait until all nodes have the withdrawal.")
+    ] = True,
+    as_json: AsJson = False,
+) -> None:
+    """Withdraw a key for good, given by its id (the middle part of the key).
+
+    All nodes are told directly as well as through the log, so this also works while
+    the log is down; the command then says that it is not recorded yet.
+    """
+    if "_" in key_id:
+        fail("give the id of the key, not the key itself", EXIT_USAGE)
+    console = open_console(admin, token_file, as_json)
+    console.team = team  # type: ignore[attr-defined]
+    body = {"team": team, "key_id": key_id, "reason": reason, "change_id": new_id()}
+    answer = console.call_json("POST", "/keys/withdraw", body)
+    if answer["result"] == "refused" and not as_json:
+        typer.echo(
+            f"the key stopped at {len(answer['reached']) + 1} nodes, but the log did "
+            "not confirm the record; run the command again when the log answers",
+            err=True,
+        )
+    finish_change(console, answer, wait)
+
+
+@key.command("list")
+def list_keys(
+    team: Team, admin: Admin = "", token_file: TokenFile = "", as_json: AsJson = False
+) -> None:
+    """List the keys of a team; the texts of keys are not known to the system."""
+    console = open_console(admin, token_file, as_json)
+    answer = console.call_json("GET", "/keys?" + urlencode({"team": team}))
+    lines = [f"{'key id':<18}{'account':<24}{'state':<11}{'since':<21}by"]
+    for entry in answer["keys"]:
+        state = "withdrawn" if entry["withdrawn"] else "valid"
+        lines.append(
+            f"{entry['key_id']:<18}{entry['account']:<24}{state:<11}"
+            f"{format_time(entry['time']):<21}{entry['author']}: {entry['reason']}"
+        )
+    console.show(answer, "\n".join(lines))
+
+
+@token.command("make")
+def make_token(as_json: AsJson = False) -> None:
+    """Make a token with its digest, for a team or for --root-token-digest."""
+    text = issue_token()
+    value = {"token": text, "digest": digest(text)}
+    plain = f"token  {text}\ndigest {value['digest']}"
+    typer.echo(json.dumps(value) if as_json else plain)
+
+
+@token.command("set")
+def set_token(
+    team: Team,
+    digest_text: Annotated[
+        str, typer.Option("--digest", help="Digest that `token make` printed.")
+    ],
+    reason: Reason,
+    admin: Admin = "",
+    token_file: TokenFile = "",
+    as_json: AsJson = False,
+) -> None:
+    """Set the token of a team; needs the root token."""
+    console = open_console(admin, token_file, as_json)
+    body = {"team": team, "digest": digest_text, "reason": reason}
+    answer = console.call_json("POST", "/tokens", body | {"change_id": new_id()})
+    finish_change(console, answer, True)
+
+
+def format_time(seconds: float) -> str:
+    """Return a wall clock time in words."""
+    return datetime.fromtimestamp(seconds).strftime("%Y-%m-%d %H:%M:%S")
--- /dev/null
+++ b/src/carawaywheel/console.py
@@ -0,0 +1,143 @@
+"""Requests of the command line to the administration API of a node."""
+
+import json
+import os
+import sys
+from pathlib import Path
+from typing import Any, NoReturn
+
+import curio
+import typer
+
+from .errors import PeerError
+from .pool import Pool
+
+TIMEOUT_SECONDS = 15.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+TOKEN_VARIABLE = "CARAWAYWHEEL_TOKEN"
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+def fail(message: str, code: int = EXIT_FAILED) -> NoReturn:
+    """End the command with an error."""
+    typer.echo(f"error: {message}", err=True)
+    raise typer.Exit(code)
+
+
+def read_token(path: str) -> str:
+    """Return the operator's token from a file or the environment.
+
+    It is never a flag, for flags show in process lists.
+    """
+    if path:
+        try:
+            return Path(path).read_text().strip()
+        except OSError as error:
+            fail(f"--token-file {path}: {error.strerror}", EXIT_USAGE)
+    token = os.environ.get(TOKEN_VARIABLE, "")
+    if not token:
+        fail(f"no token: set {TOKEN_VARIABLE} or use --token-file", EXIT_USAGE)
+    return token
+
+
+class Console:
+    """A connection to the administration API.
+
+    Attributes:
+        admin: Admin address of any node, ``ip:port``.
+        token: Token of the operator.
+        as_json: Whether output is machine-readable.
+    """
+
+    def __init__(self, admin: str, token: str, as_json: bool) -> None:
+        self.admin = admin
+        self.token = token
+        self.as_json = as_json
+
+    def call(
+        self, method: str, target: str, value: Any = None
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Send one request; return the status, the body and the headers."""
+        body = b"" if value is None else json.dumps(value).encode()
+        try:
+            return curio.run(self.exchange, method, target, body)
+        except PeerError as error:
+            fail(f"node {self.admin} does not answer: {error}")
+        except curio.TaskTimeout:
+            fail(f"node {self.admin} did not answer within {TIMEOUT_SECONDS:g} s")
+
+    async def exchange(
+        self, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Send one request and read its answer."""
+        headers = [
+            (b"host", self.admin.encode()),
+            (b"authorization", f"Bearer {self.token}".encode()),
+            (b"content-length", str(len(body)).encode()),
+            (b"connection", b"close"),
+        ]
+        pool = Pool()
+        answer, content = await curio.timeout_after(
+            TIMEOUT_SECONDS,
+            pool.request,
+            self.admin,
+            method,
+            target,
+            headers,
+            body,
+            MAX_ANSWER_BYTES,
+        )
+        fields = {key.decode(): value.decode() for key, value in answer.headers}
+        return answer.status, content, fields
+
+    def call_json(self, method: str, target: str, value: Any = None) -> dict[str, Any]:
+        """Send one request and return its JSON answer; refusals end the command."""
+        status, content, _ = self.call(method, target, value)
+        try:
+            answer: dict[str, Any] = json.loads(content)
+        except ValueError:
+            fail(f"node {self.admin} answered {status} without JSON")
+        if status in (200, 422):
+            return answer
+        if self.as_json:
+            typer.echo(json.dumps(answer))
+            raise typer.Exit(EXIT_FAILED)
+        fail(answer.get("error") or refusal_text(status, answer))
+
+    def call_bytes(self, target: str) -> tuple[bytes, dict[str, str]]:
+        """Send a request for binary data; refusals end the command."""
+        status, content, headers = self.call("GET", target)
+        if status == 200:
+            return content, headers
+        try:
+            answer = json.loads(content)
+        except ValueError:
+            answer = {}
+        fail(refusal_text(status, answer))
+
+    def show(self, value: Any, text: str) -> None:
+        """Print a value as JSON or as text."""
+        typer.echo(json.dumps(value, sort_keys=True) if self.as_json else text)
+
+
+def refusal_text(status: int, answer: dict[str, Any]) -> str:
+    """Return a refusal in words."""
+    reason = answer.get("reason", f"status {status}")
+    parts = [str(reason).replace("_", " ")]
+    for name in ("detail", "step", "peer", "path"):
+        if answer.get(name):
+            parts.append(f"{name} {answer[name]}")
+    return ", ".join(parts)
+
+
+def read_input(path: str) -> str:
+    """Return the text of a file, or of standard input for ``-``."""
+    if path == "-":
+        return sys.stdin.read()
+    try:
+        return Path(path).read_text()
+    except OSError as error:
+        fail(f"{path}: {error.strerror}", EXIT_USAGE)
+    except UnicodeDecodeError:
+        fail(f"{path}: not UTF-8 text", EXIT_USAGE)
--- a/src/carawaywheel/contexts.py
+++ b/src/carawaywheel/contexts.py
@@ -69,7 +69,6 @@
         deadline: Deadline on the local clock, in seconds.
         budget: Attempts that remain for sub-calls.
         levels: Levels that the answers of sub-calls carried, by service.
-        cancelled: Whether the caller has gone or the deadline has passed.
     """
 
     def __init__(
@@ -79,7 +78,11 @@
         self.deadline = deadline
         self.budget = budget
         self.levels: dict[str, Level] = {}
-        self.cancelled = False
+
+    def learn(self, levels: list[Level]) -> None:
+        """Keep the levels that the answer to a sub-call carried."""
+        for level in levels:
+            self.levels[level.service] = level
 
 
 class InFlight:
--- /dev/null
+++ b/src/carawaywheel/datagrams.py
@@ -0,0 +1,84 @@
+"""The UDP socket over which nodes exchange short messages."""
+
+from abc import ABC, abstractmethod
+from typing import Any
+
+from curio import socket
+
+from .signing import Signer
+
+MAX_DATAGRAM_BYTES = 8192
+RECEIVE_BUFFER_BYTES = 1 << 20
+
+Address = tuple[str, int]
+
+
+class DatagramHandler(ABC):
+    """Takes the messages of one kind."""
+
+    @abstractmethod
+    async def receive(self, data: bytes, sender: Address) -> None:
+        """Take the content of a datagram whose tag was right."""
+
+
+class DatagramSocket:
+    """Sends and receives sealed datagrams, told apart by their first byte.
+
+    Attributes:
+        address: IP address and port of the socket.
+        handlers: Handler of each kind of message.
+        rejected: Datagrams with a wrong tag or an unknown kind.
+        bytes_sent: Bytes sent since the start.
+        bytes_received: Bytes received since the start.
+    """
+
+    def __init__(self, host: str, port: int, signer: Signer) -> None:
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self.sock.bind((host, port))
+        bound = self.sock.getsockname()
+        self.address = f"{bound[0]}:{bound[1]}"
+        self.signer = signer
+        self.handlers: dict[bytes, DatagramHandler] = {}
+        self.rejected = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    async def run(self) -> None:
+        """Receive datagrams until cancelled."""
+        while True:
+            try:
+                datagram, sender = await self.sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                # An earlier datagram was refused by its receiver's host.
+                continue
+            self.bytes_received += len(datagram)
+            await self.dispatch(datagram, sender)
+
+    async def dispatch(self, datagram: bytes, sender: Address) -> None:
+        """Verify a datagram and give it to the handler of its kind."""
+        data = self.signer.open(datagram)
+        handler = self.handlers.get(data[:1]) if data else None
+        if data is None or handler is None:
+            self.rejected += 1
+            return
+        await handler.receive(data[1:], sender)
+
+    async def send(self, kind: bytes, data: bytes, address: str) -> None:
+        """Send a message; a datagram that cannot be sent counts as lost."""
+        host, _, port = address.rpartition(":")
+        datagram = self.signer.seal(kind + data)
+        try:
+            await self.sock.sendto(datagram, (host, int(port)))
+        except (OSError, ValueError):
+            return
+        self.bytes_sent += len(datagram)
+
+    async def close(self) -> None:
+        """Close the socket."""
+        await self.sock.close()
+
+
+def format_address(address: Any) -> str:
+    """Return a socket address as ``ip:port``."""
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/src/carawaywheel/fleet.py
@@ -0,0 +1,144 @@
+"""Asking all nodes for their status, events and summaries."""
+
+import json
+from typing import Any, NamedTuple
+
+import curio
+import msgspec
+
+from .clock import Clock
+from .errors import LogError, PeerError, RecordError
+from .events import Event, decode_events, merge
+from .headers import SIGNATURE_HEADER
+from .logs import LogService
+from .membership import Membership
+from .pool import Pool
+from .records import decode
+from .signing import Signer
+from .summaries import Summary
+
+ASK_TIMEOUT_SECONDS = 2.0
+ASK_CONCURRENCY = 32
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+SUMMARY_STREAM = "summary"
+READ_LIMIT = 1000
+
+
+class FleetAnswer(NamedTuple):
+    """Answers of the nodes of the fleet.
+
+    Attributes:
+        answers: Content by node id.
+        missing: Nodes that did not answer.
+    """
+
+    answers: dict[str, bytes]
+    missing: list[str]
+
+
+class FleetService:
+    """Collects what the nodes of the fleet know."""
+
+    def __init__(
+        self, membership: Membership, log: LogService, signer: Signer, clock: Clock
+    ) -> None:
+        self.membership = membership
+        self.log = log
+        self.signer = signer
+        self.clock = clock
+        self.pool = Pool()
+
+    def peers(self) -> list[tuple[str, str]]:
+        """Return the id and the peer address of each live node, this one included."""
+        members = self.membership.members(self.clock.now())
+        return [(member.node_id, member.peer_address) for member in members]
+
+    def others(self) -> list[tuple[str, str]]:
+        """Return the id and the peer address of each other live node."""
+        own = self.membership.own.node_id
+        return [peer for peer in self.peers() if peer[0] != own]
+
+    async def ask(self, target: str) -> FleetAnswer:
+        """Send a control request to every node."""
+        answers: dict[str, bytes] = {}
+        missing: list[str] = []
+        slots = curio.Semaphore(ASK_CONCURRENCY)
+
+        async def ask_one(node_id: str, address: str) -> None:
+            async with slots:
+                content = await self.get(address, target)
+            if content is None:
+                missing.append(node_id)
+            else:
+                answers[node_id] = content
+
+        async with curio.TaskGroup() as group:
+            for node_id, address in self.peers():
+                await group.spawn(ask_one, node_id, address)
+        return FleetAnswer(answers, sorted(missing))
+
+    async def get(self, address: str, target: str) -> bytes | None:
+        """Send a control request to one node; None if it did not answer."""
+        headers: list[tuple[bytes, bytes]] = [
+            (b"host", address.encode()),
+            (SIGNATURE_HEADER, self.signer.sign(b"GET", target.encode(), b"")),
+        ]
+        try:
+            answer, content = await curio.timeout_after(
+                ASK_TIMEOUT_SECONDS,
+                self.pool.request,
+                address,
+                "GET",
+                target,
+                headers,
+                b"",
+                MAX_ANSWER_BYTES,
+            )
+        except (PeerError, curio.TaskTimeout):
+            return None
+        return content if answer.status == 200 else None
+
+    async def status(self) -> dict[str, Any]:
+        """Return the status of all nodes."""
+        found = await self.ask("/status")
+        nodes = [json.loads(content) for content in found.answers.values()]
+        nodes.sort(key=lambda node: str(node["node"]))
+        return {"nodes": nodes, "missing": found.missing}
+
+    async def events(self, query: str) -> tuple[list[Event], list[str]]:
+        """Return the merged events of all nodes, and the nodes that are missing."""
+        found = await self.ask(f"/events{query}")
+        buffers = []
+        missing = list(found.missing)
+        for node_id, content in found.answers.items():
+            try:
+                buffers.append(decode_events(content))
+            except msgspec.DecodeError:
+                missing.append(node_id)
+        return merge(buffers), sorted(missing)
+
+    async def summaries(self) -> tuple[list[Summary], str]:
+        """Return the summaries that the log still has, and why some may be missing."""
+        found: list[Summary] = []
+        position = 0
+        try:
+            while True:
+                batch = await self.log.read(SUMMARY_STREAM, position, READ_LIMIT, 0.0)
+                found += self.decode_summaries(batch.records)
+                if not batch.records:
+                    return found, ""
+                position = batch.next
+        except LogError as error:
+            return found, f"the log did not answer: {error}"
+
+    def decode_summaries(self, records: list[tuple[int, bytes]]) -> list[Summary]:
+        """Decode summaries; malformed records are passed over."""
+        found = []
+        for _, data in records:
+            try:
+                record = decode(data, self.signer.secret)
+            except RecordError:
+                continue
+            if isinstance(record, Summary):
+                found.append(record)
+        return found
--- /dev/null
+++ b/src/carawaywheel/follower.py
@@ -0,0 +1,261 @@
+"""Following a stream of the log, directly or through a node that reads it.
+
+Two nodes of each failure domain read the log; the others ask one of these, so
+that a large fleet does not load the log with polls. Who cannot reach a reader
+turns to the log itself.
+"""
+
+import hashlib
+import json
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Callable, Sequence
+
+import curio
+from loguru import logger
+
+from .clock import Clock
+from .errors import LogError, PeerError
+from .logs import Batch, LogService, parse_batch
+from .pool import Pool
+from .signing import Signer
+
+POLL_WAIT_SECONDS = 1.0
+RETRY_SECONDS = 0.25
+READ_LIMIT = 500
+CACHE_RECORDS = 4096
+RELAY_TIMEOUT_SECONDS = 1.0
+MAX_RELAYED_BYTES = 16 * 1024 * 1024
+READERS_PER_DOMAIN = 2
+FRESH_SECONDS = 3.0
+
+
+class RecordSink(ABC):
+    """Takes the records of a stream in the order of their offsets."""
+
+    @abstractmethod
+    def begin(self, offset: int) -> None:
+        """Note the oldest offset that the stream still has."""
+
+    @abstractmethod
+    def take(self, offset: int, data: bytes) -> None:
+        """Take one record."""
+
+    @abstractmethod
+    def reached_end(self, asked_at: float) -> None:
+        """Note that all records up to the end of the stream were taken.
+
+        Args:
+            asked_at: Time in seconds at which the log was asked for its end.
+        """
+
+
+class StreamCache:
+    """The newest records of a stream, kept for the nodes that ask this one.
+
+    Attributes:
+        first: Oldest offset held.
+        next: Offset after the newest one held.
+        log_first: Oldest offset that the log still had.
+        read_at: Time at which the log was last asked, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.records: deque[tuple[int, bytes]] = deque(maxlen=CACHE_RECORDS)
+        self.first = 0
+        self.next = 0
+        self.log_first = 0
+        self.read_at = float("-inf")
+
+    def add(self, batch: Batch, read_at: float) -> None:
+        """Add records that were read from an offset on."""
+        if batch.first > self.next:
+            self.records.clear()
+            self.first = batch.first
+        self.records.extend(batch.records)
+        if self.records and len(self.records) == CACHE_RECORDS:
+            self.first = self.records[0][0]
+        self.next = max(self.next, batch.next)
+        self.log_first = batch.first
+        self.read_at = max(self.read_at, read_at)
+
+    def holds(self, offset: int) -> bool:
+        """Return whether all records from an offset on are held."""
+        return self.first <= offset or offset >= self.next
+
+    def since(self, offset: int, limit: int) -> list[tuple[int, bytes]]:
+        """Return records from an offset on."""
+        found = []
+        for record in reversed(self.records):
+            if record[0] < offset:
+                break
+            found.append(record)
+        found.reverse()
+        return found[:limit]
+
+
+class StreamFollower:
+    """Follows one stream and gives its records to a sink.
+
+    Attributes:
+        position: Offset of the next record to read.
+        cache: Records for other nodes.
+        log_down: Whether the last direct read failed.
+    """
+
+    def __init__(
+        self,
+        stream: str,
+        sink: RecordSink,
+        log: LogService,
+        readers: Callable[[], Sequence[str] | None],
+        signer: Signer,
+        clock: Clock,
+    ) -> None:
+        """Create a follower.
+
+        Args:
+            stream: Name of the stream.
+            sink: Takes the records.
+            log: The platform's log.
+            readers: Returns the peer addresses of the nodes to ask, or None if this
+                node reads the log itself.
+            signer: Signs requests to peers.
+            clock: Clock.
+        """
+        self.stream = stream
+        self.sink = sink
+        self.log = log
+        self.readers = readers
+        self.signer = signer
+        self.clock = clock
+        self.pool = Pool()
+        self.position = 0
+        self.cache = StreamCache()
+        self.log_down = False
+        self.changed = curio.Event()
+
+    @property
+    def age(self) -> float:
+        """Seconds since the log was asked for the news that this node has."""
+        return self.clock.now() - self.cache.read_at
+
+    async def run(self) -> None:
+        """Follow the stream until cancelled."""
+        while True:
+            if not await self.poll(POLL_WAIT_SECONDS):
+                await curio.sleep(RETRY_SECONDS)
+
+    async def poll(self, wait: float) -> bool:
+        """Read once, from a peer if possible; return whether it worked."""
+        readers = self.readers()
+        if readers is not None:
+            for address in readers:
+                if await self.poll_peer(address, wait):
+                    return True
+        return await self.poll_log(wait)
+
+    async def poll_log(self, wait: float) -> bool:
+        """Read from the log itself."""
+        asked_at = self.clock.now()
+        try:
+            batch = await self.log.read(self.stream, self.position, READ_LIMIT, wait)
+        except LogError as error:
+            self.note_log_state(True, error)
+            return False
+        self.note_log_state(False, None)
+        await self.take(batch, asked_at)
+        return True
+
+    def note_log_state(self, down: bool, error: LogError | None) -> None:
+        """Log a change between up and down."""
+        if down and not self.log_down:
+            logger.warning("log service does not answer for {}: {}", self.stream, error)
+        if self.log_down and not down:
+            logger.info("log service answers again for {}", self.stream)
+        self.log_down = down
+
+    async def poll_peer(self, address: str, wait: float) -> bool:
+        """Read from a node that reads the log."""
+        target = f"/streams/{self.stream}?from={self.position}&wait={wait:g}"
+        headers = [
+            (b"host", address.encode()),
+            (b"x-cw-signature", self.signer.sign(b"GET", target.encode(), b"")),
+        ]
+        try:
+            answer, content = await curio.timeout_after(
+                wait + RELAY_TIMEOUT_SECONDS,
+                self.pool.request,
+                address,
+                "GET",
+                target,
+                headers,
+                b"",
+                MAX_RELAYED_BYTES,
+            )
+            if answer.status != 200:
+                return False
+            return await self.take_relayed(json.loads(content), address)
+        except (PeerError, LogError, curio.TaskTimeout, ValueError):
+            return False
+
+    async def take_relayed(self, answer: dict[str, object], address: str) -> bool:
+        """Take records from a peer unless its news is older than allowed."""
+        age = answer.get("age")
+        if not isinstance(age, int | float) or age > FRESH_SECONDS:
+            return False
+        await self.take(parse_batch(answer, address), self.clock.now() - age)
+        return True
+
+    async def take(self, batch: Batch, asked_at: float) -> None:
+        """Give records to the sink and wake those that wait for them."""
+        if batch.first > self.position:
+            self.position = batch.first
+        self.sink.begin(batch.first)
+        for offset, data in batch.records:
+            if offset >= self.position:
+                self.sink.take(offset, data)
+                self.position = offset + 1
+        self.cache.add(batch, asked_at)
+        if self.position >= batch.next:
+            self.sink.reached_end(asked_at)
+        if batch.records:
+            changed = self.changed
+            self.changed = curio.Event()
+            await changed.set()
+
+    async def read_to(self, offset: int, timeout: float) -> bool:
+        """Read until a record was taken; return False if it did not come in time."""
+        deadline = self.clock.now() + timeout
+        while self.position <= offset:
+            remaining = deadline - self.clock.now()
+            if remaining <= 0:
+                return False
+            try:
+                await curio.timeout_after(remaining, self.changed.wait)
+            except curio.TaskTimeout:
+                return False
+        return True
+
+    async def relay(self, offset: int, limit: int, wait: float) -> Batch | None:
+        """Return records for another node; None if it must ask the log itself."""
+        if not self.cache.holds(offset):
+            return None
+        records = self.cache.since(offset, limit)
+        if not records and wait > 0:
+            try:
+                await curio.timeout_after(wait, self.changed.wait)
+            except curio.TaskTimeout:
+                pass
+            records = self.cache.since(offset, limit)
+        following = records[-1][0] + 1 if records else max(offset, self.cache.next)
+        return Batch(self.cache.log_first, following, records)
+
+
+def rank_readers(domain_nodes: Sequence[str]) -> list[str]:
+    """Return the nodes of a failure domain that read the log, by rendezvous hash."""
+
+    def score(node: str) -> bytes:
+        return hashlib.blake2b(b"reader\0" + node.encode(), digest_size=8).digest()
+
+    return sorted(domain_nodes, key=score, reverse=True)[:READERS_PER_DOMAIN]
--- /dev/null
+++ b/src/carawaywheel/gossip.py
@@ -0,0 +1,245 @@
+"""Membership over the network: gossip, contacts from the log, and candidates."""
+
+import curio
+import msgspec
+from loguru import logger
+
+from .clock import Clock
+from .datagrams import Address, DatagramHandler, DatagramSocket, format_address
+from .errors import LogError, PeerError, ProtocolError, RecordError
+from .events import EventKind
+from .headers import SIGNATURE_HEADER
+from .logs import LogService
+from .members import Change, Member, MemberState
+from .membership import Membership
+from .pool import Pool
+from .recorder import Recorder
+from .records import NodeJoined, NodeLeft, decode, encode
+from .routing import Candidate, Router, TargetState
+from .signing import Signer
+from .swim import Outgoing
+from .swim import decode as decode_message
+from .swim import encode as encode_message
+
+GOSSIP_KIND = b"m"
+NODES_STREAM = "nodes"
+TICK_SECONDS = 0.1
+REJOIN_SECONDS = 60.0
+READ_LIMIT = 1000
+EXCHANGE_TIMEOUT_SECONDS = 2.0
+MAX_EXCHANGE_BYTES = 4 * 1024 * 1024
+
+members_encoder = msgspec.msgpack.Encoder()
+members_decoder = msgspec.msgpack.Decoder(list[Member])
+
+
+class GossipService(DatagramHandler):
+    """Runs the membership core on the gossip socket.
+
+    Attributes:
+        membership: The core.
+        router: Told of the targets of all members.
+        joined: Whether this node's join record is in the log.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        router: Router,
+        sock: DatagramSocket,
+        log: LogService,
+        signer: Signer,
+        recorder: Recorder,
+        clock: Clock,
+    ) -> None:
+        self.membership = membership
+        self.router = router
+        self.sock = sock
+        self.log = log
+        self.signer = signer
+        self.recorder = recorder
+        self.clock = clock
+        self.pool = Pool()
+        self.position = 0
+        self.joined = False
+        self.join_at = 0.0
+        self.heard_at = float("-inf")
+        sock.handlers[GOSSIP_KIND] = self
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            now = self.clock.now()
+            await self.send(self.membership.tick(now))
+            self.note_changes()
+            await curio.sleep(TICK_SECONDS)
+
+    async def send(self, messages: list[Outgoing]) -> None:
+        """Send messages of the core."""
+        for outgoing in messages:
+            data = encode_message(outgoing.message)
+            await self.sock.send(GOSSIP_KIND, data, outgoing.address)
+
+    async def receive(self, data: bytes, sender: Address) -> None:
+        """Take a message of another node."""
+        try:
+            message = decode_message(data)
+        except ProtocolError:
+            self.sock.rejected += 1
+            return
+        now = self.clock.now()
+        self.heard_at = now
+        await self.send(self.membership.receive(message, format_address(sender), now))
+
+    def note_changes(self) -> None:
+        """Record changes of the membership and tell the router."""
+        changes = self.membership.changes()
+        for change in changes:
+            self.note_change(change)
+        if changes:
+            self.update_router()
+
+    def note_change(self, change: Change) -> None:
+        """Record one change of the membership."""
+        member = change.member
+        text = f"{member.node_id} {change.kind.value}: {member.state.name.lower()}"
+        if member.service:
+            text += f", {member.service} {member.target_state.name.lower()}"
+        self.recorder.state_event(EventKind.MEMBER_CHANGED, text)
+        logger.info("member {}", text)
+
+    def update_router(self) -> None:
+        """Give the targets of all live members to the router."""
+        now = self.clock.now()
+        members = self.membership.members(now)
+        self.router.update(
+            [candidate_of(member, now) for member in members if member.service], now
+        )
+
+    async def run_contacts(self) -> None:
+        """Publish this node in the log and learn of others until cancelled."""
+        while True:
+            await self.exchange_contacts()
+            await curio.sleep(1.0)
+
+    async def exchange_contacts(self) -> None:
+        """Append the join record when it is due and read those of others.
+
+        The record is repeated in time, so that it stays within the retention.
+        """
+        now = self.clock.now()
+        try:
+            if now >= self.join_at:
+                await self.append_join()
+                self.join_at = now + REJOIN_SECONDS
+            await self.read_contacts()
+        except LogError:
+            return
+        await self.exchange_state()
+
+    async def append_join(self) -> None:
+        """Append this node's join record."""
+        own = self.membership.own
+        record = NodeJoined(
+            own.node_id,
+            own.incarnation,
+            own.domain,
+            [own.peer_address, own.gossip_address],
+            self.recorder.wall_time(),
+        )
+        await self.log.append(NODES_STREAM, encode(record, self.signer.secret))
+        self.joined = True
+
+    async def read_contacts(self) -> None:
+        """Read the join records of other nodes."""
+        batch = await self.log.read(NODES_STREAM, self.position, READ_LIMIT, 0.0)
+        contacts: dict[str, Member] = {}
+        for _, data in batch.records:
+            try:
+                record = decode(data, self.signer.secret)
+            except RecordError:
+                continue
+            if isinstance(record, NodeJoined) and len(record.addresses) == 2:
+                contacts[record.node_id] = contact_of(record)
+            elif isinstance(record, NodeLeft):
+                contacts.pop(record.node_id, None)
+        self.position = max(self.position, batch.next)
+        contacts.pop(self.membership.own.node_id, None)
+        self.membership.seed(contacts.values(), self.clock.now())
+
+    async def exchange_state(self) -> None:
+        """Exchange the full state with one member, once after the start."""
+        peer = self.membership.exchange_peer()
+        if peer is None:
+            return
+        body = members_encoder.encode(self.membership.full_state(self.clock.now()))
+        headers = [
+            (b"host", peer.peer_address.encode()),
+            (SIGNATURE_HEADER, self.signer.sign(b"POST", b"/members", body)),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        try:
+            answer, content = await curio.timeout_after(
+                EXCHANGE_TIMEOUT_SECONDS,
+                self.pool.request,
+                peer.peer_address,
+                "POST",
+                "/members",
+                headers,
+                body,
+                MAX_EXCHANGE_BYTES,
+            )
+            state = members_decoder.decode(content)
+        except (PeerError, curio.TaskTimeout, msgspec.DecodeError):
+            return
+        if answer.status == 200:
+            self.membership.merge(state, self.clock.now())
+
+    async def leave(self) -> None:
+        """Tell the other nodes that this one leaves."""
+        await self.send(self.membership.leave(self.clock.now()))
+        record = NodeLeft(
+            self.membership.own.node_id,
+            self.membership.own.incarnation,
+            self.recorder.wall_time(),
+        )
+        try:
+            await self.log.append(NODES_STREAM, encode(record, self.signer.secret))
+        except LogError:
+            return
+
+
+def candidate_of(member: Member, now: float) -> Candidate:
+    """Return the target of a member as the router knows it.
+
+    A node has one target, so the id of the node stands for it.
+    """
+    return Candidate(
+        target_id=member.node_id,
+        node_id=member.node_id,
+        service=member.service,
+        address=member.peer_address,
+        domain=member.domain,
+        slots=member.slots,
+        state=member.target_state,
+        cold_until=now + member.cold_remaining,
+    )
+
+
+def contact_of(record: NodeJoined) -> Member:
+    """Return a join record as a contact for the membership."""
+    peer_address, gossip_address = record.addresses
+    return Member(
+        record.node_id,
+        record.incarnation,
+        MemberState.ALIVE,
+        record.domain,
+        peer_address,
+        gossip_address,
+        "",
+        "",
+        TargetState.LEFT,
+        0,
+        0.0,
+        0,
+    )
--- /dev/null
+++ b/src/carawaywheel/headers.py
@@ -0,0 +1,89 @@
+"""Rules for headers that pass through a node."""
+
+import re
+
+from .http import Headers
+
+CONTEXT_HEADER = b"x-cw-context"
+SIGNATURE_HEADER = b"x-cw-signature"
+ANSWER_HEADER = b"x-cw-answer"
+INTERNAL_PREFIX = b"x-cw-"
+REQUEST_ID_HEADER = b"x-request-id"
+DEADLINE_HEADER = b"x-deadline-ms"
+IDEMPOTENCY_HEADER = b"idempotency-key"
+AUTHORIZATION_HEADER = b"authorization"
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+# Set anew for each hop, or known to the node alone.
+REQUEST_PRIVATE = HOP_BY_HOP | {
+    AUTHORIZATION_HEADER,
+    REQUEST_ID_HEADER,
+    DEADLINE_HEADER,
+    b"content-length",
+    b"host",
+}
+BODILESS_STATUSES = (204, 304)
+KEY_PATTERN = re.compile(rb"cw_[0-9A-Za-z]+_[0-9A-Za-z_\-]{20,}")
+
+
+def forwarded_request_headers(headers: Headers) -> Headers:
+    """Return the headers of a request that go on to the target."""
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in REQUEST_PRIVATE and not name.startswith(INTERNAL_PREFIX)
+    ]
+
+
+def forwarded_answer_headers(status: int, headers: Headers) -> Headers:
+    """Return the headers of an answer that go back to the caller.
+
+    The framing of a chunked body is kept, because it tells a cut from an end.
+    """
+    kept = [
+        (name, value)
+        for name, value in headers
+        if name not in HOP_BY_HOP and not name.startswith(INTERNAL_PREFIX)
+    ]
+    if status in BODILESS_STATUSES:
+        return kept
+    if not any(name == b"content-length" for name, _ in kept):
+        kept.append((b"transfer-encoding", b"chunked"))
+    return kept
+
+
+def holds_key(target: str, headers: Headers, body: bytes) -> bool:
+    """Return whether a client account's key stands where a target would see it.
+
+    Args:
+        target: Path and query.
+        headers: Headers of the request; the authorization header may hold a key.
+        body: Body of the request.
+    """
+    if KEY_PATTERN.search(target.encode("latin-1")):
+        return True
+    if any(
+        b"cw_" in value and name != AUTHORIZATION_HEADER and KEY_PATTERN.search(value)
+        for name, value in headers
+    ):
+        return True
+    return b"cw_" in body and KEY_PATTERN.search(body) is not None
+
+
+def bearer_key(value: str) -> str:
+    """Return the key of an authorization header, empty if it holds none."""
+    scheme, _, key = value.partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
--- /dev/null
+++ b/src/carawaywheel/http.py
@@ -0,0 +1,307 @@
+"""Server side of HTTP/1.1 on h11 and curio.
+
+One request at a time runs on a connection. A connection whose exchange was
+abandoned or broken is closed and never reused.
+"""
+
+import json
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+import curio
+import h11
+from curio import socket
+
+from .errors import ProtocolError
+from .refusals import Refusal
+
+MAX_HEAD_BYTES = 16 * 1024
+READ_BYTES = 64 * 1024
+HEAD_TIMEOUT_SECONDS = 10.0
+IDLE_TIMEOUT_SECONDS = 75.0
+BODY_TIMEOUT_SECONDS = 30.0
+WRITE_TIMEOUT_SECONDS = 30.0
+KEEPALIVE_IDLE_SECONDS = 5
+KEEPALIVE_STEP_SECONDS = 2
+KEEPALIVE_PROBES = 3
+USER_TIMEOUT_MS = 10_000
+
+Headers = list[tuple[bytes, bytes]]
+
+CLOSE_HEADER = (b"connection", b"close")
+JSON_HEADER = (b"content-type", b"application/json")
+
+
+class Request(NamedTuple):
+    """A request whose head has arrived.
+
+    Attributes:
+        method: HTTP method in upper case.
+        target: Path and query as sent.
+        headers: Header names in lower case with their values.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+
+    def header(self, name: bytes) -> str:
+        """Return the first value of a header, or an empty string."""
+        for key, value in self.headers:
+            if key == name:
+                return value.decode("latin-1")
+        return ""
+
+    @property
+    def path(self) -> str:
+        """Path of the request without its query."""
+        return self.target.partition("?")[0]
+
+
+class ServerConnection:
+    """One connection of a caller or a peer.
+
+    Attributes:
+        sock: curio socket.
+        peer: Address of the other side.
+        gone: Whether the other side has closed the connection.
+        last: Whether the connection closes after the current answer.
+    """
+
+    def __init__(self, sock: Any, peer: str) -> None:
+        self.sock = sock
+        self.peer = peer
+        self.gone = False
+        self.last = False
+        self.started = False
+        self.protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+
+    async def next_request(self) -> Request | None:
+        """Wait for the head of the next request.
+
+        Returns:
+            The request, or None when the other side closed the connection or
+            sent nothing for the idle time.
+
+        Raises:
+            ProtocolError: If the input is malformed, too large or too slow.
+        """
+        event = self.parse()
+        if event is h11.NEED_DATA:
+            data = await self.receive(IDLE_TIMEOUT_SECONDS)
+            if not data:
+                return None
+            self.protocol.receive_data(data)
+            event = await self.next_event(HEAD_TIMEOUT_SECONDS)
+        if isinstance(event, h11.ConnectionClosed):
+            return None
+        if not isinstance(event, h11.Request):
+            raise ProtocolError("expected a request", "read head", self.peer)
+        if event.http_version != b"1.1":
+            # The end of an answer cannot be told from a cut in HTTP/1.0.
+            raise ProtocolError("HTTP/1.1 is required", "read head", self.peer)
+        check_target(event.target, self.peer)
+        return Request(
+            event.method.decode("ascii"),
+            event.target.decode("ascii"),
+            list(event.headers),
+        )
+
+    async def next_event(self, timeout: float) -> Any:
+        """Return the next h11 event.
+
+        Args:
+            timeout: Seconds until the event must be complete, however slowly
+                its bytes arrive.
+
+        Raises:
+            ProtocolError: If the input is malformed or too slow.
+        """
+        event = self.parse()
+        if event is not h11.NEED_DATA:
+            return event
+        try:
+            return await curio.timeout_after(timeout, self.read_event)
+        except curio.TaskTimeout as error:
+            raise ProtocolError("the request is too slow", "read", self.peer) from error
+
+    async def read_event(self) -> Any:
+        """Read until the next h11 event is complete."""
+        if self.protocol.they_are_waiting_for_100_continue:
+            await self.send_informational()
+        while True:
+            self.protocol.receive_data(await self.receive_bytes())
+            event = self.parse()
+            if event is not h11.NEED_DATA:
+                return event
+
+    def parse(self) -> Any:
+        """Return the next event that the received bytes hold.
+
+        Raises:
+            ProtocolError: If the bytes are not valid HTTP.
+        """
+        try:
+            return self.protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            raise ProtocolError(str(error), "read", self.peer) from error
+
+    async def receive(self, timeout: float) -> bytes:
+        """Read some bytes; empty at the end or when none came in time."""
+        try:
+            return await curio.timeout_after(timeout, self.receive_bytes)
+        except curio.TaskTimeout:
+            return b""
+
+    async def receive_bytes(self) -> bytes:
+        """Read some bytes; empty at the end of the connection."""
+        try:
+            return await self.sock.recv(READ_BYTES)
+        except OSError:
+            return b""
+
+    async def send_informational(self) -> None:
+        """Tell a waiting client to send its body."""
+        event = h11.InformationalResponse(status_code=100, headers=[])
+        await self.write(self.protocol.send(event) or b"")
+
+    async def read_body(self, limit: int) -> bytes:
+        """Read the whole body of the current request.
+
+        Args:
+            limit: Largest body in bytes.
+
+        Raises:
+            ProtocolError: If the body is too large, cut, or too slow.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self.next_event(BODY_TIMEOUT_SECONDS)
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if not isinstance(event, h11.Data):
+                raise ProtocolError("the body was cut", "read body", self.peer)
+            size += len(event.data)
+            if size > limit:
+                raise ProtocolError(
+                    f"the body is larger than {limit} bytes", "read body", self.peer
+                )
+            parts.append(bytes(event.data))
+
+    async def write(self, data: bytes) -> None:
+        """Send bytes.
+
+        Raises:
+            ProtocolError: If the other side is gone or does not read.
+        """
+        try:
+            await curio.timeout_after(WRITE_TIMEOUT_SECONDS, self.sock.sendall, data)
+        except (OSError, curio.TaskTimeout) as error:
+            self.gone = True
+            raise ProtocolError("the answer was not taken", "write", self.peer) from (
+                error
+            )
+
+    async def respond(
+        self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Send a complete answer in one write."""
+        fields = [*headers, (b"content-length", str(len(body)).encode())]
+        if self.last:
+            fields.append(CLOSE_HEADER)
+        head = h11.Response(status_code=status, headers=fields)
+        send = self.protocol.send
+        self.started = True
+        data = (send(head) or b"") + (send(h11.Data(data=body)) or b"")
+        data += send(h11.EndOfMessage()) or b""
+        await self.write(data)
+
+    def encode_head(self, status: int, headers: Headers) -> bytes:
+        """Encode the head of a streamed answer, to be sent with its first bytes."""
+        self.started = True
+        fields = [*headers, CLOSE_HEADER] if self.last else headers
+        return self.protocol.send(h11.Response(status_code=status, headers=fields)) or (
+            b""
+        )
+
+    def encode_data(self, data: bytes) -> bytes:
+        """Encode a part of the body of a streamed answer."""
+        return self.protocol.send(h11.Data(data=data)) or b""
+
+    def encode_end(self) -> bytes:
+        """Encode the end of a streamed answer.
+
+        Raises:
+            ProtocolError: If fewer bytes were sent than the head announced.
+        """
+        try:
+            return self.protocol.send(h11.EndOfMessage()) or b""
+        except h11.LocalProtocolError as error:
+            raise ProtocolError(str(error), "write", self.peer) from error
+
+    def reuse(self) -> bool:
+        """Prepare for the next request; False if the connection must close."""
+        if self.gone or self.last or self.protocol.our_state is not h11.DONE:
+            return False
+        if self.protocol.their_state is not h11.DONE:
+            return False
+        self.protocol.start_next_cycle()
+        self.started = False
+        return True
+
+    async def refuse_input(self, error: ProtocolError) -> None:
+        """Answer malformed input with an error, if an answer can still be sent."""
+        if self.started or self.protocol.our_state not in (
+            h11.IDLE,
+            h11.SEND_RESPONSE,
+        ):
+            return
+        status = 413 if "larger than" in error.message else 400
+        body = json_body({"reason": "bad_request", "detail": error.message})
+        self.last = True
+        await self.respond(status, [JSON_HEADER], body)
+
+
+def check_target(target: bytes, peer: str) -> None:
+    """Refuse request targets that are not a plain path.
+
+    Raises:
+        ProtocolError: If the target is not an absolute path in ASCII.
+    """
+    if not target.startswith(b"/") or any(byte <= 32 or byte > 126 for byte in target):
+        raise ProtocolError("the request target is not a path", "read head", peer)
+
+
+def json_body(value: Any) -> bytes:
+    """Encode a value as one line of JSON."""
+    return json.dumps(value, separators=(",", ":")).encode() + b"\n"
+
+
+def refusal_body(refusal: Refusal) -> bytes:
+    """Encode a refusal for a caller."""
+    return json_body(
+        {
+            "reason": refusal.reason.value,
+            "ran": refusal.ran.value,
+            "retry_after": refusal.retry_after,
+            "step": refusal.step,
+            "peer": refusal.peer,
+        }
+    )
+
+
+def tune_socket(sock: Any) -> None:
+    """Send small writes at once and notice connections that went silent.
+
+    An unacknowledged write fails after the user timeout, and an idle connection
+    is probed, so that a lost connection does not hold a request to its deadline.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_STEP_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- /dev/null
+++ b/src/carawaywheel/listener.py
@@ -0,0 +1,186 @@
+"""Accepting connections and noticing callers that go away."""
+
+import select
+import socket
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any
+
+import curio
+from loguru import logger
+
+from .errors import ProtocolError
+from .http import Request, ServerConnection, tune_socket
+
+LISTEN_BACKLOG = 1024
+ACCEPT_RETRY_SECONDS = 0.05
+HANGUP_INTERVAL_SECONDS = 0.05
+HANGUP_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+
+
+class RequestHandler(ABC):
+    """Handles the requests of one listener."""
+
+    @abstractmethod
+    async def handle(self, connection: ServerConnection, request: Request) -> None:
+        """Answer one request on its connection.
+
+        Raises:
+            ProtocolError: If the exchange broke; the connection is then closed.
+        """
+
+
+class HangupWatch:
+    """Cancels the tasks of callers that closed their connection.
+
+    One epoll object holds all connections, so that a request in flight needs
+    no task of its own that waits for the caller to go away.
+    """
+
+    def __init__(self) -> None:
+        self.poller = select.epoll()
+        self.tasks: dict[int, Any] = {}
+        self.busy: set[int] = set()
+        self.hung_up: set[int] = set()
+
+    def add(self, fd: int, task: Any) -> None:
+        """Watch a connection on behalf of the task that serves it."""
+        self.tasks[fd] = task
+        self.poller.register(fd, HANGUP_EVENTS | select.EPOLLET)
+
+    def remove(self, fd: int) -> None:
+        """Stop watching a connection; must come before it is closed."""
+        self.poller.unregister(fd)
+        self.tasks.pop(fd, None)
+        self.busy.discard(fd)
+        self.hung_up.discard(fd)
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await curio.sleep(HANGUP_INTERVAL_SECONDS)
+            await self.poll()
+
+    async def poll(self) -> None:
+        """Cancel the tasks whose caller has gone while a request runs."""
+        for fd, _ in self.poller.poll(0):
+            self.hung_up.add(fd)
+        for fd in list(self.hung_up & self.busy):
+            self.hung_up.discard(fd)
+            await self.tasks[fd].cancel(blocking=False)
+
+
+class Listener:
+    """A listening socket and the connections accepted on it.
+
+    Attributes:
+        address: IP address and port that callers use.
+        connections: Open connections by file descriptor.
+        idle: File descriptors of connections on which no request runs.
+        closing: Whether every answer ends its connection.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        handler: RequestHandler,
+        watch: HangupWatch,
+        limit: int,
+    ) -> None:
+        self.name = name
+        self.handler = handler
+        self.watch = watch
+        self.limit = limit
+        self.sock = curio.tcp_server_socket(host, port, backlog=LISTEN_BACKLOG)
+        bound = self.sock.getsockname()
+        self.address = f"{bound[0]}:{bound[1]}"
+        self.connections: dict[int, ServerConnection] = {}
+        self.idle: set[int] = set()
+        self.closing = False
+        self.on_protocol_error: Callable[[str], None] = lambda name: None
+
+    async def run(self) -> None:
+        """Accept connections until cancelled."""
+        while True:
+            try:
+                client, address = await self.sock.accept()
+            except OSError as error:
+                # Out of file descriptors: the listener survives and tries again.
+                logger.warning("cannot accept on {}: {}", self.name, error)
+                await curio.sleep(ACCEPT_RETRY_SECONDS)
+                continue
+            if len(self.connections) >= self.limit:
+                await client.close()
+                continue
+            await curio.spawn(self.serve, client, address, daemon=True)
+
+    async def serve(self, sock: Any, address: tuple[str, int]) -> None:
+        """Serve one connection until it closes."""
+        fd = sock.fileno()
+        connection = ServerConnection(sock, f"{address[0]}:{address[1]}")
+        connection.last = self.closing
+        self.connections[fd] = connection
+        tune_socket(sock)
+        self.watch.add(fd, await curio.current_task())
+        try:
+            await self.serve_requests(connection, fd)
+        except (OSError, curio.CancelledError):
+            # The caller has gone or the node is stopping: nobody reads an answer.
+            pass
+        finally:
+            self.watch.remove(fd)
+            self.idle.discard(fd)
+            del self.connections[fd]
+            await sock.close()
+
+    async def serve_requests(self, connection: ServerConnection, fd: int) -> None:
+        """Serve the requests of one connection, one after the other."""
+        try:
+            while True:
+                self.idle.add(fd)
+                request = await connection.next_request()
+                self.idle.discard(fd)
+                if request is None:
+                    return
+                await self.serve_one(connection, request, fd)
+                if not connection.reuse():
+                    return
+        except ProtocolError as error:
+            self.on_protocol_error(self.name)
+            await self.answer_bad_input(connection, error)
+
+    async def serve_one(
+        self, connection: ServerConnection, request: Request, fd: int
+    ) -> None:
+        """Run the handler; a caller that goes away meanwhile cancels it."""
+        self.watch.busy.add(fd)
+        try:
+            await self.handler.handle(connection, request)
+        finally:
+            self.watch.busy.discard(fd)
+
+    async def answer_bad_input(
+        self, connection: ServerConnection, error: ProtocolError
+    ) -> None:
+        """Tell the caller what was wrong, unless it is gone."""
+        try:
+            await connection.refuse_input(error)
+        except ProtocolError:
+            self.on_protocol_error(self.name)
+
+    def begin_close(self) -> None:
+        """End each connection after its next answer; requests are still served."""
+        self.closing = True
+        for connection in self.connections.values():
+            connection.last = True
+
+    def close_idle(self) -> None:
+        """Wake the connections on which no request runs, so that they close."""
+        for fd in self.idle:
+            self.connections[fd].sock._socket.shutdown(socket.SHUT_RD)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self.sock.close()
--- /dev/null
+++ b/src/carawaywheel/logs.py
@@ -0,0 +1,162 @@
+"""The platform's append-only log, behind an abstract base class."""
+
+import base64
+import json
+from abc import ABC, abstractmethod
+from typing import Any, NamedTuple
+from urllib.parse import quote
+
+import curio
+
+from .errors import LogError, PeerError
+from .pool import Pool
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+POLL_SLACK_SECONDS = 3.0
+OK_STATUS = 200
+
+
+class Batch(NamedTuple):
+    """Records read from a stream.
+
+    Attributes:
+        first: Oldest offset that the log still keeps.
+        next: Offset to read from next.
+        records: Offsets and data, in offset order.
+    """
+
+    first: int
+    next: int
+    records: list[tuple[int, bytes]]
+
+
+class LogService(ABC):
+    """Append-only streams with offsets and limited retention."""
+
+    @abstractmethod
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append a record and return its offset.
+
+        Raises:
+            LogError: If the log failed; ``unknown`` says whether the append may
+                have taken effect.
+        """
+
+    @abstractmethod
+    async def read(self, stream: str, offset: int, limit: int, wait: float) -> Batch:
+        """Read records from an offset on.
+
+        Args:
+            stream: Name of the stream.
+            offset: First offset wanted; older ones that are gone are skipped.
+            limit: Largest number of records.
+            wait: Seconds to wait for a record when there is none.
+
+        Raises:
+            LogError: If the log failed or did not answer in time.
+        """
+
+
+class HttpLogService(LogService):
+    """Log service reached over HTTP.
+
+    Attributes:
+        address: IP address and port of the log service.
+        timeout: Seconds to wait for an answer.
+    """
+
+    def __init__(self, address: str, timeout: float) -> None:
+        self.address = address
+        self.timeout = timeout
+        self.pool = Pool()
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append a record and return its offset; see the base class."""
+        target = f"/streams/{quote(stream)}/records"
+        answer = await self.call("append", "POST", target, data, self.timeout)
+        return parse_field(answer, "offset", "append", self.address)
+
+    async def read(self, stream: str, offset: int, limit: int, wait: float) -> Batch:
+        """Read records from an offset on; see the base class."""
+        target = f"/streams/{quote(stream)}/records?from={offset}&limit={limit}"
+        target += f"&wait={wait:g}"
+        timeout = wait + max(self.timeout, POLL_SLACK_SECONDS)
+        answer = await self.call("read", "GET", target, b"", timeout)
+        return parse_batch(answer, self.address)
+
+    async def call(
+        self, step: str, method: str, target: str, body: bytes, timeout: float
+    ) -> Any:
+        """Send one request to the log and decode its JSON answer."""
+        headers = [
+            (b"host", self.address.encode()),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        try:
+            answer, content = await curio.timeout_after(
+                timeout,
+                self.pool.request,
+                self.address,
+                method,
+                target,
+                headers,
+                body,
+                MAX_ANSWER_BYTES,
+            )
+        except curio.TaskTimeout as error:
+            raise LogError("no answer in time", step, self.address, True) from error
+        except PeerError as error:
+            raise LogError(error.message, step, self.address, error.sent) from error
+        if answer.status != OK_STATUS:
+            raise LogError(f"status {answer.status}", step, self.address, True)
+        return parse_json(content, step, self.address)
+
+
+def parse_json(content: bytes, step: str, address: str) -> Any:
+    """Decode an answer of the log.
+
+    Raises:
+        LogError: If the answer is not JSON.
+    """
+    try:
+        return json.loads(content)
+    except ValueError as error:
+        raise LogError("the answer is not JSON", step, address, True) from error
+
+
+def parse_field(answer: Any, name: str, step: str, address: str) -> int:
+    """Return a whole number from an answer of the log.
+
+    Raises:
+        LogError: If the field is missing or has another type.
+    """
+    value = answer.get(name) if isinstance(answer, dict) else None
+    if not isinstance(value, int):
+        raise LogError(f"the answer has no number {name!r}", step, address, True)
+    return value
+
+
+def parse_batch(answer: Any, address: str) -> Batch:
+    """Decode the records of an answer.
+
+    Raises:
+        LogError: If the answer does not have the expected form.
+    """
+    first = parse_field(answer, "first", "read", address)
+    following = parse_field(answer, "next", "read", address)
+    try:
+        records = [
+            (int(offset), base64.b64decode(data, validate=True))
+            for offset, data in answer["records"]
+        ]
+    except (KeyError, TypeError, ValueError) as error:
+        raise LogError("the records are malformed", "read", address, True) from error
+    return Batch(first, following, records)
+
+
+def encode_batch(batch: Batch) -> dict[str, Any]:
+    """Return records in the form in which the log answers a read."""
+    records = [
+        [offset, base64.b64encode(data).decode()] for offset, data in batch.records
+    ]
+    return {"first": batch.first, "next": batch.next, "records": records}
--- /dev/null
+++ b/src/carawaywheel/main.py
@@ -0,0 +1,92 @@
+"""The command line: one program for the node and for operators."""
+
+import json
+import os
+import sys
+from typing import Any
+
+import curio
+import typer
+from loguru import logger
+
+from . import __version__
+from .commands import key, policy, token
+from .console import EXIT_FAILED, EXIT_USAGE
+from .errors import SettingsError
+from .logs import HttpLogService
+from .node import Node, former_incarnation
+from .observing import forget, report, status, timeline
+from .options import build_settings, with_flags
+from .settings import NodeSettings
+
+HUMAN_FORMAT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level: <7} {message}"
+
+app = typer.Typer(
+    help="Overload control for service call graphs: one node beside each target host.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+app.add_typer(policy, name="policy")
+app.add_typer(key, name="key")
+app.add_typer(token, name="token")
+app.command("report")(report)
+app.command("timeline")(timeline)
+app.command("status")(status)
+app.command("forget")(forget)
+
+
+@app.command("version")
+def version() -> None:
+    """Print the version."""
+    typer.echo(__version__)
+
+
+def run_node(values: dict[str, Any]) -> None:
+    """Run a node beside a target host.
+
+    Every flag has an environment variable. The addresses in use are printed as one
+    JSON line at the start. SIGTERM stops the node without cutting off a request.
+    """
+    try:
+        settings = build_settings(values, os.environ)
+    except SettingsError as error:
+        for line in error.message.splitlines():
+            typer.echo(f"error: {line}", err=True)
+        raise typer.Exit(EXIT_USAGE) from None
+    configure_logging(settings.log_format)
+    failed = curio.run(serve, settings)
+    if failed:
+        raise typer.Exit(EXIT_FAILED)
+
+
+async def serve(settings: NodeSettings) -> bool:
+    """Run a node until it stops; return whether a part of it failed."""
+
+    log = HttpLogService(settings.log, settings.log_timeout)
+    former = await former_incarnation(log, settings.node_id, settings.fleet_secret)
+    try:
+        node = Node(settings, former)
+    except OSError as error:
+        logger.error("cannot open a listener: {}", error)
+        return True
+    typer.echo(json.dumps({"node": settings.node_id, **node.addresses()}))
+    sys.stdout.flush()
+    await node.run()
+    return node.failed
+
+
+def configure_logging(log_format: str) -> None:
+    """Send log lines to standard error, for humans or as JSON lines."""
+    logger.remove()
+    if log_format == "json":
+        logger.add(sys.stderr, serialize=True, level="INFO")
+    else:
+        logger.add(sys.stderr, format=HUMAN_FORMAT, level="INFO")
+
+
+app.command("node")(with_flags(run_node))
+
+
+def run() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/src/carawaywheel/observing.py
@@ -0,0 +1,213 @@
+"""Commands that show what the fleet does: status, time line and report."""
+
+import json
+import time
+from datetime import datetime
+from pathlib import Path
+from typing import Annotated, Any
+from urllib.parse import urlencode
+
+import msgspec
+import typer
+
+from .commands import Admin, AsJson, Reason, TokenFile, open_console
+from .console import EXIT_USAGE, Console, fail
+from .events import Event, EventFilter, decode_events
+from .findings import Span, build_report
+from .reports import render_html, render_json, render_text
+from .summaries import Summary
+from .timeline import render_json as render_timeline_json
+from .timeline import render_picture, select
+from .timeline import render_text as render_timeline_text
+
+FOLLOW_SECONDS = 1.0
+DEFAULT_SPAN_SECONDS = 3600.0
+MISSING_HEADER = "x-missing-nodes"
+
+OwnTeam = Annotated[
+    str, typer.Option("--team", help="Your team, if your token is a team's.")
+]
+Begin = Annotated[
+    str, typer.Option(help="Start: 2026-01-31T12:00:00, or seconds ago like -600.")
+]
+End = Annotated[str, typer.Option(help="End, as for --begin; default: now.")]
+
+SummaryAnswer = tuple[list[Summary], str]
+
+
+def parse_time(text: str, default: float, flag: str) -> float:
+    """Return a wall clock time in seconds.
+
+    Args:
+        text: ISO 8601 time, or seconds before now with a leading minus.
+        default: Value of an empty text.
+        flag: Flag that the text came from.
+    """
+    if not text:
+        return default
+    try:
+        if text.startswith("-"):
+            return time.time() + float(text)
+        return datetime.fromisoformat(text).timestamp()
+    except ValueError:
+        fail(
+            f"{flag} is {text!r}; allowed: a time like 2026-01-31T12:00:00 or "
+            "seconds ago like -600",
+            EXIT_USAGE,
+        )
+
+
+def team_suffix(team: str) -> str:
+    """Return the query that names the operator's team."""
+    return "?" + urlencode({"team": team}) if team else ""
+
+
+def status(
+    admin: Admin = "",
+    token_file: TokenFile = "",
+    team: OwnTeam = "",
+    as_json: AsJson = False,
+) -> None:
+    """Show the nodes, their targets, limits, queues and the age of their news."""
+    console = open_console(admin, token_file, as_json)
+    answer = console.call_json("GET", "/fleet/status" + team_suffix(team))
+    console.show(answer, status_text(answer))
+
+
+def status_text(answer: dict[str, Any]) -> str:
+    """Return the status of the fleet as a table."""
+    lines = [
+        f"{'node':<16}{'domain':<12}{'service':<16}{'target':<10}{'limit':>7}"
+        f"{'in use':>8}{'queued':>8}{'slots':>7}{'version':>9}{'news age':>10}"
+    ]
+    for node in answer["nodes"]:
+        age = node["news_age"]
+        shown = "none" if age is None else f"{age:.1f} s"
+        lines.append(
+            f"{node['node']:<16}{node['domain']:<12}{node['service'] or '-':<16}"
+            f"{node['target_state']:<10}{node['limit']:>7}{node['in_flight']:>8}"
+            f"{node['queued']:>8}{node['share_slots']:>7}{node['position']:>9}"
+            f"{shown:>10}"
+        )
+    if answer["missing"]:
+        lines.append(f"no answer from: {', '.join(answer['missing'])}")
+    if any(node["log_down"] for node in answer["nodes"]):
+        lines.append("some nodes cannot reach the log")
+    return "\n".join(lines)
+
+
+def fetch_events(
+    console: Console, query: dict[str, str]
+) -> tuple[list[Event], list[str]]:
+    """Return the merged events of all nodes, and the nodes that did not answer."""
+    chosen = {name: value for name, value in query.items() if value}
+    suffix = "?" + urlencode(chosen) if chosen else ""
+    content, headers = console.call_bytes("/fleet/events" + suffix)
+    missing = [name for name in headers.get(MISSING_HEADER, "").split(",") if name]
+    return decode_events(content), missing
+
+
+def timeline(
+    request: Annotated[str, typer.Option(help="Request id, as callers get it.")] = "",
+    account: Annotated[str, typer.Option(help="Client account, team/account.")] = "",
+    target: Annotated[str, typer.Option(help="Target, by the id of its node.")] = "",
+    key: Annotated[str, typer.Option(help="Id of a key.")] = "",
+    begin: Begin = "",
+    end: End = "",
+    follow: Annotated[
+        bool, typer.Option("--follow", help="Go on with new events.")
+    ] = False,
+    picture: Annotated[
+        str, typer.Option(help="SVG file for a picture of the request's way.")
+    ] = "",
+    admin: Admin = "",
+    token_file: TokenFile = "",
+    team: OwnTeam = "",
+    as_json: AsJson = False,
+) -> None:
+    """Show what happened, over all nodes, never an effect before its cause.
+
+    Example: carawaywheel timeline --account okonkwo/bibb-county --begin -600
+    """
+    console = open_console(admin, token_file, as_json)
+    if picture and not request:
+        fail("--picture needs --request", EXIT_USAGE)
+    chosen = EventFilter(
+        request,
+        account,
+        target,
+        key,
+        parse_time(begin, 0.0, "--begin"),
+        parse_time(end, time.time() + DEFAULT_SPAN_SECONDS, "--end"),
+    )
+    query = {"request": request, "team": team}
+    events, missing = fetch_events(console, query)
+    if picture:
+        Path(picture).write_text(render_picture(events, request))
+    print_events(events, chosen, as_json)
+    if missing:
+        typer.echo(f"no answer from: {', '.join(missing)}", err=True)
+    seen = {event.key for event in events}
+    while follow:
+        time.sleep(FOLLOW_SECONDS)
+        events, _ = fetch_events(console, query)
+        print_events([e for e in events if e.key not in seen], chosen, as_json)
+        seen.update(event.key for event in events)
+
+
+def print_events(events: list[Event], chosen: EventFilter, as_json: bool) -> None:
+    """Print events as text or as JSON."""
+    entries = select(events, chosen)
+    if as_json:
+        typer.echo(render_timeline_json(entries))
+    else:
+        typer.echo(render_timeline_text(entries), nl=False)
+
+
+def report(
+    begin: Begin = "",
+    end: End = "",
+    html: Annotated[str, typer.Option(help="File for the report as a page.")] = "",
+    admin: Admin = "",
+    token_file: TokenFile = "",
+    team: OwnTeam = "",
+    as_json: AsJson = False,
+) -> None:
+    """Show what was shed, in what order, and which callers were turned away.
+
+    Example: carawaywheel report --begin -3600 --html overload.html
+    """
+    console = open_console(admin, token_file, as_json)
+    now = time.time()
+    span = Span(
+        parse_time(begin, now - DEFAULT_SPAN_SECONDS, "--begin"),
+        parse_time(end, now, "--end"),
+    )
+    content, _ = console.call_bytes("/fleet/summaries" + team_suffix(team))
+    summaries, fault = msgspec.msgpack.decode(content, type=SummaryAnswer)
+    events, missing = fetch_events(console, {"team": team})
+    found = build_report(summaries, events, span)
+    if html:
+        Path(html).write_text(render_html(found))
+    typer.echo(render_json(found) if as_json else render_text(found))
+    for line in filter(None, [fault, missing and f"no answer from: {missing}"]):
+        typer.echo(str(line), err=True)
+
+
+def forget(
+    node_id: str,
+    reason: Reason,
+    admin: Admin = "",
+    token_file: TokenFile = "",
+    as_json: AsJson = False,
+) -> None:
+    """Declare a node gone for good, so that others take over its rate slots.
+
+    Needs the root token. Only for a host that is known to be off: the rates of client
+    accounts could be exceeded if its node still ran somewhere.
+    """
+    console = open_console(admin, token_file, as_json)
+    body = {"node_id": node_id, "reason": reason}
+    answer = console.call_json("POST", "/nodes/forget", body)
+    text = f"node {node_id} is declared gone"
+    console.show(answer, text if answer["result"] == "accepted" else json.dumps(answer))
--- /dev/null
+++ b/src/carawaywheel/options.py
@@ -0,0 +1,304 @@
+"""Flags and environment variables of the node, made from its settings."""
+
+import inspect
+import re
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple
+
+import typer
+
+from .errors import SettingsError
+from .settings import (
+    AdmissionSettings,
+    LevelSettings,
+    LimitSettings,
+    MembershipSettings,
+    NodeSettings,
+    RetrySettings,
+    RoutingSettings,
+    ShareSettings,
+)
+
+ENVIRONMENT_PREFIX = "CARAWAYWHEEL_"
+MIN_SECRET_BYTES = 16
+GROUPS: dict[str, type] = {
+    "limit": LimitSettings,
+    "admission": AdmissionSettings,
+    "level": LevelSettings,
+    "retry": RetrySettings,
+    "routing": RoutingSettings,
+    "membership": MembershipSettings,
+    "share": ShareSettings,
+}
+ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+DIGEST = re.compile(r"[0-9a-f]{64}")
+MAX_PORT = 65_535
+MAX_OCTET = 255
+
+# Zero switches these off or means no limit; all other numbers must be positive.
+ZERO_ALLOWED = {
+    "news_max_age",
+    "leave_wait",
+    "level_probe_share",
+    "retry_attempts",
+    "retry_service_share",
+    "retry_service_floor",
+    "routing_domain_margin",
+    "share_drift",
+    "share_ahead_floor",
+    "share_ahead_time",
+    "share_prompt_share",
+    "share_ahead_share",
+    "membership_indirect_probes",
+}
+MAX_BY_NAME = {
+    "level_probe_share": 1.0,
+    "limit_cold_start_share": 1.0,
+    "retry_service_share": 1.0,
+    "routing_eject_share": 1.0,
+    "share_ahead_share": 1.0,
+    "share_prompt_share": 1.0,
+    "share_drift": 0.05,
+    "retry_attempts": 100,
+    "share_slots": 4096,
+    "membership_updates_per_message": 64,
+}
+MAX_NUMBER = 1e12
+
+
+class Flag(NamedTuple):
+    """One flag of the node command.
+
+    Attributes:
+        name: Name with underscores.
+        group: Group of settings, empty for the node's own.
+        field: Field of the settings.
+        default: Default value; None if the flag is required.
+        help: What it is for, with its unit.
+    """
+
+    name: str
+    group: str
+    field: str
+    default: Any
+    help: str
+
+    @property
+    def flag(self) -> str:
+        """The flag as it is typed."""
+        return "--" + self.name.replace("_", "-")
+
+    @property
+    def variable(self) -> str:
+        """The environment variable."""
+        return ENVIRONMENT_PREFIX + self.name.upper()
+
+
+DEFAULTS: dict[str, Any] = {
+    "node_id": "",
+    "domain": "",
+    "domains": "",
+    "listen": "127.0.0.1:0",
+    "peer_listen": "127.0.0.1:0",
+    "admin_listen": "127.0.0.1:0",
+    "log": "",
+    "log_timeout": 2.0,
+    "log_retention": 86_400.0,
+    "log_format": "human",
+    "fleet_secret_file": "",
+    "root_token_digest": "",
+    "statsd": "",
+    "max_body": 1_048_576,
+    "max_connections": 4096,
+    "news_max_age": 0.0,
+    "stop_grace": 30.0,
+    "leave_wait": 2.0,
+    "event_bytes": 16_777_216,
+    "summary_interval": 10.0,
+}
+SECRET_HELP = (
+    "File that holds the fleet secret. The secret itself may stand in "
+    "CARAWAYWHEEL_FLEET_SECRET; it is never a flag, for flags show in process lists."
+)
+
+
+def documented(settings: type) -> dict[str, str]:
+    """Return the description of each field from the doc comment of its class."""
+    text = inspect.getdoc(settings) or ""
+    lines = text.partition("Attributes:\n")[2]
+    found: dict[str, str] = {}
+    name = ""
+    for line in lines.splitlines():
+        match = re.match(r"    (\w+): (.*)", line)
+        if match:
+            name = match.group(1)
+            found[name] = match.group(2)
+        elif name and line.startswith("        "):
+            found[name] += " " + line.strip()
+    return found
+
+
+def node_flags() -> list[Flag]:
+    """Return all flags of the node command."""
+    helps = documented(NodeSettings) | {"fleet_secret_file": SECRET_HELP}
+    flags = [
+        Flag(name, "", name, default, helps[name]) for name, default in DEFAULTS.items()
+    ]
+    for group, settings in GROUPS.items():
+        group_helps = documented(settings)
+        for field, default in settings._field_defaults.items():  # type: ignore[attr-defined]
+            name = f"{group}_{field}"
+            flags.append(Flag(name, group, field, default, group_helps[field]))
+    return flags
+
+
+FLAGS = node_flags()
+
+
+def with_flags(command: Callable[[dict[str, Any]], None]) -> Callable[..., None]:
+    """Give a command one option for each flag of the node."""
+
+    def run(**values: Any) -> None:
+        command(values)
+
+    parameters = []
+    for flag in FLAGS:
+        option = typer.Option(
+            flag.flag, envvar=flag.variable, help=flag.help, show_envvar=True
+        )
+        parameters.append(
+            inspect.Parameter(
+                flag.name,
+                inspect.Parameter.KEYWORD_ONLY,
+                default=flag.default,
+                annotation=annotated(type(flag.default), option),
+            )
+        )
+    run.__signature__ = inspect.Signature(parameters)  # type: ignore[attr-defined]
+    run.__annotations__ = {item.name: item.annotation for item in parameters}
+    run.__doc__ = command.__doc__
+    return run
+
+
+def annotated(value_type: type, option: Any) -> Any:
+    """Return an annotation that typer reads."""
+    return Annotated[value_type, option]
+
+
+def build_settings(
+    values: Mapping[str, Any], environment: Mapping[str, str]
+) -> NodeSettings:
+    """Check all values and build the settings of a node.
+
+    Args:
+        values: Values by flag name.
+        environment: Environment variables, for the fleet secret.
+
+    Raises:
+        SettingsError: If any value is wrong; the message has one line for each,
+            with the flag, the value and what is allowed.
+    """
+    faults: list[str] = []
+    for flag in FLAGS:
+        fault = check_flag(flag, values[flag.name])
+        if fault:
+            faults.append(fault)
+    secret = read_secret(values["fleet_secret_file"], environment, faults)
+    domains = tuple(sorted(filter(None, values["domains"].split(","))))
+    check_domains(values["domain"], domains, faults)
+    if faults:
+        raise SettingsError("\n".join(faults), "check settings")
+    groups = {
+        group: settings(
+            **{flag.field: values[flag.name] for flag in FLAGS if flag.group == group}
+        )
+        for group, settings in GROUPS.items()
+    }
+    own = {name: values[name] for name in DEFAULTS if name != "fleet_secret_file"}
+    own |= {"domains": domains, "fleet_secret": secret}
+    return NodeSettings(**own, **groups)
+
+
+def check_flag(flag: Flag, value: Any) -> str:
+    """Return what is wrong with the value of a flag, empty if nothing is."""
+    if isinstance(value, int | float):
+        allowed = check_number(flag.name, value)
+    else:
+        allowed = check_text(flag.name, value)
+    if not allowed:
+        return ""
+    return f"{flag.flag} ({flag.variable}) is {value!r}; allowed: {allowed}"
+
+
+def check_text(name: str, value: str) -> str:
+    """Return what is allowed if a text is malformed."""
+    if name in ("listen", "peer_listen", "admin_listen"):
+        return check_address(value, False)
+    if name == "log" or (name == "statsd" and value):
+        return check_address(value, True)
+    if name in ("node_id", "domain") and not NAME.fullmatch(value):
+        return "1 to 63 letters, digits, dots, dashes and underscores"
+    if name == "log_format" and value not in ("human", "json"):
+        return "human or json"
+    if name == "root_token_digest" and value and not DIGEST.fullmatch(value):
+        return "64 hexadecimal digits, as `token make` prints them"
+    return ""
+
+
+def check_number(name: str, value: float) -> str:
+    """Return what is allowed if a number is out of its range."""
+    lowest = 0 if name in ZERO_ALLOWED else "above 0"
+    highest = MAX_BY_NAME.get(name, MAX_NUMBER)
+    fits = 0 <= value <= highest and (value > 0 or name in ZERO_ALLOWED)
+    if fits:
+        return ""
+    text = f"{lowest} to {highest:g}" if lowest == 0 else f"above 0, up to {highest:g}"
+    return text
+
+
+def check_address(value: str, needs_port: bool) -> str:
+    """Return what is allowed if an address is malformed."""
+    lowest = 1 if needs_port else 0
+    allowed = (
+        f"an IP number and a port from {lowest} to {MAX_PORT}, such as 10.0.0.5:80"
+    )
+    if not ADDRESS.fullmatch(value):
+        return allowed
+    host, _, port = value.rpartition(":")
+    if any(int(part) > MAX_OCTET for part in host.split(".")):
+        return allowed
+    return "" if lowest <= int(port) <= MAX_PORT else allowed
+
+
+def check_domains(domain: str, domains: tuple[str, ...], faults: list[str]) -> None:
+    """Check the list of failure domains."""
+    for name in domains:
+        if not NAME.fullmatch(name):
+            faults.append(f"--domains has {name!r}; allowed: names split by commas")
+    if domain and domain not in domains:
+        listed = ",".join(domains)
+        faults.append(
+            f"--domains (CARAWAYWHEEL_DOMAINS) is {listed!r}; allowed: a list that "
+            f"holds {domain!r}, the value of --domain"
+        )
+
+
+def read_secret(path: str, environment: Mapping[str, str], faults: list[str]) -> bytes:
+    """Return the fleet secret from its file or the environment."""
+    secret = environment.get(ENVIRONMENT_PREFIX + "FLEET_SECRET", "").encode()
+    if path:
+        try:
+            secret = Path(path).read_bytes().strip()
+        except OSError as error:
+            faults.append(
+                f"--fleet-secret-file is {path!r}; it cannot be read: {error.strerror}"
+            )
+            return b""
+    if len(secret) < MIN_SECRET_BYTES:
+        faults.append(
+            f"the fleet secret has {len(secret)} bytes; allowed: at least "
+            f"{MIN_SECRET_BYTES}, in --fleet-secret-file or CARAWAYWHEEL_FLEET_SECRET"
+        )
+    return secret
--- /dev/null
+++ b/src/carawaywheel/pool.py
@@ -0,0 +1,291 @@
+"""Client side of HTTP/1.1: connections to peers, targets and the log.
+
+An answer that is short, late or abandoned closes its connection, so that it can
+never be taken for the answer to a later request.
+"""
+
+from collections import deque
+from typing import Any
+
+import curio
+import h11
+
+from .errors import PeerError
+from .http import MAX_HEAD_BYTES, READ_BYTES, Headers, tune_socket
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+IDLE_PER_ADDRESS = 64
+
+
+class Answer:
+    """The head of an answer and the stream of its body.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header names in lower case with their values.
+        complete: Whether the whole body has arrived.
+    """
+
+    def __init__(
+        self, status: int, headers: Headers, connection: "ClientConnection"
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.connection = connection
+        self.complete = False
+
+    def header(self, name: bytes) -> str:
+        """Return the first value of a header, or an empty string."""
+        for key, value in self.headers:
+            if key == name:
+                return value.decode("latin-1")
+        return ""
+
+    def next_ready(self) -> bytes | None:
+        """Return body bytes that have already arrived, or None."""
+        return self.connection.ready_chunk(self)
+
+    async def next_chunk(self) -> bytes:
+        """Return the next part of the body; empty at its end.
+
+        Raises:
+            PeerError: If the body was cut.
+        """
+        return await self.connection.next_chunk(self)
+
+    async def read(self, limit: int) -> bytes:
+        """Read the whole body.
+
+        Args:
+            limit: Largest body in bytes.
+
+        Raises:
+            PeerError: If the body was cut or is too large.
+        """
+        parts = []
+        size = 0
+        while chunk := await self.next_chunk():
+            size += len(chunk)
+            if size > limit:
+                raise PeerError(
+                    f"the answer is larger than {limit} bytes",
+                    "read body",
+                    self.connection.address,
+                    sent=True,
+                )
+            parts.append(chunk)
+        return b"".join(parts)
+
+
+class ClientConnection:
+    """One connection to a server.
+
+    Attributes:
+        address: IP address and port of the server.
+        reused: Whether an earlier request ran on it.
+    """
+
+    def __init__(self, sock: Any, address: str) -> None:
+        self.sock = sock
+        self.address = address
+        self.reused = False
+        self.protocol = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+
+    async def send(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> None:
+        """Send a whole request.
+
+        Raises:
+            PeerError: If the connection broke.
+        """
+        send = self.protocol.send
+        request = h11.Request(method=method, target=target, headers=headers)
+        data = send(request) or b""
+        if body:
+            data += send(h11.Data(data=body)) or b""
+        data += send(h11.EndOfMessage()) or b""
+        try:
+            await self.sock.sendall(data)
+        except OSError as error:
+            raise self.failure(str(error), "send") from error
+
+    async def receive_head(self) -> Answer:
+        """Wait for the head of the answer.
+
+        Raises:
+            PeerError: If the connection broke or the answer is malformed.
+        """
+        event = await self.next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self.next_event()
+        if not isinstance(event, h11.Response):
+            raise self.failure("the connection closed without an answer", "read head")
+        answer = Answer(event.status_code, list(event.headers), self)
+        if not self.has_known_end(event):
+            # Without a length or chunks, a cut body looks like a whole one.
+            raise self.failure(
+                "the answer has neither a length nor chunks", "read head"
+            )
+        return answer
+
+    def has_known_end(self, head: h11.Response) -> bool:
+        """Return whether the end of the body can be told from a cut."""
+        if head.status_code in (204, 304):
+            return True
+        names = {name for name, _ in head.headers}
+        if b"content-length" in names:
+            return True
+        return b"transfer-encoding" in names and head.http_version == b"1.1"
+
+    async def next_event(self) -> Any:
+        """Return the next h11 event."""
+        while True:
+            event = self.parse()
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self.sock.recv(READ_BYTES)
+            except OSError as error:
+                raise self.failure(str(error), "read") from error
+            self.protocol.receive_data(data)
+
+    def parse(self) -> Any:
+        """Return the next event that the received bytes hold.
+
+        Raises:
+            PeerError: If the bytes are not valid HTTP or the body is cut.
+        """
+        try:
+            return self.protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            raise self.failure(str(error), "read") from error
+
+    def ready_chunk(self, answer: Answer) -> bytes | None:
+        """Return body bytes that need no further read, or None."""
+        event = self.parse()
+        if event is h11.NEED_DATA:
+            return None
+        return self.take_body_event(event, answer)
+
+    async def next_chunk(self, answer: Answer) -> bytes:
+        """Return the next part of the body; empty at its end."""
+        if answer.complete:
+            return b""
+        return self.take_body_event(await self.next_event(), answer)
+
+    def take_body_event(self, event: Any, answer: Answer) -> bytes:
+        """Return the bytes of a body event and note the end of the body."""
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            answer.complete = True
+            return b""
+        raise self.failure("the body was cut", "read body")
+
+    def failure(self, message: str, step: str) -> PeerError:
+        """Make the error for a request that may have reached the server."""
+        return PeerError(message, step, self.address, sent=True)
+
+    def reusable(self) -> bool:
+        """Return whether the exchange is complete and the server keeps it open."""
+        protocol = self.protocol
+        if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
+            return False
+        return not protocol.trailing_data[0]
+
+    def alive(self) -> bool:
+        """Return False if an idle connection was closed or has stray bytes."""
+        try:
+            self.sock._socket.recv(1)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        return False
+
+
+class Pool:
+    """Connections by address, each used by one request at a time."""
+
+    def __init__(self) -> None:
+        self.idle: dict[str, deque[ClientConnection]] = {}
+        self.opened = 0
+
+    async def acquire(self, address: str) -> ClientConnection:
+        """Return an idle connection or open a new one.
+
+        Raises:
+            PeerError: If no connection could be opened; nothing was sent.
+        """
+        idle = self.idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.alive():
+                return connection
+            await connection.sock.close()
+        return await self.connect(address)
+
+    async def connect(self, address: str) -> ClientConnection:
+        """Open a new connection.
+
+        Raises:
+            PeerError: If the server cannot be reached; nothing was sent.
+        """
+        host, _, port = address.rpartition(":")
+        try:
+            sock = await curio.timeout_after(
+                CONNECT_TIMEOUT_SECONDS, curio.open_connection, host, int(port)
+            )
+        except (OSError, ValueError, curio.TaskTimeout) as error:
+            reason = str(error) or "timed out"
+            raise PeerError(reason, "connect", address, sent=False) from error
+        tune_socket(sock)
+        self.opened += 1
+        return ClientConnection(sock, address)
+
+    async def release(self, connection: ClientConnection) -> None:
+        """Keep a connection for reuse if its exchange is complete, or close it."""
+        idle = self.idle.setdefault(connection.address, deque())
+        if not connection.reusable() or len(idle) >= IDLE_PER_ADDRESS:
+            await connection.sock.close()
+            return
+        connection.protocol.start_next_cycle()
+        connection.reused = True
+        idle.append(connection)
+
+    async def discard(self, connection: ClientConnection) -> None:
+        """Close a connection whose exchange was abandoned."""
+        await connection.sock.close()
+
+    async def drop(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for connection in self.idle.pop(address, deque()):
+            await connection.sock.close()
+
+    async def request(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes = b"",
+        limit: int = 1 << 24,
+    ) -> tuple[Answer, bytes]:
+        """Send a request and read its whole answer.
+
+        Raises:
+            PeerError: If the exchange failed at any step.
+        """
+        connection = await self.acquire(address)
+        try:
+            await connection.send(method, target, headers, body)
+            answer = await connection.receive_head()
+            content = await answer.read(limit)
+        except BaseException:
+            await self.discard(connection)
+            raise
+        await self.release(connection)
+        return answer, content
--- /dev/null
+++ b/src/carawaywheel/recorder.py
@@ -0,0 +1,290 @@
+"""Counters and events of a node: counters first, lines only for changes."""
+
+import time
+from collections import Counter
+from typing import Any
+
+import curio
+import statsd
+
+from .clock import Clock
+from .contexts import RequestContext
+from .events import EventBuffer, EventKind
+from .refusals import Importance, Ran, Reason, Refusal
+from .routing import Candidate
+from .summaries import CountKey, Place
+from .summarizer import Summarizer
+from .views import Route
+
+FLUSH_INTERVAL_SECONDS = 1.0
+KEY_REASONS = (Reason.KEY_MISSING, Reason.KEY_UNKNOWN, Reason.KEY_WITHDRAWN)
+
+
+class Recorder:
+    """Counts and records what happens at a node.
+
+    Attributes:
+        buffer: Events, for the time line.
+        summary: Counts, for the overload report.
+        counters: Counters since the last flush.
+        totals: Counters since the start.
+    """
+
+    def __init__(
+        self, buffer: EventBuffer, summary: Summarizer, clock: Clock, address: str
+    ) -> None:
+        """Create a recorder.
+
+        Args:
+            buffer: Takes the events.
+            summary: Takes the counts of requests.
+            clock: Clock.
+            address: IP address and port of the statsd server, empty for none.
+        """
+        self.buffer = buffer
+        self.summary = summary
+        self.clock = clock
+        self.counters: Counter[str] = Counter()
+        self.totals: Counter[str] = Counter()
+        self.client = open_statsd(address)
+
+    def wall_time(self) -> float:
+        """Return the wall clock in seconds since the epoch, for operators to read."""
+        return time.time()
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] += amount
+
+    def event(self, kind: EventKind, **fields: Any) -> None:
+        """Record an event with its fields."""
+        self.buffer.append(kind, self.wall_time(), self.clock.now(), **fields)
+
+    def state_event(self, kind: EventKind, detail: str) -> None:
+        """Record a change of state."""
+        self.event(kind, detail=detail)
+
+    def request_event(
+        self,
+        kind: EventKind,
+        context: RequestContext,
+        reason: Reason | None = None,
+        detail: str = "",
+    ) -> None:
+        """Record an event of a request."""
+        self.event(
+            kind,
+            request_id=context.root_id,
+            account=context.account,
+            service=context.service,
+            key_id=context.key_id,
+            importance=context.importance,
+            reason=reason,
+            detail=detail,
+        )
+
+    def sent(
+        self, context: RequestContext, candidate: Candidate, parent_id: str
+    ) -> None:
+        """Record that a request goes to a peer.
+
+        Args:
+            context: Context of the attempt.
+            candidate: Target that was chosen.
+            parent_id: Attempt that made the call, empty at the entry.
+        """
+        self.event(
+            EventKind.SENT,
+            request_id=context.root_id,
+            attempt_id=context.attempt_id,
+            parent_id=parent_id,
+            account=context.account,
+            service=context.service,
+            target=candidate.target_id,
+            importance=context.importance,
+        )
+
+    def received(self, context: RequestContext) -> None:
+        """Record that a request came from a peer."""
+        self.count("peer.requests")
+        self.event(
+            EventKind.RECEIVED,
+            request_id=context.root_id,
+            attempt_id=context.attempt_id,
+            account=context.account,
+            service=context.service,
+            importance=context.importance,
+        )
+
+    def answered(self, context: RequestContext) -> None:
+        """Record that an answer goes back to the node that asked."""
+        self.event(
+            EventKind.ANSWERED,
+            request_id=context.root_id,
+            attempt_id=context.attempt_id,
+            service=context.service,
+        )
+
+    def completed(self, root_id: str, attempt_id: str, service: str) -> None:
+        """Record that an answer came from a peer."""
+        self.event(
+            EventKind.COMPLETED,
+            request_id=root_id,
+            attempt_id=attempt_id,
+            service=service,
+        )
+
+    def refused_early(
+        self, root_id: str, route: Route | None, refusal: Refusal
+    ) -> None:
+        """Record the refusal of a request without a client account."""
+        self.count(f"refused.{refusal.reason.value}")
+        kind = EventKind.REQUEST_REFUSED
+        if refusal.reason in KEY_REASONS:
+            kind = EventKind.KEY_REFUSED
+        self.event(
+            kind,
+            request_id=root_id,
+            service=route.service if route else "",
+            key_id=refusal.peer if kind is EventKind.KEY_REFUSED else "",
+            importance=route.importance if route else None,
+            reason=refusal.reason,
+            ran=refusal.ran,
+            detail=refusal.step,
+        )
+        self.summarize(
+            Place.ENTRY,
+            route.service if route else "",
+            route.importance if route else Importance.NORMAL,
+            "",
+            root_id,
+            refusal,
+            False,
+        )
+
+    def summarize(
+        self,
+        place: Place,
+        service: str,
+        importance: Importance,
+        account: str,
+        request_id: str,
+        refusal: Refusal | None,
+        in_rate: bool,
+    ) -> None:
+        """Count the end of a request for the overload report."""
+        key = CountKey(
+            place,
+            service,
+            importance,
+            refusal.reason if refusal else None,
+            refusal.peer if refusal else "",
+            account,
+            in_rate,
+            refusal is not None and refusal.ran is Ran.UNKNOWN,
+        )
+        self.summary.record(key, self.wall_time(), self.clock.now(), request_id)
+
+    def refused(self, context: RequestContext, refusal: Refusal, in_rate: bool) -> None:
+        """Record the refusal of a request at the entry."""
+        self.count(f"refused.{refusal.reason.value}")
+        self.event(
+            EventKind.REQUEST_REFUSED,
+            request_id=context.root_id,
+            account=context.account,
+            service=context.service,
+            key_id=context.key_id,
+            importance=context.importance,
+            reason=refusal.reason,
+            ran=refusal.ran,
+            detail=f"{refusal.step} {refusal.peer}",
+        )
+        self.summarize(
+            Place.ENTRY,
+            context.service,
+            context.importance,
+            context.account,
+            context.root_id,
+            refusal,
+            in_rate,
+        )
+
+    def shed(self, context: RequestContext, refusal: Refusal) -> None:
+        """Record that the local target's node refused a request."""
+        self.count(f"shed.{refusal.reason.value}")
+        self.event(
+            EventKind.SHED,
+            request_id=context.root_id,
+            attempt_id=context.attempt_id,
+            account=context.account,
+            service=context.service,
+            importance=context.importance,
+            reason=refusal.reason,
+            ran=refusal.ran,
+            detail=refusal.step,
+        )
+        self.ended(context, refusal)
+
+    def finished(self, context: RequestContext, status: int, at_entry: bool) -> None:
+        """Record that a whole answer was passed on."""
+        self.count("entry.answers" if at_entry else "entry.subcall_answers")
+        self.event(
+            EventKind.REQUEST_FINISHED,
+            request_id=context.root_id,
+            account=context.account,
+            service=context.service,
+            importance=context.importance,
+            detail=f"status {status}",
+        )
+        if at_entry:
+            self.summarize(
+                Place.ENTRY,
+                context.service,
+                context.importance,
+                context.account,
+                context.root_id,
+                None,
+                bool(context.account),
+            )
+
+    def admitted(self, context: RequestContext) -> None:
+        """Record that the local target takes a request."""
+        self.summary.record_admission(context.service, context.importance)
+
+    def ended(self, context: RequestContext, refusal: Refusal | None) -> None:
+        """Count the end of an attempt at the local target's node."""
+        self.summarize(
+            Place.TARGET,
+            context.service,
+            context.importance,
+            context.account,
+            context.root_id,
+            refusal,
+            bool(context.account),
+        )
+
+    async def run(self) -> None:
+        """Send counters to statsd until cancelled."""
+        while True:
+            await curio.sleep(FLUSH_INTERVAL_SECONDS)
+            self.flush()
+
+    def flush(self) -> None:
+        """Send the counters; nothing waits for a server that does not listen."""
+        counters, self.counters = self.counters, Counter()
+        self.totals.update(counters)
+        if self.client is None or not counters:
+            return
+        with self.client.pipeline() as pipeline:
+            for name, amount in counters.items():
+                pipeline.incr(name, amount)
+
+
+def open_statsd(address: str) -> Any:
+    """Return a statsd client, or None without an address."""
+    if not address:
+        return None
+    host, _, port = address.rpartition(":")
+    client = statsd.StatsClient(host, int(port), prefix="carawaywheel")
+    client._sock.setblocking(False)
+    return client
--- a/src/carawaywheel/records.py
+++ b/src/carawaywheel/records.py
@@ -14,6 +14,7 @@
 from msgspec import Meta
 
 from .errors import RecordError
+from .evidence import SlotClaim, SlotNotice, SlotObjection, SlotRelease
 from .policies import Name, PolicyDocument
 
 # Version of an entry that does not exist; offset 0 is a valid version.
@@ -143,9 +144,10 @@
 
 
 class NodeForgotten(NamedTuple):
-    """An operator's statement that a node is gone for good."""
+    """An operator's statement that a node is gone for good, up to an incarnation."""
 
     node_id: Label
+    incarnation: int
     author: Label
     reason: Text
     time: Time
@@ -169,28 +171,6 @@
     time: Time
 
 
-class SlotClaimed(NamedTuple):
-    """A claim to lend the client accounts of a slot during a term."""
-
-    change_id: Label
-    domain: Label
-    slot: int
-    term: int
-    holder: Label
-    incarnation: int
-
-
-class SlotReleased(NamedTuple):
-    """The end of a term by its holder's own release."""
-
-    change_id: Label
-    domain: Label
-    slot: int
-    term: int
-    holder: Label
-    incarnation: int
-
-
 class ClaimMade(NamedTuple):
     """A claim to run a request that must not be repeated."""
 
@@ -206,24 +186,6 @@
     change_id: Label
 
 
-class Summary(NamedTuple):
-    """Event counts of a node over a span.
-
-    Attributes:
-        node_id: Node that counted.
-        incarnation: Incarnation of the node.
-        start: Start of the span in seconds since the epoch.
-        span: Length of the span in seconds.
-        counts: Number of events by kind.
-    """
-
-    node_id: Label
-    incarnation: int
-    start: Time
-    span: float
-    counts: dict[str, float]
-
-
 Record = (
     PolicyPublished
     | KeyIssued
@@ -233,8 +195,10 @@
     | NodeForgotten
     | NodeJoined
     | NodeLeft
-    | SlotClaimed
-    | SlotReleased
+    | SlotClaim
+    | SlotRelease
+    | SlotNotice
+    | SlotObjection
     | ClaimMade
     | ClaimReleased
     | Summary
@@ -250,8 +214,10 @@
     "forget": NodeForgotten,
     "join": NodeJoined,
     "leave": NodeLeft,
-    "slot": SlotClaimed,
-    "slot-release": SlotReleased,
+    "slot": SlotClaim,
+    "slot-release": SlotRelease,
+    "slot-notice": SlotNotice,
+    "slot-objection": SlotObjection,
     "claim": ClaimMade,
     "claim-release": ClaimReleased,
     "summary": Summary,
--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -172,3 +172,67 @@
     turn_spacing: float = 0.04
     turn_max: float = 5.0
     prompt_share: float = 0.5
+
+
+class NodeSettings(NamedTuple):
+    """Settings of one node.
+
+    Attributes:
+        node_id: Id of the node, the same after a restart on the same host.
+        domain: Failure domain of the host.
+        domains: All failure domains of the fleet; the same on every node.
+        listen: Address for callers and the local target's own calls, ``ip:port``.
+        peer_listen: Address for other nodes; also that of the gossip socket.
+        admin_listen: Address for the target's announcements and operators.
+        log: Address of the platform's log.
+        log_timeout: Seconds to wait for an answer of the log.
+        log_retention: Seconds that the log keeps a record.
+        log_format: ``human`` for lines to read, ``json`` for JSON lines.
+        fleet_secret: Secret shared by all nodes.
+        root_token_digest: SHA-256 of the root token in hexadecimal, or empty.
+        statsd: Address of the statsd server, empty for none.
+        max_body: Largest request body in bytes.
+        max_connections: Largest number of open connections of a listener.
+        news_max_age: Seconds after which news from the log is too old to serve
+            keyed requests; 0 for no limit.
+        stop_grace: Seconds that a graceful stop waits for requests in flight.
+        leave_wait: Seconds between the announcement that the node leaves and the
+            end of its listeners.
+        event_bytes: Memory for events, in bytes.
+        summary_interval: Seconds between two summaries in the log.
+        limit: Settings of the concurrency limit.
+        admission: Settings of the admission queue.
+        level: Settings of the refusal at the entry.
+        retry: Settings of retries.
+        routing: Settings of the choice of targets.
+        membership: Settings of gossip membership.
+        share: Settings of fleet-wide rates.
+    """
+
+    node_id: str
+    domain: str
+    domains: tuple[str, ...]
+    listen: str
+    peer_listen: str
+    admin_listen: str
+    log: str
+    log_timeout: float
+    log_retention: float
+    log_format: str
+    fleet_secret: bytes
+    root_token_digest: str
+    statsd: str
+    max_body: int
+    max_connections: int
+    news_max_age: float
+    stop_grace: float
+    leave_wait: float
+    event_bytes: int
+    summary_interval: float
+    limit: LimitSettings
+    admission: AdmissionSettings
+    level: LevelSettings
+    retry: RetrySettings
+    routing: RoutingSettings
+    membership: MembershipSettings
+    share: ShareSettings
--- /dev/null
+++ b/src/carawaywheel/signing.py
@@ -0,0 +1,79 @@
+"""Signatures between nodes, made with the fleet secret."""
+
+import base64
+import hashlib
+import hmac
+
+import msgspec
+
+from .contexts import AnswerInfo, RequestContext
+from .errors import ProtocolError
+
+DATAGRAM_TAG_BYTES = 16
+
+encoder = msgspec.msgpack.Encoder()
+context_decoder = msgspec.msgpack.Decoder(RequestContext)
+answer_decoder = msgspec.msgpack.Decoder(AnswerInfo)
+
+
+class Signer:
+    """Signs and verifies what nodes send to each other."""
+
+    def __init__(self, secret: bytes) -> None:
+        self.secret = secret
+
+    def sign(self, *parts: bytes) -> bytes:
+        """Return the signature of some parts, in hexadecimal."""
+        return (
+            hmac.new(self.secret, b"\n".join(parts), hashlib.sha256)
+            .hexdigest()
+            .encode()
+        )
+
+    def verify(self, signature: str, *parts: bytes) -> bool:
+        """Return whether a signature is right, in constant time."""
+        return hmac.compare_digest(signature.encode("latin-1"), self.sign(*parts))
+
+    def seal(self, data: bytes) -> bytes:
+        """Return a datagram with its tag at the end."""
+        return data + self.tag(data)
+
+    def open(self, datagram: bytes) -> bytes | None:
+        """Return the content of a datagram, or None if its tag is wrong."""
+        data = datagram[:-DATAGRAM_TAG_BYTES]
+        if not hmac.compare_digest(datagram[-DATAGRAM_TAG_BYTES:], self.tag(data)):
+            return None
+        return data
+
+    def tag(self, data: bytes) -> bytes:
+        """Return the tag of a datagram."""
+        return hmac.digest(self.secret, data, "sha256")[:DATAGRAM_TAG_BYTES]
+
+
+def encode_header(value: RequestContext | AnswerInfo) -> bytes:
+    """Encode a value for a header."""
+    return base64.b64encode(encoder.encode(value))
+
+
+def decode_context(header: str, peer: str) -> RequestContext:
+    """Decode the context of a request.
+
+    Raises:
+        ProtocolError: If the header is malformed.
+    """
+    try:
+        return context_decoder.decode(base64.b64decode(header, validate=True))
+    except (ValueError, msgspec.DecodeError) as error:
+        raise ProtocolError("malformed request context", "read head", peer) from error
+
+
+def decode_answer(header: str, peer: str) -> AnswerInfo:
+    """Decode the information of an answer.
+
+    Raises:
+        ProtocolError: If the header is malformed.
+    """
+    try:
+        return answer_decoder.decode(base64.b64decode(header, validate=True))
+    except (ValueError, msgspec.DecodeError) as error:
+        raise ProtocolError("malformed answer header", "read head", peer) from error
--- /dev/null
+++ b/src/carawaywheel/slotting.py
@@ -0,0 +1,181 @@
+"""Following and appending the claims of slots in the shares stream."""
+
+import curio
+from loguru import logger
+
+from .borrowers import Borrower, LenderRef
+from .clock import Clock
+from .errors import LogError, RecordError
+from .events import EventKind
+from .evidence import ForgetNode, SlotRecord
+from .follower import RecordSink
+from .lenders import Lender
+from .logs import LogService
+from .members import Member
+from .membership import Membership
+from .recorder import Recorder
+from .records import NodeForgotten, Record, decode, encode
+from .slots import SlotMember, SlotTable
+from .views import View
+
+SHARES_STREAM = "shares"
+CLAIM_INTERVAL_SECONDS = 1.0
+CLAIMS_PER_ROUND = 64
+VERSION_BITS = 16
+
+
+class SlotService(RecordSink):
+    """Keeps the lender and the borrower in step with the log.
+
+    Attributes:
+        table: Fold of the shares stream.
+        caught_up: Whether the stream was read to its end at least once.
+    """
+
+    def __init__(
+        self,
+        table: SlotTable,
+        lender: Lender,
+        borrower: Borrower,
+        membership: Membership,
+        log: LogService,
+        secret: bytes,
+        recorder: Recorder,
+        clock: Clock,
+    ) -> None:
+        self.table = table
+        self.lender = lender
+        self.borrower = borrower
+        self.membership = membership
+        self.log = log
+        self.secret = secret
+        self.recorder = recorder
+        self.clock = clock
+        self.caught_up = False
+        self.accounts: dict[str, tuple[float, float]] = {}
+        self.started_at = clock.now()
+
+    def begin(self, offset: int) -> None:
+        """Note the oldest offset that the stream still has."""
+
+    def take(self, offset: int, data: bytes) -> None:
+        """Apply one record; a malformed one is passed over."""
+        try:
+            record = decode(data, self.secret)
+        except RecordError:
+            self.recorder.count("shares.malformed")
+            return
+        if isinstance(record, NodeForgotten):
+            gone = ForgetNode(record.node_id, record.incarnation)
+            self.table.apply(gone, self.clock.now())
+        elif isinstance(record, SlotRecord):
+            self.table.apply(record, self.clock.now())
+
+    def reached_end(self, asked_at: float) -> None:
+        """Renew the leases and tell the lender and the borrower who holds what."""
+        if not self.caught_up:
+            logger.info("shares stream is read; this node may claim slots")
+        self.caught_up = True
+        self.lender.resume()
+        self.table.renew(asked_at)
+        self.update()
+
+    def update(self) -> None:
+        """Tell the lender and the borrower who holds which slot."""
+        before = set(self.lender.slots)
+        self.table.update_lender(self.lender, self.clock.now())
+        gained = len(set(self.lender.slots) - before)
+        lost = len(before - set(self.lender.slots))
+        if gained or lost:
+            text = f"slots gained {gained}, lost {lost}"
+            self.recorder.state_event(EventKind.SLOT_CHANGED, text)
+        for slot in range(self.table.settings.slots):
+            refs = [
+                LenderRef(claim.holder, claim.domain, claim.term)
+                for claim in self.table.holders(slot)
+            ]
+            if refs != self.borrower.refs.get(slot):
+                self.borrower.set_lenders(slot, refs)
+
+    def set_accounts(self, view: View) -> None:
+        """Tell the lender of the client accounts of the configuration."""
+        now = self.clock.now()
+        wanted = {
+            name: (account.rate, account.burst)
+            for name, account in view.accounts.items()
+        }
+        for name, (rate, burst) in wanted.items():
+            if self.accounts.get(name) != (rate, burst):
+                self.lender.set_account(name, rate, burst, now)
+        for name in self.accounts.keys() - wanted.keys():
+            self.lender.remove_account(name)
+            self.borrower.remove_account(name)
+        self.accounts = wanted
+
+    async def run(self) -> None:
+        """Claim slots that this node should hold until cancelled."""
+        while True:
+            await curio.sleep(CLAIM_INTERVAL_SECONDS)
+            if self.caught_up:
+                await self.claim()
+
+    async def claim(self) -> None:
+        """Append the claims, notices and objections that are due."""
+        now = self.clock.now()
+        members = [slot_member(member) for member in self.membership.members(now)]
+        records = self.table.wanted_claims(members, now)
+        for record in records[:CLAIMS_PER_ROUND]:
+            if isinstance(record, ForgetNode):
+                continue
+            if not await self.append(record):
+                return
+
+    def newest_incarnation(self, node_id: str) -> int:
+        """Return the highest incarnation in which a node claimed a slot, or 0."""
+        claims = [state.claim for state in self.table.states.values()]
+        return max((c.incarnation for c in claims if c.holder == node_id), default=0)
+
+    async def append(self, record: Record) -> bool:
+        """Append one record; return whether the log took it."""
+        try:
+            await self.log.append(SHARES_STREAM, encode(record, self.secret))
+        except LogError:
+            return False
+        return True
+
+    async def release(self) -> None:
+        """Release all slots at a graceful stop."""
+        for record in self.table.wanted_releases(self.lender.release_slot):
+            if not await self.append(record):
+                return
+
+
+def slot_member(member: Member) -> SlotMember:
+    """Return a member as the slot table knows it."""
+    return SlotMember(
+        member.node_id,
+        start_incarnation(member.incarnation),
+        member.peer_address,
+        member.domain,
+    )
+
+
+def start_incarnation(incarnation: int) -> int:
+    """Return the incarnation with which a node started.
+
+    A node raises its incarnation with each change of its description; the lower
+    bits count these changes.
+    """
+    return incarnation >> VERSION_BITS << VERSION_BITS
+
+
+def first_incarnation(wall_time: float, former: int) -> int:
+    """Return the incarnation of a node that starts.
+
+    Args:
+        wall_time: Seconds since the epoch.
+        former: Highest incarnation of this node id that is known, or 0.
+    """
+    by_clock = int(wall_time * 1000) << VERSION_BITS
+    after_former = (start_incarnation(former) >> VERSION_BITS) + 1 << VERSION_BITS
+    return max(by_clock, after_former)
--- /dev/null
+++ b/src/carawaywheel/state.py
@@ -0,0 +1,123 @@
+"""What a node knows of the configuration, and how fresh that is."""
+
+from loguru import logger
+
+from .clock import Clock
+from .configuration import Configuration
+from .errors import RecordError
+from .events import EventKind
+from .follower import RecordSink
+from .recorder import Recorder
+from .records import KeyWithdrawn, Record, decode
+from .views import View
+
+FREEZE_GAP_SECONDS = 2.0
+ISOLATION_SECONDS = 5.0
+
+
+class NodeState(RecordSink):
+    """Fold of the configuration stream with the age of its news.
+
+    A node that was frozen, or that hears neither the log nor any other node, may
+    have missed a withdrawal of a key. It serves no keyed request until it has news.
+
+    Attributes:
+        configuration: Fold of the stream.
+        ticked_at: Time of the last sign that the loop runs, in seconds.
+        heard_at: Time of the last news from the log or a peer, in seconds.
+        has_peers: Whether other nodes are known.
+        max_age: Seconds after which the log's news is too old; 0 for no limit.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        secret: bytes,
+        recorder: Recorder,
+        clock: Clock,
+        max_age: float,
+    ) -> None:
+        self.configuration = configuration
+        self.secret = secret
+        self.recorder = recorder
+        self.clock = clock
+        self.max_age = max_age
+        self.ticked_at = clock.now()
+        self.heard_at = float("-inf")
+        self.read_at = float("-inf")
+        self.frozen_at: float | None = None
+        self.has_peers = False
+        self.results: dict[str, object] = {}
+
+    def view(self) -> View:
+        """Return the snapshot of the configuration in force."""
+        return self.configuration.view()
+
+    def begin(self, offset: int) -> None:
+        """Note the oldest offset that the stream still has."""
+        self.configuration.begin(offset)
+
+    def take(self, offset: int, data: bytes) -> None:
+        """Apply one record of the stream; a malformed one is passed over."""
+        try:
+            record = decode(data, self.secret)
+        except RecordError as error:
+            self.configuration.skip(offset)
+            self.recorder.count("configuration.malformed")
+            logger.warning("record {} is passed over: {}", offset, error)
+            return
+        result = self.configuration.apply(offset, record)
+        self.note_result(record, result)
+
+    def note_result(self, record: Record, result: object) -> None:
+        """Keep the result of a change for the operator that waits for it."""
+        change_id = getattr(record, "change_id", None)
+        if change_id in self.results:
+            self.results[change_id] = result
+        self.recorder.state_event(
+            EventKind.CONFIGURATION_APPLIED, f"{type(record).__name__}: {result}"
+        )
+
+    def reached_end(self, asked_at: float) -> None:
+        """Note that the stream was read to its end."""
+        self.configuration.reached_end()
+        self.read_at = max(self.read_at, asked_at)
+        self.heard(asked_at)
+
+    def withdraw_early(self, record: KeyWithdrawn) -> None:
+        """Apply a withdrawal that another node pushed."""
+        if self.configuration.withdraw_early(record):
+            self.recorder.state_event(
+                EventKind.CONFIGURATION_APPLIED, f"withdrawal of key {record.key_id}"
+            )
+
+    def heard(self, at: float) -> None:
+        """Note news that was asked for or sent at a time, in seconds."""
+        self.heard_at = max(self.heard_at, at)
+        if self.frozen_at is not None and at >= self.frozen_at:
+            self.frozen_at = None
+
+    def tick(self, now: float) -> bool:
+        """Note that the loop runs; return whether it had stood still.
+
+        Args:
+            now: Time in seconds.
+        """
+        gap = now - self.ticked_at
+        self.ticked_at = now
+        if gap <= FREEZE_GAP_SECONDS:
+            return False
+        self.frozen_at = now
+        self.recorder.state_event(EventKind.NODE_FROZEN, f"for {gap:.1f} s")
+        logger.warning("the process stood still for {:.1f} s", gap)
+        return True
+
+    def news_is_fresh(self, now: float) -> bool:
+        """Return whether a withdrawal of a key would have reached this node."""
+        if now - self.ticked_at > FREEZE_GAP_SECONDS:
+            self.tick(now)
+        if self.frozen_at is not None:
+            return False
+        if self.max_age and now - self.read_at > self.max_age:
+            return False
+        return not self.has_peers or now - self.heard_at <= ISOLATION_SECONDS
--- /dev/null
+++ b/src/carawaywheel/streaming.py
@@ -0,0 +1,54 @@
+"""Passing an answer on while it arrives, with bounded memory."""
+
+from .errors import PeerError, ProtocolError
+from .headers import forwarded_answer_headers
+from .http import Headers, ServerConnection
+from .pool import Answer
+
+WRITE_BATCH_BYTES = 256 * 1024
+
+
+class CutAnswer(ProtocolError):
+    """The answer broke after its head was passed on."""
+
+
+async def pass_on(answer: Answer, connection: ServerConnection, extra: Headers) -> None:
+    """Pass an answer on to the other side of a connection.
+
+    Args:
+        answer: The answer, of which the head has arrived.
+        connection: Connection of the caller or of the node that asked.
+        extra: Headers to add.
+
+    Raises:
+        CutAnswer: If the answer was cut; the connection must be closed, so that
+            the cut reaches the caller as a broken answer.
+        ProtocolError: If the other side is gone.
+    """
+    headers = forwarded_answer_headers(answer.status, answer.headers) + extra
+    pending = connection.encode_head(answer.status, headers)
+    try:
+        while chunk := await answer.next_chunk():
+            pending += connection.encode_data(chunk)
+            pending = await write_full(answer, connection, pending)
+    except PeerError as error:
+        connection.gone = True
+        raise CutAnswer(error.message, error.step, error.peer) from error
+    pending += connection.encode_end()
+    await connection.write(pending)
+
+
+async def write_full(
+    answer: Answer, connection: ServerConnection, pending: bytes
+) -> bytes:
+    """Write what is pending unless more of a small answer has already arrived."""
+    chunk = answer.next_ready()
+    while chunk and len(pending) < WRITE_BATCH_BYTES:
+        pending += connection.encode_data(chunk)
+        chunk = answer.next_ready()
+    if chunk:
+        pending += connection.encode_data(chunk)
+    if answer.complete:
+        return pending
+    await connection.write(pending)
+    return b""
