--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -49,10 +49,22 @@
     Attributes:
         max_age: Seconds after which a learned level is ignored.
         probe_share: Share of requests let through to notice recovery.
+        shed_from: Pressure at which shedding begins.
+        shed_all: Pressure at which all but CRITICAL requests are shed.
+        gain: Weight of a new level in the moving average, 0 to 1.
+        route_age: Seconds for which a service counts as part of a route's chain.
+        fair: Whether accounts below their fair share are spared.
+        fair_window: Seconds over which the demand of accounts is compared.
     """
 
     max_age: float = 2.0
     probe_share: float = 0.02
+    shed_from: float = 1.25
+    shed_all: float = 3.0
+    gain: float = 0.1
+    route_age: float = 60.0
+    fair: bool = True
+    fair_window: float = 2.0
 
 
 class RetrySettings(NamedTuple):
