Serve a request end to end by real processes

Cause: the node had not been run. Change: stop signals by a wakeup socket (curio 1.6 has no signal queue), event numbers that fit 64 bits, faults in one request no longer print a bare trace.

--- /dev/null
+++ b/src/carawaywheel/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point of ``python -m carawaywheel``."""
+
+from .main import run
+
+run()
--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -129,6 +129,10 @@
         except (OSError, curio.CancelledError):
             # The caller has gone or the node is stopping: nobody reads an answer.
             pass
+        except Exception:
+            # A fault in the handling of one request must not end the node.
+            logger.exception("request on {} from {} failed", self.name, connection.peer)
+            self.on_protocol_error(self.name)
         finally:
             self.watch.remove(fd)
             self.idle.discard(fd)
--- a/src/carawaywheel/main.py
+++ b/src/carawaywheel/main.py
@@ -1,9 +1,9 @@
 """The command line: one program for the node and for operators."""
 
 import json
+import logging
 import os
 import sys
-from typing import Any
 
 import curio
 import typer
@@ -41,7 +41,7 @@
     typer.echo(__version__)
 
 
-def run_node(values: dict[str, Any]) -> None:
+def run_node(values: dict[str, str]) -> None:
     """Run a node beside a target host.
 
     Every flag has an environment variable. The addresses in use are printed as one
@@ -77,6 +77,8 @@
 
 def configure_logging(log_format: str) -> None:
     """Send log lines to standard error, for humans or as JSON lines."""
+    # curio warns when a timeout ends at the same moment as what it waits for.
+    logging.getLogger("curio").setLevel(logging.ERROR)
     logger.remove()
     if log_format == "json":
         logger.add(sys.stderr, serialize=True, level="INFO")
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -36,10 +36,12 @@
 from .routing import Router, TargetState
 from .serving import TargetServer
 from .settings import NodeSettings
+from .signals import StopSignal
 from .signing import Signer
 from .slots import SlotMember, SlotTable
 from .slotting import (
     SHARES_STREAM,
+    VERSION_BITS,
     SlotService,
     first_incarnation,
     start_incarnation,
@@ -78,6 +80,7 @@
             former_incarnation: Highest incarnation of this node id that is known.
         """
         self.settings = settings
+        self.stop_signal = StopSignal()
         self.stopping = False
         self.failed = False
         self.clock = SystemClock()
@@ -99,9 +102,9 @@
         wall = wall_time()
         self.started_at = now
         self.incarnation = first_incarnation(wall, former_incarnation)
-        buffer = EventBuffer(
-            settings.node_id, settings.event_bytes, self.incarnation >> 16
-        )
+        # Sequence numbers of events have 64 bits, which leaves room for seconds.
+        second = int(self.incarnation >> VERSION_BITS) // 1000
+        buffer = EventBuffer(settings.node_id, settings.event_bytes, second)
         summary = Summarizer(settings.node_id, self.incarnation, wall)
         self.backlog = Backlog(BACKLOG_SUMMARIES)
         self.recorder = Recorder(buffer, summary, self.clock, settings.statsd)
@@ -420,8 +423,7 @@
 
     async def wait_for_stop(self) -> None:
         """Wait for SIGTERM or SIGINT, then stop gracefully."""
-        async with curio.SignalQueue(15, 2) as signals:
-            await signals.get()
+        await self.stop_signal.wait()
         await self.stop()
 
     async def stop(self) -> None:
--- a/src/carawaywheel/options.py
+++ b/src/carawaywheel/options.py
@@ -1,6 +1,7 @@
 """Flags and environment variables of the node, made from its settings."""
 
 import inspect
+import math
 import re
 from collections.abc import Callable, Mapping
 from pathlib import Path
@@ -66,6 +67,14 @@
     "membership_updates_per_message": 64,
 }
 MAX_NUMBER = 1e12
+BOOLEANS = {
+    "true": True,
+    "1": True,
+    "yes": True,
+    "false": False,
+    "0": False,
+    "no": False,
+}
 
 
 class Flag(NamedTuple):
@@ -157,10 +166,10 @@
 FLAGS = node_flags()
 
 
-def with_flags(command: Callable[[dict[str, Any]], None]) -> Callable[..., None]:
+def with_flags(command: Callable[[dict[str, str]], None]) -> Callable[..., None]:
     """Give a command one option for each flag of the node."""
 
-    def run(**values: Any) -> None:
+    def run(**values: str) -> None:
         command(values)
 
     parameters = []
@@ -172,8 +181,8 @@
             inspect.Parameter(
                 flag.name,
                 inspect.Parameter.KEYWORD_ONLY,
-                default=flag.default,
-                annotation=annotated(type(flag.default), option),
+                default=str(flag.default),
+                annotation=Annotated[str, option],
             )
         )
     run.__signature__ = inspect.Signature(parameters)  # type: ignore[attr-defined]
@@ -182,18 +191,13 @@
     return run
 
 
-def annotated(value_type: type, option: Any) -> Any:
-    """Return an annotation that typer reads."""
-    return Annotated[value_type, option]
-
-
 def build_settings(
-    values: Mapping[str, Any], environment: Mapping[str, str]
+    texts: Mapping[str, str], environment: Mapping[str, str]
 ) -> NodeSettings:
     """Check all values and build the settings of a node.
 
     Args:
-        values: Values by flag name.
+        texts: Values by flag name, as they were typed.
         environment: Environment variables, for the fleet secret.
 
     Raises:
@@ -201,10 +205,9 @@
             with the flag, the value and what is allowed.
     """
     faults: list[str] = []
+    values: dict[str, Any] = {}
     for flag in FLAGS:
-        fault = check_flag(flag, values[flag.name])
-        if fault:
-            faults.append(fault)
+        values[flag.name] = check_flag(flag, texts[flag.name], faults)
     secret = read_secret(values["fleet_secret_file"], environment, faults)
     domains = tuple(sorted(filter(None, values["domains"].split(","))))
     check_domains(values["domain"], domains, faults)
@@ -221,15 +224,30 @@
     return NodeSettings(**own, **groups)
 
 
-def check_flag(flag: Flag, value: Any) -> str:
-    """Return what is wrong with the value of a flag, empty if nothing is."""
-    if isinstance(value, int | float):
-        allowed = check_number(flag.name, value)
+def check_flag(flag: Flag, text: str, faults: list[str]) -> Any:
+    """Return the value of a flag, and note a fault if it is not allowed."""
+    kind = type(flag.default)
+    value: Any = text
+    if kind is bool:
+        value = BOOLEANS.get(text.lower())
+        allowed = "" if value is not None else "true or false"
+    elif kind in (int, float):
+        value = parse_number(text, kind)
+        allowed = check_number(flag.name, value, kind)
     else:
-        allowed = check_text(flag.name, value)
-    if not allowed:
-        return ""
-    return f"{flag.flag} ({flag.variable}) is {value!r}; allowed: {allowed}"
+        allowed = check_text(flag.name, text)
+    if allowed:
+        faults.append(f"{flag.flag} ({flag.variable}) is {text!r}; allowed: {allowed}")
+    return value
+
+
+def parse_number(text: str, kind: type) -> float | None:
+    """Return a number, or None if the text is not a finite one of its kind."""
+    try:
+        number: float = kind(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) else None
 
 
 def check_text(name: str, value: str) -> str:
@@ -247,15 +265,18 @@
     return ""
 
 
-def check_number(name: str, value: float) -> str:
-    """Return what is allowed if a number is out of its range."""
-    lowest = 0 if name in ZERO_ALLOWED else "above 0"
+def check_number(name: str, value: float | None, kind: type) -> str:
+    """Return what is allowed if a number is missing or out of its range."""
     highest = MAX_BY_NAME.get(name, MAX_NUMBER)
-    fits = 0 <= value <= highest and (value > 0 or name in ZERO_ALLOWED)
-    if fits:
+    zero = name in ZERO_ALLOWED
+    if value is not None and 0 <= value <= highest and (value > 0 or zero):
         return ""
-    text = f"{lowest} to {highest:g}" if lowest == 0 else f"above 0, up to {highest:g}"
-    return text
+    word = "a whole number" if kind is int else "a number"
+    return (
+        f"{word} from 0 to {highest:g}"
+        if zero
+        else f"{word} up to {highest:g}, above 0"
+    )
 
 
 def check_address(value: str, needs_port: bool) -> str:
--- a/src/carawaywheel/records.py
+++ b/src/carawaywheel/records.py
@@ -16,6 +16,7 @@
 from .errors import RecordError
 from .evidence import SlotClaim, SlotNotice, SlotObjection, SlotRelease
 from .policies import Name, PolicyDocument
+from .summaries import Summary
 
 # Version of an entry that does not exist; offset 0 is a valid version.
 NO_VERSION = -1
--- a/src/carawaywheel/sections.py
+++ b/src/carawaywheel/sections.py
@@ -157,7 +157,8 @@
         Column("Requests", numeric=True),
         Column("Examples"),
     ]
-    shed, other = [], []
+    shed: list[list[str]] = []
+    other: list[list[str]] = []
     for row in report.refusals:
         overload = row.key.reason in OVERLOAD_REASONS
         (shed if overload else other).append(refusal_cells(row))
@@ -210,13 +211,13 @@
 
 
 def steps_table(report: Report) -> Table:
-    """Return changes of state and first refusals in order."""
+    """Return changes of state, first and last refusals in order."""
     rows = [
         [time_of_day(step.time), step.node_id or NOTHING, step.text]
         for step in report.steps
     ]
     columns = [Column("Time"), Column("Node"), Column("What happened")]
-    title = "In what order: changes of state and first refusals"
+    title = "In what order: changes of state, first and last refusals"
     return Table(title, columns, rows, "No changes of state are known.")
 
 
