--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,8 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+demo: $(STAMP)
+	$(BIN)/python -m demo
+
 clean:
 	rm -rf $(VENV) dist build
--- a/src/carawaywheel/slotting.py
+++ b/src/carawaywheel/slotting.py
@@ -53,7 +53,7 @@
         self.clock = clock
         self.caught_up = False
         self.accounts: dict[str, tuple[float, float]] = {}
-        self.started_at = clock.now()
+        self.noted: set[int] = set()
 
     def begin(self, offset: int) -> None:
         """Note the oldest offset that the stream still has."""
@@ -82,13 +82,7 @@
 
     def update(self) -> None:
         """Tell the lender and the borrower who holds which slot."""
-        before = set(self.lender.slots)
         self.table.update_lender(self.lender, self.clock.now())
-        gained = len(set(self.lender.slots) - before)
-        lost = len(before - set(self.lender.slots))
-        if gained or lost:
-            text = f"slots gained {gained}, lost {lost}"
-            self.recorder.state_event(EventKind.SLOT_CHANGED, text)
         for slot in range(self.table.settings.slots):
             refs = [
                 LenderRef(claim.holder, claim.domain, claim.term)
@@ -116,9 +110,20 @@
         """Claim slots that this node should hold until cancelled."""
         while True:
             await curio.sleep(CLAIM_INTERVAL_SECONDS)
+            self.note_slots()
             if self.caught_up:
                 await self.claim()
 
+    def note_slots(self) -> None:
+        """Record which slots this node gained and lost since the last time."""
+        held = set(self.lender.slots)
+        gained = len(held - self.noted)
+        lost = len(self.noted - held)
+        self.noted = held
+        if gained or lost:
+            text = f"gained {gained}, lost {lost}, holds {len(held)}"
+            self.recorder.state_event(EventKind.SLOT_CHANGED, text)
+
     async def claim(self) -> None:
         """Append the claims, notices and objections that are due."""
         now = self.clock.now()
