Build one executable file with shiv

Cause: the product ships as one binary. Change: make binary packs the locked dependencies and the package. Ruled out: PyInstaller one-file (its bootloader starts a child process).

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,10 @@
 
 clean:
 	rm -rf $(VENV) dist build
+
+binary: $(STAMP)
+	rm -rf build/site dist
+	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes --target build/site -r requirements-run.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --target build/site .
+	mkdir -p dist
+	$(BIN)/shiv --site-packages build/site --entry-point carawaywheel.main:run --python "/usr/bin/env python3" --output-file dist/carawaywheel
