Add the time line of a request, account, target, key or span

Cause: operators must see what happened to a request over several nodes, why it was refused and which earlier change led to that.

--- /dev/null
+++ b/src/carawaywheel/pictures.py
@@ -0,0 +1,150 @@
+"""Picture of one request's way through the nodes."""
+
+from typing import NamedTuple
+from xml.etree.ElementTree import Element
+
+from .events import MESSAGES, Event, EventKind
+from .markup import add, clean, picture, shorten, svg_text, time_of_day
+
+LEFT = 110
+LANE_WIDTH = 110
+TEXT_WIDTH = 720
+TEXT_CHARACTERS = 100
+LANE_CHARACTERS = 16
+TOP = 74
+ROW_HEIGHT = 24
+MARK_SIZE = 5
+ARROW_SIZE = 5
+LINE_COLOUR = "#b0b7bf"
+MESSAGE_COLOUR = "#4a5a6a"
+
+
+class Style(NamedTuple):
+    """How an event is drawn; the shape tells it without the colour.
+
+    Attributes:
+        colour: Colour of the mark and of the text.
+        shape: ``circle``, ``square`` or ``diamond``.
+    """
+
+    colour: str
+    shape: str
+
+
+ORDINARY = Style("#2f5d8a", "circle")
+REFUSED = Style("#b3261e", "square")
+RETRIED = Style("#9a5b00", "diamond")
+STYLES = {
+    EventKind.REQUEST_REFUSED: REFUSED,
+    EventKind.SHED: REFUSED,
+    EventKind.KEY_REFUSED: REFUSED,
+    EventKind.ANSWER_BROKEN: REFUSED,
+    EventKind.CANCELLED: REFUSED,
+    EventKind.RETRY: RETRIED,
+}
+
+
+def draw_request(events: list[Event], texts: list[str], request_id: str) -> str:
+    """Draw events as one row each, with one vertical line for each node.
+
+    Args:
+        events: Events of one request, in order.
+        texts: What to write beside each event.
+        request_id: Root id of the request.
+
+    Returns:
+        SVG text.
+    """
+    nodes = list(dict.fromkeys(event.node_id for event in events))
+    lanes = {node: LEFT + LANE_WIDTH * (i + 0.5) for i, node in enumerate(nodes)}
+    width = LEFT + LANE_WIDTH * len(nodes) + TEXT_WIDTH
+    height = TOP + ROW_HEIGHT * (len(events) + 1)
+    root = picture(width, height, f"Way of request {request_id}")
+    add(root, "rect", width=width, height=height, fill="#ffffff")
+    heading = f"Request {request_id}" if events else f"No events of {request_id}"
+    add(root, "text", heading, x=12, y=22, font_size=15, font_weight="bold")
+    draw_lanes(root, lanes, height)
+    draw_messages(root, events, lanes)
+    for row, (event, text) in enumerate(zip(events, texts, strict=True)):
+        draw_event(root, event, text, lanes[event.node_id], row_y(row), width)
+    return svg_text(root)
+
+
+def row_y(row: int) -> float:
+    """Return the height of a row in pixels from the top."""
+    return TOP + ROW_HEIGHT * (row + 0.5)
+
+
+def draw_lanes(root: Element, lanes: dict[str, float], height: float) -> None:
+    """Draw a named vertical line for each node."""
+    for node, x in lanes.items():
+        name = add(root, "text", "", x=x, y=TOP - 14, text_anchor="middle")
+        name.text = shorten(clean(node), LANE_CHARACTERS)
+        add(name, "title", node)
+        add(root, "line", x1=x, x2=x, y1=TOP - 6, y2=height - 8, stroke=LINE_COLOUR)
+
+
+def draw_event(
+    root: Element, event: Event, text: str, x: float, y: float, width: float
+) -> None:
+    """Draw one event: its time, its mark on the node's line, and its text."""
+    style = STYLES.get(event.kind, ORDINARY)
+    when = time_of_day(event.time, 3)
+    add(root, "text", when, x=12, y=y + 4, fill="#555555")
+    draw_mark(root, style, x, y)
+    label = add(root, "text", "", x=width - TEXT_WIDTH, y=y + 4, fill=style.colour)
+    if style is not ORDINARY:
+        label.set("font-weight", "bold")
+    label.text = shorten(clean(text), TEXT_CHARACTERS)
+    add(label, "title", text)
+
+
+def draw_mark(root: Element, style: Style, x: float, y: float) -> None:
+    """Draw the mark of an event."""
+    if style.shape == "circle":
+        add(root, "circle", cx=x, cy=y, r=MARK_SIZE, fill=style.colour)
+        return
+    corner, side = -MARK_SIZE, 2 * MARK_SIZE
+    mark = add(root, "rect", x=x + corner, y=y + corner, width=side, height=side)
+    mark.set("fill", style.colour)
+    if style.shape == "diamond":
+        mark.set("transform", f"rotate(45 {x:.1f} {y:.1f})")
+
+
+def draw_messages(root: Element, events: list[Event], lanes: dict[str, float]) -> None:
+    """Draw an arrow for each message between two nodes, dashed for answers.
+
+    A message without a receipt ends in a question mark.
+    """
+    for first, second in MESSAGES:
+        ends: dict[str, list[tuple[float, float]]] = {}
+        for row, event in enumerate(events):
+            if event.kind is second and event.attempt_id:
+                end = (lanes[event.node_id], row_y(row))
+                ends.setdefault(event.attempt_id, []).append(end)
+        for row, event in enumerate(events):
+            if event.kind is not first or not event.attempt_id:
+                continue
+            start = (lanes[event.node_id], row_y(row))
+            answer = first is EventKind.ANSWERED
+            for end in ends.get(event.attempt_id, []):
+                draw_arrow(root, start, end, answer)
+            if event.attempt_id not in ends:
+                place = {"x": start[0] + MARK_SIZE + 4, "y": start[1] + 4}
+                add(root, "text", "→ ?", **place, fill=MESSAGE_COLOUR)
+
+
+def draw_arrow(
+    root: Element, start: tuple[float, float], end: tuple[float, float], answer: bool
+) -> None:
+    """Draw an arrow that ends just before the mark of its receipt."""
+    direction = 1 if end[0] >= start[0] else -1
+    tip = end[0] - direction * MARK_SIZE
+    line = add(root, "line", x1=start[0], y1=start[1], x2=tip, y2=end[1])
+    line.set("stroke", MESSAGE_COLOUR)
+    if answer:
+        line.set("stroke-dasharray", "4 3")
+    back = tip - direction * ARROW_SIZE
+    corners = [(tip, end[1]), (back, end[1] - 4), (back, end[1] + 3)]
+    points = " ".join(f"{x:.1f},{y:.1f}" for x, y in corners)
+    add(root, "polygon", points=points, fill=MESSAGE_COLOUR)
--- /dev/null
+++ b/tests/test_timeline.py
@@ -0,0 +1,99 @@
+import json
+from xml.etree import ElementTree
+
+import pytest
+
+from carawaywheel.events import EventBuffer, EventFilter, EventKind, merge
+from carawaywheel.refusals import Importance, Ran, Reason
+from carawaywheel.timeline import render_json, render_picture, render_text, select
+
+REQUEST = "5f2c"
+SVG = "{http://www.w3.org/2000/svg}"
+HOSTILE = "</text><script>alert(1)</script>\x1b[2J cw_secret"
+
+
+@pytest.fixture
+def events():
+    """A request that is shed at one node, retried, and refused at the entry."""
+    entry, callee = EventBuffer("entry", 1 << 20), EventBuffer("callee", 1 << 20)
+    limit = callee.append(EventKind.LIMIT_CHANGED, 90.0, 0, target="t1", detail="62")
+
+    def add(buffer, kind, attempt="", **fields):
+        now = 100.0 if buffer is entry else 95.0
+        fields = {"account": "hall", "importance": Importance.NORMAL, **fields}
+        buffer.append(kind, now, 0, REQUEST, attempt, **fields)
+
+    refused = {"reason": Reason.QUEUE_FULL, "ran": Ran.NOT_RUN, "target": "t1"}
+    causes = (("callee", limit), ("lost", 9))
+    add(entry, EventKind.REQUEST_ADMITTED, key_id="k1")
+    add(entry, EventKind.SENT, "a1")
+    add(callee, EventKind.RECEIVED, "a1")
+    add(callee, EventKind.SHED, "a2", parent_id="a1", causes=causes, **refused)
+    add(callee, EventKind.ANSWERED, "a1")
+    add(entry, EventKind.COMPLETED, "a1")
+    add(entry, EventKind.RETRY, "a3")
+    add(entry, EventKind.SENT, "a3")
+    add(entry, EventKind.REQUEST_REFUSED, detail=HOSTILE, **refused)
+    entry.append(EventKind.SENT, 100.0, 0, "other", "a9", account="lido")
+    return merge([callee.since(), entry.since()])
+
+
+def test_the_time_line_shows_a_request_in_causal_order_with_its_causes(events):
+    """Guards against a shed that seems to come out of nowhere or before its call."""
+    entries = select(events, EventFilter(request_id=REQUEST))
+    kinds = [entry.event.kind for entry in entries]
+    expected = "LIMIT_CHANGED REQUEST_ADMITTED SENT RECEIVED SHED ANSWERED COMPLETED"
+    expected += " RETRY SENT REQUEST_REFUSED"
+    assert kinds == [EventKind[name] for name in expected.split()]
+    assert [entry.selected for entry in entries] == [False] + [True] * 9
+    assert [entry.depth for entry in entries][3:5] == [0, 1]
+    assert entries[4].missing == (("lost", 9),)
+
+
+@pytest.mark.parametrize(
+    ("event_filter", "count"),
+    [
+        (EventFilter(account="lido"), 1),
+        (EventFilter(key_id="k1"), 1),
+        (EventFilter(target="t1"), 3),
+        (EventFilter(begin=90.0, end=95.0), 1),
+    ],
+)
+def test_each_filter_selects_its_events_only(events, event_filter, count):
+    """Guards against events of one client account in the time line of another."""
+    entries = select(events, event_filter)
+    assert sum(entry.selected for entry in entries) == count
+
+
+def test_text_and_json_say_why_a_request_was_refused_and_hold_no_key(events):
+    """Guards against unreadable refusals, leaked keys and terminal escapes."""
+    entries = select(events, EventFilter(request_id=REQUEST))
+    text = render_text(entries)
+    assert "REFUSED t1 because of queue_full (not run)" in text
+    assert "(cause no longer held: lost #9)" in text
+    refused = json.loads(render_json(entries))[-1]
+    assert refused["reason"] == "queue_full"
+    assert refused["importance"] == "normal"
+    for rendered in (text, refused["detail"]):
+        assert "cw_" not in rendered
+        assert "\x1b" not in rendered
+
+
+def test_the_picture_shows_messages_retries_and_refusals_and_escapes_text(events):
+    """Guards against a picture that misses a step or carries a script."""
+    svg = render_picture(events, REQUEST)
+    root = ElementTree.fromstring(svg)
+    assert "<script" not in svg and "cw_" not in svg
+    texts = [element.text for element in root.iter(f"{SVG}text")]
+    assert any(text.startswith("RETRY") for text in texts)
+    assert any(text.startswith("REFUSED t1") for text in texts)
+    assert texts.count("→ ?") == 1
+    arrows = list(root.iter(f"{SVG}polygon"))
+    assert len(arrows) == 2
+    marks = [element.get("fill") for element in root.iter(f"{SVG}circle")]
+    assert len(marks) == 6
+
+
+def test_a_request_without_events_gives_a_picture_that_says_so():
+    """Guards against an error page in place of an answer for an old request."""
+    assert "No events of 77" in render_picture([], "77")
