Add summaries and the overload report for its two readers

Cause: after an overload, on-call staff must see what was shed, in what order and which bounds held, and client relations must see who was turned away and why, also when hosts have been replaced since.

--- /dev/null
+++ b/src/carawaywheel/bounds.py
@@ -0,0 +1,178 @@
+"""Bounds that an overload report checks."""
+
+from collections import defaultdict
+from typing import NamedTuple
+
+from .refusals import Importance, Reason
+from .settings import RetrySettings
+from .summaries import CountRow, Place, Totals
+from .summarizer import IMPORTANCE_BOUND, OVERLOAD_REASONS
+
+SERVED_SHARE = 0.95
+WRONGFUL_SHARE = 0.01
+WRONGFUL_SHARE_WITH_ABUSE = 0.05
+# Refusals for the request itself, which say nothing about rates or overload.
+CALLER_REASONS = frozenset(
+    {
+        Reason.NO_ROUTE,
+        Reason.BAD_REQUEST,
+        Reason.KEY_MISSING,
+        Reason.KEY_UNKNOWN,
+        Reason.KEY_WITHDRAWN,
+        Reason.FORBIDDEN,
+        Reason.DUPLICATE,
+        Reason.CANCELLED,
+    }
+)
+
+
+class BoundResult(NamedTuple):
+    """Whether a bound held.
+
+    Attributes:
+        name: The bound, in words.
+        held: Whether it held, or None if nothing was there to check.
+        figures: The measured figures, in words.
+    """
+
+    name: str
+    held: bool | None
+    figures: str
+
+
+def check_bounds(
+    totals: Totals, rows: list[CountRow], summaries: int, settings: RetrySettings
+) -> list[BoundResult]:
+    """Return which bounds held.
+
+    Args:
+        totals: All rows of the span; holds the checks that the nodes made.
+        rows: The counts of the totals.
+        summaries: Number of summaries; each allows some retries.
+        settings: Settings of the retry budgets.
+    """
+    results = [check_importance(totals)]
+    results += [
+        BoundResult(row.name, row.broken == 0, broken_text(row.checked, row.broken))
+        for row in totals.bounds.values()
+        if row.name != IMPORTANCE_BOUND
+    ]
+    results.append(check_importance_shares(rows))
+    results.append(check_wrongful(rows))
+    results.append(check_worst_account(rows))
+    results.append(check_retries(totals, summaries, settings))
+    return results
+
+
+def broken_text(checked: int, broken: int, detail: str = "") -> str:
+    """Return how often a bound was broken, in words."""
+    text = f"checked {checked:,} times, broken {broken:,} times"
+    return f"{text}; first: {detail}" if detail else text
+
+
+def check_importance(totals: Totals) -> BoundResult:
+    """Return whether lower importances were admitted while higher ones were shed."""
+    row = totals.bounds.get(IMPORTANCE_BOUND)
+    if row is None:
+        text = "no request was shed at a target's node"
+        return BoundResult(IMPORTANCE_BOUND, None, text)
+    text = broken_text(row.checked, row.broken, row.detail)
+    return BoundResult(IMPORTANCE_BOUND, row.broken == 0, text)
+
+
+def check_importance_shares(rows: list[CountRow]) -> BoundResult:
+    """Return whether each service shed less of the more important requests."""
+    name = "each service shed no larger part of a higher importance"
+    counts: dict[str, dict[Importance, list[int]]] = defaultdict(
+        lambda: {importance: [0, 0] for importance in Importance}
+    )
+    for row in rows:
+        if row.key.place is not Place.TARGET:
+            continue
+        if row.key.reason is None or row.key.reason in OVERLOAD_REASONS:
+            pair = counts[row.key.service][row.key.importance]
+            pair[row.key.reason is not None] += row.requests
+    shed = {service: c for service, c in counts.items() if any_shed(c)}
+    if not shed:
+        return BoundResult(name, None, "no request was shed at a target's node")
+    wrong = sorted(service for service, c in shed.items() if not in_order(c))
+    text = (
+        f"not so at {', '.join(wrong)}"
+        if wrong
+        else f"shed at {', '.join(sorted(shed))}"
+    )
+    return BoundResult(name, not wrong, text)
+
+
+def any_shed(counts: dict[Importance, list[int]]) -> bool:
+    """Return whether any request was shed."""
+    return any(refused for _, refused in counts.values())
+
+
+def in_order(counts: dict[Importance, list[int]]) -> bool:
+    """Return whether the part shed does not fall with falling importance."""
+    asked = [pair for pair in counts.values() if sum(pair)]
+    shares = [refused / (served + refused) for served, refused in asked]
+    return shares == sorted(shares)
+
+
+def counts_for_rate(row: CountRow) -> bool:
+    """Return whether a row counts requests that an account's rate covers."""
+    key = row.key
+    own_fault = key.reason in CALLER_REASONS
+    entry = key.place is Place.ENTRY
+    return entry and key.in_rate and bool(key.account) and not own_fault
+
+
+def check_wrongful(rows: list[CountRow]) -> BoundResult:
+    """Return whether few enough requests were refused within the rate."""
+    entry = [row for row in rows if row.key.place is Place.ENTRY]
+    in_rate = [row for row in entry if counts_for_rate(row)]
+    abused = any(row.key.reason is Reason.RATE_EXCEEDED for row in entry)
+    limit = WRONGFUL_SHARE_WITH_ABUSE if abused else WRONGFUL_SHARE
+    name = f"less than {limit:.0%} of the requests within their rate refused"
+    asked = sum(row.requests for row in in_rate)
+    refused = sum(row.requests for row in in_rate if row.key.reason is not None)
+    if not asked:
+        return BoundResult(name, None, "no request within its rate")
+    text = f"{refused:,} of {asked:,} refused ({refused / asked:.2%})"
+    if abused:
+        text += "; another limit applies because an account was over its rate"
+    return BoundResult(name, refused / asked < limit, text)
+
+
+def check_worst_account(rows: list[CountRow]) -> BoundResult:
+    """Return whether the worst-served account got enough of its requests served."""
+    name = f"each client account at least {SERVED_SHARE:.0%} served within its rate"
+    counts: dict[str, list[int]] = defaultdict(lambda: [0, 0])
+    for row in rows:
+        if counts_for_rate(row):
+            counts[row.key.account][row.key.reason is not None] += row.requests
+    if not counts:
+        return BoundResult(name, None, "no request within a client account's rate")
+    shares = {a: served / (served + lost) for a, (served, lost) in counts.items()}
+    worst = min(shares, key=lambda account: (shares[account], account))
+    text = f"worst served: {worst} with {shares[worst]:.1%}"
+    return BoundResult(name, shares[worst] >= SERVED_SHARE, text)
+
+
+def check_retries(
+    totals: Totals, summaries: int, settings: RetrySettings
+) -> BoundResult:
+    """Return whether each service's retries stayed within the retry budget."""
+    name = f"retries at most {settings.service_share:.0%} of first attempts"
+    if not totals.attempts:
+        return BoundResult(name, None, "no attempts were counted")
+    floor = settings.service_floor * summaries
+    over = [
+        row.service
+        for row in totals.attempts.values()
+        if row.retries > settings.service_share * row.first + floor
+    ]
+    first = sum(row.first for row in totals.attempts.values())
+    retries = sum(row.retries for row in totals.attempts.values())
+    text = f"{retries:,} retries, {first:,} first attempts; "
+    text += f"each node may add {settings.service_floor} in each summary"
+    if over:
+        text += f"; over the budget: {', '.join(sorted(over))}"
+    return BoundResult(name, not over, text)
--- /dev/null
+++ b/src/carawaywheel/reports.py
@@ -0,0 +1,181 @@
+"""Overload report as text, JSON and one self-contained HTML page."""
+
+from typing import Any
+from xml.etree import ElementTree
+from xml.etree.ElementTree import Element
+
+import msgspec
+
+from .findings import Report, Span, build_report
+from .markup import add, clean, html_text, moment
+from .plots import draw_accounts, draw_requests, draw_shares
+from .sections import Section, Table, make_sections
+
+__all__ = [
+    "Report",
+    "Span",
+    "build_report",
+    "render_html",
+    "render_json",
+    "render_text",
+]
+
+STYLE = """
+body { font: 14px/1.4 sans-serif; color: #222; margin: 2em auto; max-width: 1000px;
+  padding: 0 1em; }
+h1 { font-size: 1.6em; } h2 { font-size: 1.3em; border-bottom: 2px solid #2f5d8a; }
+table { border-collapse: collapse; margin: 1.2em 0; width: 100%; font-size: 12px; }
+caption { text-align: left; font-weight: bold; font-size: 14px; padding: 4px 0; }
+th, td { border-bottom: 1px solid #d0d4d8; padding: 3px 6px; text-align: left;
+  vertical-align: top; overflow-wrap: anywhere; }
+th { background: #eef2f6; overflow-wrap: normal; }
+.number { text-align: right; font-variant-numeric: tabular-nums; }
+.bad { color: #8f1a12; font-weight: bold; }
+svg { display: block; max-width: 100%; height: auto; margin: 1.2em 0; }
+@media print {
+  body { margin: 0; max-width: none; font-size: 11px; }
+  nav { display: none; }
+  section.reader { break-before: page; }
+  tr, svg { break-inside: avoid; }
+  * { print-color-adjust: exact; -webkit-print-color-adjust: exact; }
+}
+"""
+BAD_CELLS = frozenset({"BROKEN"})
+READERS = frozenset({"on-call", "client-relations"})
+
+
+def render_text(report: Report) -> str:
+    """Render a report as plain text for a terminal; times are UTC."""
+    lines: list[str] = []
+    for section in make_sections(report):
+        lines += [section.title, "=" * len(section.title), ""]
+        lines += [line for text in section.paragraphs for line in (clean(text), "")]
+        lines += [f"- {clean(item)}" for item in section.items]
+        for table in section.tables:
+            lines += table_lines(table)
+        lines.append("")
+    return "\n".join(lines)
+
+
+def table_lines(table: Table) -> list[str]:
+    """Return the lines of a table with aligned columns."""
+    if not table.rows:
+        return [table.title, f"  {table.empty}", ""]
+    cells = [[column.name for column in table.columns]]
+    cells += [[clean(cell) for cell in row] for row in table.rows]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    lines = [table.title]
+    for row in cells:
+        parts = [
+            cell.rjust(width) if column.numeric else cell.ljust(width)
+            for cell, width, column in zip(row, widths, table.columns, strict=True)
+        ]
+        lines.append("  " + "  ".join(parts).rstrip())
+    return [*lines, ""]
+
+
+def render_json(report: Report) -> str:
+    """Render a report as JSON, with the tables' figures as numbers."""
+    document = {
+        "begin": report.span.begin,
+        "end": report.span.end,
+        "nodes": report.nodes,
+        "refusals": [row_mapping(row) for row in report.refusals],
+        "services": [row_mapping(row) for row in report.services],
+        "accounts": [
+            {**row_mapping(row), "share_served_in_rate": row.share}
+            for row in report.accounts
+        ],
+        "episodes": [row_mapping(row) for row in report.episodes],
+        "bounds": [row_mapping(row) for row in report.bounds],
+        "steps": [row_mapping(row) for row in report.steps],
+        "bins": [row_mapping(row) for row in report.bins],
+        "bin_seconds": report.bin_seconds,
+        "unknown": report.unknown,
+    }
+    return msgspec.json.encode(safe(document)).decode()
+
+
+def row_mapping(row: Any) -> dict[str, Any]:
+    """Return a row as a flat mapping; the key's fields are part of it."""
+    mapping = dict(row._asdict())
+    key = mapping.pop("key", None)
+    if key is not None:
+        mapping = {**key._asdict(), **mapping}
+    if "importance" in mapping:
+        mapping["importance"] = mapping["importance"].name.lower()
+    return mapping
+
+
+def safe(value: Any) -> Any:
+    """Return a document with all its texts cleaned."""
+    if isinstance(value, str):
+        return clean(value)
+    if isinstance(value, dict):
+        return {name: safe(held) for name, held in value.items()}
+    if isinstance(value, (list, tuple)):
+        return [safe(held) for held in value]
+    return value
+
+
+def render_html(report: Report) -> str:
+    """Render a report as one HTML page without scripts or other files."""
+    page = ElementTree.Element("html", {"lang": "en"})
+    head = add(page, "head")
+    add(head, "meta", charset="utf-8")
+    add(head, "meta", name="viewport", content="width=device-width, initial-scale=1")
+    add(head, "title", f"Overload report {moment(report.span.begin)}")
+    add(head, "style").text = STYLE
+    body = add(page, "body")
+    sections = make_sections(report)
+    for section in sections:
+        add_section(body, section, report)
+        if section.name == "overview":
+            add_links(body, sections[1:])
+    return html_text(page)
+
+
+def add_links(body: Element, sections: list[Section]) -> None:
+    """Add links to the sections."""
+    links = add(add(body, "nav"), "ul")
+    for section in sections:
+        add(add(links, "li"), "a", section.title, href=f"#{section.name}")
+
+
+def add_section(body: Element, section: Section, report: Report) -> None:
+    """Add a section with its plots."""
+    kind = "reader" if section.name in READERS else "general"
+    place = add(body, "section", id=section.name, class_=kind)
+    add(place, "h1" if section.name == "overview" else "h2", section.title)
+    for paragraph in section.paragraphs:
+        add(place, "p", paragraph)
+    if section.items:
+        items = add(place, "ul")
+        for item in section.items:
+            add(items, "li", item)
+    if section.name == "overview":
+        place.append(draw_requests(report))
+    if section.name == "on-call":
+        place.append(draw_shares(report))
+    if section.name == "client-relations":
+        place.append(draw_accounts(report))
+    for table in section.tables:
+        add_table(place, table)
+
+
+def add_table(place: Element, table: Table) -> None:
+    """Add a table."""
+    if not table.rows:
+        add(place, "p", f"{table.title}: {table.empty}")
+        return
+    element = add(place, "table")
+    add(element, "caption", table.title)
+    head = add(add(element, "thead"), "tr")
+    classes = ["number" if column.numeric else "text" for column in table.columns]
+    for column, kind in zip(table.columns, classes, strict=True):
+        add(head, "th", column.name, class_=kind, scope="col")
+    body = add(element, "tbody")
+    for row in table.rows:
+        line = add(body, "tr")
+        for cell, kind in zip(row, classes, strict=True):
+            add(line, "td", cell, class_="bad" if cell in BAD_CELLS else kind)
--- /dev/null
+++ b/src/carawaywheel/sections.py
@@ -0,0 +1,317 @@
+"""Contents of the overload report, as sections of tables for its two readers."""
+
+from typing import NamedTuple
+
+from .findings import AccountRow, Episode, Report
+from .markup import moment, time_of_day
+from .refusals import Reason
+from .summaries import CountRow, Place
+from .summarizer import OVERLOAD_REASONS
+
+NO_ACCOUNT = "(no account)"
+NOTHING = "–"
+MAX_EPISODES = 300
+MOST_REFUSALS = 3
+
+# What client relations can tell a caller.
+REASON_TEXT = {
+    Reason.NO_ROUTE: "asked for an address that does not exist",
+    Reason.BAD_REQUEST: "sent a request that could not be read",
+    Reason.KEY_MISSING: "sent no key",
+    Reason.KEY_UNKNOWN: "sent a key that is not known",
+    Reason.KEY_WITHDRAWN: "sent a key that has been withdrawn",
+    Reason.FORBIDDEN: "sent a key that is not valid for this service",
+    Reason.RATE_EXCEEDED: "sent more than the agreed rate",
+    Reason.OVERLOAD: "the service was overloaded",
+    Reason.QUEUE_FULL: "the service was overloaded and its queue was full",
+    Reason.DEADLINE: "the answer could not have come before the caller's deadline",
+    Reason.CANCELLED: "the caller gave up",
+    Reason.NO_TARGET: "no host of the service was available",
+    Reason.TARGET_SHED: "the service itself declined the request under load",
+    Reason.TARGET_FAILED: "the service failed",
+    Reason.PEER_FAILED: "the connection inside the mesh failed",
+    Reason.RETRIES_SPENT: "several attempts failed",
+    Reason.DUPLICATE: "the request had been sent before",
+    Reason.LOG_UNAVAILABLE: "the platform's log was unavailable",
+    Reason.STALE_NODE: "the host that was asked had just been suspended",
+    Reason.SHUTTING_DOWN: "the host that was asked was shutting down",
+}
+
+
+class Column(NamedTuple):
+    """A column of a table; numbers are aligned to the right."""
+
+    name: str
+    numeric: bool = False
+
+
+class Table(NamedTuple):
+    """A table.
+
+    Attributes:
+        title: What it shows.
+        columns: Columns.
+        rows: Cells of each row, as text.
+        empty: What to say when there are no rows.
+    """
+
+    title: str
+    columns: list[Column]
+    rows: list[list[str]]
+    empty: str
+
+
+class Section(NamedTuple):
+    """A section of the report.
+
+    Attributes:
+        name: Short name, used for links.
+        title: Heading.
+        paragraphs: Introduction.
+        items: List of statements.
+        tables: Tables.
+    """
+
+    name: str
+    title: str
+    paragraphs: list[str]
+    items: list[str]
+    tables: list[Table]
+
+
+def make_sections(report: Report) -> list[Section]:
+    """Return the contents of a report."""
+    return [overview(report), on_call(report), client_relations(report), gaps(report)]
+
+
+def overview(report: Report) -> Section:
+    """Return the section for all readers."""
+    served = sum(row.served for row in report.accounts)
+    in_rate = sum(row.refused_in_rate for row in report.accounts)
+    over = sum(row.refused_over_rate for row in report.accounts)
+    itself = sum(row.refused_itself for row in report.accounts)
+    may_have_run = sum(row.may_have_run for row in report.accounts)
+    broken = [bound.name for bound in report.bounds if bound.held is False]
+    items = [
+        f"Callers' requests served: {served:,}",
+        f"Refused although the client account was within its rate: {in_rate:,}",
+        f"Refused while the client account was over its rate: {over:,}",
+        f"Refused for the request itself, such as its key: {itself:,}",
+        f"Refused requests that may have run all the same: {may_have_run:,}",
+        f"Most refusals: {most_refusals(report)}",
+        f"Nodes that sent summaries: {len(report.nodes):,}",
+        f"Bounds broken: {'; '.join(broken) if broken else 'none'}",
+        f"Things this report cannot know: {len(report.unknown)}, see the last section",
+    ]
+    span = f"{moment(report.span.begin)} to {moment(report.span.end)} UTC"
+    return Section("overview", "Overload report", [span], items, [])
+
+
+def most_refusals(report: Report) -> str:
+    """Return the largest refusals at the entry, in words."""
+    entry = [row for row in report.refusals if row.key.place is Place.ENTRY]
+    largest = sorted(entry, key=lambda row: -row.requests)[:MOST_REFUSALS]
+    texts = []
+    for row in largest:
+        reason = row.key.reason.value.replace("_", " ") if row.key.reason else ""
+        what = f"{row.key.service} {row.key.importance.name.lower()} ({reason})"
+        when = f"{time_of_day(row.first)} to {time_of_day(row.last)}"
+        texts.append(f"{what} {row.requests:,} from {when}")
+    return "; ".join(texts) or "none"
+
+
+def on_call(report: Report) -> Section:
+    """Return the section for on-call staff."""
+    paragraph = (
+        "Refusals at the entry count each caller's request once. Refusals at targets "
+        "count each attempt, sub-calls included, so one request may be there several "
+        "times. Request ids can be looked up in the time line."
+    )
+    tables = [
+        bounds_table(report),
+        *refusals_tables(report),
+        services_table(report),
+        steps_table(report),
+    ]
+    return Section("on-call", "For on-call staff", [paragraph], [], tables)
+
+
+def bounds_table(report: Report) -> Table:
+    """Return which bounds held."""
+    words = {True: "held", False: "BROKEN", None: "nothing to check"}
+    rows = [[bound.name, words[bound.held], bound.figures] for bound in report.bounds]
+    columns = [Column("Bound"), Column("Result"), Column("Figures")]
+    return Table("Which bounds held", columns, rows, "No bounds.")
+
+
+def refusals_tables(report: Report) -> list[Table]:
+    """Return what was shed, in order, and what was refused for other reasons."""
+    columns = [
+        Column("First"),
+        Column("Last"),
+        Column("At"),
+        Column("Service"),
+        Column("Importance"),
+        Column("Reason"),
+        Column("About"),
+        Column("In rate"),
+        Column("May have run"),
+        Column("Requests", numeric=True),
+        Column("Examples"),
+    ]
+    shed: list[list[str]] = []
+    other: list[list[str]] = []
+    for row in report.refusals:
+        overload = row.key.reason in OVERLOAD_REASONS
+        (shed if overload else other).append(refusal_cells(row))
+    title = "What was shed for overload, in the order of the first refusal"
+    other_title = (
+        "What was refused for other reasons, in the order of the first refusal"
+    )
+    return [
+        Table(title, columns, shed, "Nothing was shed."),
+        Table(other_title, columns, other, "Nothing was refused."),
+    ]
+
+
+def refusal_cells(row: CountRow) -> list[str]:
+    """Return the cells of a refusal."""
+    key = row.key
+    return [
+        time_of_day(row.first),
+        time_of_day(row.last),
+        "entry" if key.place is Place.ENTRY else "target",
+        key.service or NOTHING,
+        key.importance.name.lower(),
+        key.reason.value.replace("_", " ") if key.reason else NOTHING,
+        key.cause or NOTHING,
+        yes_no(key.in_rate),
+        yes_no(key.may_have_run),
+        f"{row.requests:,}",
+        " ".join(row.examples) or NOTHING,
+    ]
+
+
+def services_table(report: Report) -> Table:
+    """Return what ran meanwhile."""
+    columns = [
+        Column("Service"),
+        Column("Importance"),
+        Column("Ran", numeric=True),
+        Column("Refused at targets", numeric=True),
+        Column("Part refused there", numeric=True),
+        Column("Refused at the entry", numeric=True),
+    ]
+    rows = []
+    for row in report.services:
+        asked = row.ran + row.refused
+        part = f"{row.refused / asked:.1%}" if asked else NOTHING
+        counts = [f"{row.ran:,}", f"{row.refused:,}", part]
+        entry = f"{row.refused_at_entry:,}"
+        rows.append([row.service, row.importance.name.lower(), *counts, entry])
+    return Table("What ran meanwhile", columns, rows, "No requests were counted.")
+
+
+def steps_table(report: Report) -> Table:
+    """Return changes of state, first and last refusals in order."""
+    rows = [
+        [time_of_day(step.time), step.node_id or NOTHING, step.text]
+        for step in report.steps
+    ]
+    columns = [Column("Time"), Column("Node"), Column("What happened")]
+    title = "In what order: changes of state, first and last refusals"
+    return Table(title, columns, rows, "No changes of state are known.")
+
+
+def client_relations(report: Report) -> Section:
+    """Return the section for client relations."""
+    paragraph = (
+        "A request within the rate should have been served: the client account kept "
+        "to its agreement. A request over the rate was refused because the client "
+        "account had sent more than agreed. A request refused for itself had, for "
+        "example, a key that is not known, or was given up by the caller. Where a "
+        "request may have run, the caller should check before sending it again."
+    )
+    tables = [accounts_table(report), episodes_table(report)]
+    title = "For client relations"
+    return Section("client-relations", title, [paragraph], [], tables)
+
+
+def accounts_table(report: Report) -> Table:
+    """Return what became of each client account's requests."""
+    columns = [
+        Column("Client account"),
+        Column("Served", numeric=True),
+        Column("Refused within the rate", numeric=True),
+        Column("Part served within the rate", numeric=True),
+        Column("Refused over the rate", numeric=True),
+        Column("Refused for the request itself", numeric=True),
+        Column("May have run", numeric=True),
+    ]
+    rows = [account_cells(row) for row in report.accounts]
+    title = "Client accounts, the worst served first"
+    return Table(title, columns, rows, "No callers' requests were counted.")
+
+
+def account_cells(row: AccountRow) -> list[str]:
+    """Return the cells of a client account."""
+    return [
+        row.account or NO_ACCOUNT,
+        f"{row.served:,}",
+        f"{row.refused_in_rate:,}",
+        NOTHING if row.share is None else f"{row.share:.1%}",
+        f"{row.refused_over_rate:,}",
+        f"{row.refused_itself:,}",
+        f"{row.may_have_run:,}",
+    ]
+
+
+def episodes_table(report: Report) -> Table:
+    """Return when callers were turned away, and why."""
+    columns = [
+        Column("Client account"),
+        Column("From"),
+        Column("To"),
+        Column("Service"),
+        Column("Importance"),
+        Column("Why"),
+        Column("Within rate"),
+        Column("May have run"),
+        Column("Requests", numeric=True),
+        Column("Request ids"),
+    ]
+    largest = sorted(report.episodes, key=lambda episode: -episode.requests)
+    shown = sorted(largest[:MAX_EPISODES], key=lambda e: (e.key.account, e.first))
+    rows = [episode_cells(episode) for episode in shown]
+    title = "Which callers were turned away, when and why"
+    if len(shown) < len(largest):
+        title += f" (the {len(shown):,} largest of {len(largest):,} entries)"
+    return Table(title, columns, rows, "No caller was turned away.")
+
+
+def episode_cells(episode: Episode) -> list[str]:
+    """Return the cells of an episode."""
+    key = episode.key
+    return [
+        key.account or NO_ACCOUNT,
+        moment(episode.first),
+        time_of_day(episode.last),
+        key.service or NOTHING,
+        key.importance.name.lower(),
+        REASON_TEXT[key.reason] if key.reason else NOTHING,
+        yes_no(key.in_rate),
+        yes_no(key.may_have_run),
+        f"{episode.requests:,}",
+        " ".join(episode.examples) or NOTHING,
+    ]
+
+
+def gaps(report: Report) -> Section:
+    """Return the section about what is not known."""
+    title = "What this report cannot know"
+    return Section("unknown", title, [], report.unknown, [])
+
+
+def yes_no(value: bool) -> str:
+    """Return a truth value in words."""
+    return "yes" if value else "no"
