--- a/src/carawaywheel/bounds.py
+++ b/src/carawaywheel/bounds.py
@@ -11,6 +11,19 @@
 SERVED_SHARE = 0.95
 WRONGFUL_SHARE = 0.01
 WRONGFUL_SHARE_WITH_ABUSE = 0.05
+# Refusals for the request itself, which say nothing about rates or overload.
+CALLER_REASONS = frozenset(
+    {
+        Reason.NO_ROUTE,
+        Reason.BAD_REQUEST,
+        Reason.KEY_MISSING,
+        Reason.KEY_UNKNOWN,
+        Reason.KEY_WITHDRAWN,
+        Reason.FORBIDDEN,
+        Reason.DUPLICATE,
+        Reason.CANCELLED,
+    }
+)
 
 
 class BoundResult(NamedTuple):
@@ -83,7 +96,11 @@
     if not shed:
         return BoundResult(name, None, "no request was shed at a target's node")
     wrong = sorted(service for service, c in shed.items() if not in_order(c))
-    text = f"not so at {', '.join(wrong)}" if wrong else f"{len(shed)} services shed"
+    text = (
+        f"not so at {', '.join(wrong)}"
+        if wrong
+        else f"shed at {', '.join(sorted(shed))}"
+    )
     return BoundResult(name, not wrong, text)
 
 
@@ -99,10 +116,18 @@
     return shares == sorted(shares)
 
 
+def counts_for_rate(row: CountRow) -> bool:
+    """Return whether a row counts requests that an account's rate covers."""
+    key = row.key
+    own_fault = key.reason in CALLER_REASONS
+    entry = key.place is Place.ENTRY
+    return entry and key.in_rate and bool(key.account) and not own_fault
+
+
 def check_wrongful(rows: list[CountRow]) -> BoundResult:
     """Return whether few enough requests were refused within the rate."""
     entry = [row for row in rows if row.key.place is Place.ENTRY]
-    in_rate = [row for row in entry if row.key.in_rate]
+    in_rate = [row for row in entry if counts_for_rate(row)]
     abused = any(row.key.reason is Reason.RATE_EXCEEDED for row in entry)
     limit = WRONGFUL_SHARE_WITH_ABUSE if abused else WRONGFUL_SHARE
     name = f"less than {limit:.0%} of the requests within their rate refused"
@@ -121,7 +146,7 @@
     name = f"each client account at least {SERVED_SHARE:.0%} served within its rate"
     counts: dict[str, list[int]] = defaultdict(lambda: [0, 0])
     for row in rows:
-        if row.key.place is Place.ENTRY and row.key.in_rate and row.key.account:
+        if counts_for_rate(row):
             counts[row.key.account][row.key.reason is not None] += row.requests
     if not counts:
         return BoundResult(name, None, "no request within a client account's rate")
--- a/src/carawaywheel/findings.py
+++ b/src/carawaywheel/findings.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from .bounds import BoundResult, check_bounds
+from .bounds import CALLER_REASONS, BoundResult, check_bounds
 from .events import Event
 from .gaps import find_gaps
 from .refusals import Importance
@@ -48,10 +48,11 @@
     """What became of the requests of one client account at the entry.
 
     Attributes:
-        account: The client account; empty for open routes.
+        account: The client account; empty for open routes and unknown keys.
         served: Requests served within the rate.
         refused_in_rate: Requests refused although the account was within its rate.
         refused_over_rate: Requests refused while it was over its rate.
+        refused_itself: Requests refused for the request itself, such as its key.
         may_have_run: Refused requests of which it is unknown if they ran.
     """
 
@@ -59,6 +60,7 @@
     served: int
     refused_in_rate: int
     refused_over_rate: int
+    refused_itself: int
     may_have_run: int
 
     @property
@@ -213,19 +215,27 @@
 
 def account_rows(rows: list[CountRow]) -> list[AccountRow]:
     """Return what became of each account's requests, the worst served first."""
-    counts: dict[str, list[int]] = defaultdict(lambda: [0, 0, 0, 0])
+    counts: dict[str, list[int]] = defaultdict(lambda: [0] * 5)
     for row in rows:
         if row.key.place is not Place.ENTRY:
             continue
         count = counts[row.key.account]
-        place = 0 if row.key.reason is None else 1 if row.key.in_rate else 2
-        count[place] += row.requests
+        count[outcome_place(row.key)] += row.requests
         if row.key.may_have_run:
-            count[3] += row.requests
+            count[4] += row.requests
     accounts = [AccountRow(name, *count) for name, count in counts.items()]
     return sorted(accounts, key=worst_served_first)
 
 
+def outcome_place(key: CountKey) -> int:
+    """Return which of the first four counts of an account a key belongs to."""
+    if key.reason is None:
+        return 0
+    if key.reason in CALLER_REASONS:
+        return 3
+    return 1 if key.in_rate else 2
+
+
 def worst_served_first(row: AccountRow) -> tuple[float, str]:
     """Return the sort key of an account."""
     return (2.0 if row.share is None else row.share, row.account)
--- a/src/carawaywheel/gaps.py
+++ b/src/carawaywheel/gaps.py
@@ -49,9 +49,11 @@
     if not summaries:
         texts.append("There are no summaries for this span; nothing is known about it.")
     gaps: dict[str, list[str]] = defaultdict(list)
-    for lives in by_incarnation(summaries).values():
-        for text in gaps_of(lives, begin, end):
-            gaps[text].append(lives[0].node_id)
+    lives = by_incarnation(summaries)
+    for (node_id, incarnation), life in lives.items():
+        later = lives.get((node_id, incarnation + 1))
+        for text in gaps_of(life, later, begin, end):
+            gaps[text].append(node_id)
     texts += [f"{names(nodes)}: {text}" for text, nodes in gaps.items()]
     silent = {event.node_id for event in events} - {s.node_id for s in summaries}
     if silent:
@@ -75,21 +77,36 @@
     return lives
 
 
-def gaps_of(lives: list[Summary], begin: float, end: float) -> Iterator[str]:
-    """Yield what is missing from one incarnation of a node, in words."""
-    first, last = lives[0], lives[-1]
+def gaps_of(
+    life: list[Summary], later: list[Summary] | None, begin: float, end: float
+) -> Iterator[str]:
+    """Yield what is missing from one incarnation of a node, in words.
+
+    Args:
+        life: Summaries of the incarnation, in order.
+        later: Summaries of the next incarnation, if there is one.
+        begin: Start of the span, wall clock in seconds.
+        end: End of the span, wall clock in seconds.
+    """
+    first, last = life[0], life[-1]
     if first.first_number > 0 and first.start > begin:
         yield f"nothing before {moment(first.start)}, although it ran."
-    for before, after in zip(lives, lives[1:], strict=False):
+    for before, after in zip(life, life[1:], strict=False):
         if after.first_number > before.last_number + 1:
             span = f"{moment(before.end)} to {moment(after.start)}"
             yield f"nothing from {span}; those summaries were lost."
-    if not last.final and last.end < end - LATE_S:
+    if not last.final and later:
+        yield (
+            f"nothing between {moment(last.end)} and its new start at "
+            f"{moment(later[0].start)}. It ended without notice; what it did in its "
+            "last seconds is not counted."
+        )
+    elif not last.final and last.end < end - LATE_S:
         yield (
             f"nothing after {moment(last.end)}. It ended without notice or its "
             "summaries have not reached the log; what it did since is not counted."
         )
-    for summary in lives:
+    for summary in life:
         if summary.last_number > summary.first_number:
             length = summary.end - summary.start
             yield (
--- a/src/carawaywheel/plots.py
+++ b/src/carawaywheel/plots.py
@@ -28,6 +28,7 @@
 }
 REFUSED_IN_RATE = "#6d0f0a"
 REFUSED_OVER_RATE = "#d8b25c"
+REFUSED_ITSELF = "#8a94a0"
 NOT_ASKED = "#f3f3f3"
 GRID = "#d0d4d8"
 INK = "#333333"
@@ -168,12 +169,14 @@
     root = picture(WIDTH, height, "Requests of client accounts, served and refused")
     legend = [("served", SERVED), ("refused within the rate", REFUSED_IN_RATE)]
     legend.append(("refused over the rate", REFUSED_OVER_RATE))
+    legend.append(("refused for the request itself", REFUSED_ITSELF))
     draw_heading(root, "Part of each client account's requests", legend)
     for row, account in enumerate(shown):
         y = TOP + ROW_HEIGHT * row
-        draw_label(root, account.account or "(open route)", y)
+        draw_label(root, account.account or "(no account)", y)
         parts = [(SERVED, account.served), (REFUSED_IN_RATE, account.refused_in_rate)]
         parts.append((REFUSED_OVER_RATE, account.refused_over_rate))
+        parts.append((REFUSED_ITSELF, account.refused_itself))
         whole = sum(requests for _, requests in parts)
         x = float(LEFT)
         for colour, requests in parts:
--- a/src/carawaywheel/sections.py
+++ b/src/carawaywheel/sections.py
@@ -8,7 +8,7 @@
 from .summaries import CountRow, Place
 from .summarizer import OVERLOAD_REASONS
 
-OPEN_ROUTE = "(open route)"
+NO_ACCOUNT = "(no account)"
 NOTHING = "–"
 MAX_EPISODES = 300
 MOST_REFUSALS = 3
@@ -89,12 +89,14 @@
     served = sum(row.served for row in report.accounts)
     in_rate = sum(row.refused_in_rate for row in report.accounts)
     over = sum(row.refused_over_rate for row in report.accounts)
+    itself = sum(row.refused_itself for row in report.accounts)
     may_have_run = sum(row.may_have_run for row in report.accounts)
     broken = [bound.name for bound in report.bounds if bound.held is False]
     items = [
         f"Callers' requests served: {served:,}",
         f"Refused although the client account was within its rate: {in_rate:,}",
         f"Refused while the client account was over its rate: {over:,}",
+        f"Refused for the request itself, such as its key: {itself:,}",
         f"Refused requests that may have run all the same: {may_have_run:,}",
         f"Most refusals: {most_refusals(report)}",
         f"Nodes that sent summaries: {len(report.nodes):,}",
@@ -226,8 +228,9 @@
     paragraph = (
         "A request within the rate should have been served: the client account kept "
         "to its agreement. A request over the rate was refused because the client "
-        "account had sent more than agreed. Where a request may have run, the caller "
-        "should check before sending it again."
+        "account had sent more than agreed. A request refused for itself had, for "
+        "example, a key that is not known, or was given up by the caller. Where a "
+        "request may have run, the caller should check before sending it again."
     )
     tables = [accounts_table(report), episodes_table(report)]
     title = "For client relations"
@@ -242,6 +245,7 @@
         Column("Refused within the rate", numeric=True),
         Column("Part served within the rate", numeric=True),
         Column("Refused over the rate", numeric=True),
+        Column("Refused for the request itself", numeric=True),
         Column("May have run", numeric=True),
     ]
     rows = [account_cells(row) for row in report.accounts]
@@ -252,11 +256,12 @@
 def account_cells(row: AccountRow) -> list[str]:
     """Return the cells of a client account."""
     return [
-        row.account or OPEN_ROUTE,
+        row.account or NO_ACCOUNT,
         f"{row.served:,}",
         f"{row.refused_in_rate:,}",
         NOTHING if row.share is None else f"{row.share:.1%}",
         f"{row.refused_over_rate:,}",
+        f"{row.refused_itself:,}",
         f"{row.may_have_run:,}",
     ]
 
@@ -288,7 +293,7 @@
     """Return the cells of an episode."""
     key = episode.key
     return [
-        key.account or OPEN_ROUTE,
+        key.account or NO_ACCOUNT,
         moment(episode.first),
         time_of_day(episode.last),
         key.service or NOTHING,
