--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,111 @@
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from carawaywheel.claims import ClaimTable, claim_id
+from carawaywheel.records import ClaimMade, ClaimReleased, NodeForgotten
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Nodes that claim, release and repeat appends in any order.
+
+    A claimant that owns the claim id when its own record is read runs its request; it
+    releases only what has not run.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.log = []
+        self.tables = [ClaimTable(), ClaimTable()]
+        self.ran = set()
+        self.refused = set()
+        self.late = []
+
+    def append(self, record):
+        self.log.append(record)
+        self.tables[0].apply(len(self.log) - 1, record)
+
+    claimants = st.sampled_from("abcd")
+
+    @rule(claimant=claimants, copies=st.integers(0, 2), late=st.booleans())
+    def claim(self, claimant, copies, late):
+        if claimant in self.ran | self.refused:
+            return
+        record = ClaimMade("id", claimant, "node")
+        for _ in range(copies):
+            self.append(record)
+        if late:
+            self.late.append(record)
+        owner = self.tables[0].owner("id")
+        if copies == 0:
+            # The answer of the append was lost, so the request is refused.
+            self.refused.add(claimant)
+            self.append(ClaimReleased("id", claimant))
+        elif owner == claimant:
+            self.ran.add(claimant)
+        else:
+            self.refused.add(claimant)
+
+    @rule(claimant=claimants)
+    def release_not_run(self, claimant):
+        """A request that was admitted and then provably did not run."""
+        if claimant in self.ran:
+            self.ran.remove(claimant)
+            self.refused.add(claimant)
+            self.append(ClaimReleased("id", claimant))
+
+    @rule(index=st.integers(0, 9))
+    def arrive_late(self, index):
+        if self.late:
+            self.append(self.late.pop(index % len(self.late)))
+
+    @rule(limit=st.integers(1, 9))
+    def read(self, limit):
+        table = self.tables[1]
+        for offset in range(table.position, len(self.log))[:limit]:
+            table.apply(offset, self.log[offset])
+
+    @invariant()
+    def one_request_runs(self):
+        assert len(self.ran) <= 1
+        owner = self.tables[0].owner("id")
+        assert owner is None or owner in self.ran
+        if self.tables[1].position == len(self.log):
+            assert self.tables[1].owner("id") == owner
+
+
+TestClaimMachine = ClaimMachine.TestCase
+TestClaimMachine.settings = settings(
+    max_examples=150, stateful_step_count=30, deadline=None, derandomize=True
+)
+
+
+def test_the_fields_of_a_claim_id_cannot_run_together():
+    """Guards against one request that blocks another with the same joined fields."""
+    ids = {claim_id("a", "bc", "d"), claim_id("ab", "c", "d"), claim_id("a", "b", "cd")}
+    assert len(ids) == 3
+    assert claim_id("a", "b", "c") == claim_id("a", "b", "c")
+
+
+def test_forgetting_keeps_claims_with_newer_records():
+    """Guards against unbounded memory and against forgetting a claim in use."""
+    table = ClaimTable()
+    for offset in range(10):
+        table.apply(offset, ClaimMade(f"id{offset}", "a", "node"))
+    table.apply(10, ClaimMade("id0", "b", "node"))
+    assert table.forget(5) == 4
+    assert len(table) == 6
+    assert table.owner("id0") == "a"
+    assert table.owner("id1") is None
+
+
+def test_records_that_were_read_or_are_of_another_kind_change_nothing():
+    """Guards against a repeated read that undoes a later release."""
+    table = ClaimTable()
+    claim = ClaimMade("id", "a", "node")
+    table.apply(0, claim)
+    assert table.apply(0, ClaimReleased("id", "a")) is None
+    assert table.apply(1, NodeForgotten("n", "a", "r", 0.0)) is None
+    table.skip(2)
+    assert table.position == 3
+    assert table.owner("id") == "a"
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,418 @@
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from carawaywheel.changes import Applied, Conflict, Deferred, Ignored
+from carawaywheel.configuration import Configuration
+from carawaywheel.keys import digest
+from carawaywheel.records import (
+    NO_VERSION,
+    KeyIssued,
+    KeyWithdrawn,
+    PolicyPublished,
+    Restated,
+    TeamTokenSet,
+    encode,
+    key_path,
+    policy_path,
+    token_path,
+)
+from carawaywheel.refusals import Reason, Refusal
+
+RETENTION = 60.0
+TEAMS = ("haralson", "okonkwo")
+ROOT = "root token"
+
+
+def make_document(team, rate=1.0, **fields):
+    document = {
+        "team": team,
+        "services": [{"name": f"{team}-maps", "slots": 1, "connections": 1}],
+        "routes": [{"name": "maps", "path": f"/{team}", "service": f"{team}-maps"}],
+        "accounts": [{"name": "hall", "rate": rate, "burst": 1.0}],
+    }
+    return document | fields
+
+
+def published(change_id, base, as_of, team="okonkwo", rate=1.0, time=0.0):
+    document = make_document(team, rate)
+    path = policy_path(team)
+    return PolicyPublished(change_id, path, base, as_of, "ana", "r", time, document)
+
+
+def key_text(number):
+    return f"cw_{number:016x}_{number:064x}"
+
+
+def issued(number, as_of, time=0.0, team="okonkwo"):
+    text = digest(key_text(number))
+    key_id = f"{number:016x}"
+    change_id = f"issue-{number}"
+    return KeyIssued(change_id, team, key_id, as_of, text, "hall", "ana", "r", time)
+
+
+def withdrawn(number, change_id="w", time=0.0, team="okonkwo"):
+    return KeyWithdrawn(change_id, f"{number:016x}", team, "ana", "leaked", time)
+
+
+def fold(*records, start=0):
+    configuration = Configuration(digest(ROOT))
+    configuration.begin(start)
+    results = [
+        configuration.apply(start + offset, record)
+        for offset, record in enumerate(records)
+    ]
+    configuration.reached_end()
+    return configuration, results
+
+
+class Reader:
+    """A node's fold with the highest version it has shown for each path."""
+
+    def __init__(self, oldest):
+        self.configuration = Configuration(digest(ROOT))
+        self.configuration.begin(oldest)
+        self.shown = {}
+        self.withdrawn = set()
+
+    def read(self, log, limit):
+        if self.configuration.position < log.oldest:
+            self.configuration.begin(log.oldest)
+        end = min(len(log.records), self.configuration.position + limit)
+        for offset in range(self.configuration.position, end):
+            result = self.configuration.apply(offset, log.records[offset])
+            log.compare(offset, result)
+        if end == len(log.records):
+            self.configuration.reached_end()
+
+
+class Log:
+    """A log that forgets, and the results that its first reader reported."""
+
+    def __init__(self):
+        self.records = []
+        self.times = []
+        self.oldest = 0
+        self.results = {}
+
+    def compare(self, offset, result):
+        """All readers that decide a record decide it in the same way."""
+        first = self.results.setdefault(offset, result)
+        if isinstance(result, Deferred) or isinstance(first, Deferred):
+            return
+        took_effect = isinstance(first, Applied) and not first.duplicate
+        assert took_effect == (isinstance(result, Applied) and not result.duplicate)
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    """Readers, operators and a log at their worst.
+
+    The first reader reads every record at once and never starts again, so it is the
+    reference for the others.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.log = Log()
+        self.time = 0.0
+        self.reference = Reader(0)
+        self.readers = [self.reference]
+        self.late = []
+        self.count = 0
+
+    def append(self, record):
+        self.log.records.append(record)
+        self.log.times.append(self.time)
+        self.reference.read(self.log, 1)
+
+    def pick(self, index):
+        return self.readers[index % len(self.readers)]
+
+    def send(self, record, fate):
+        """Append once, twice, once and again later, only later, or never."""
+        if fate in ("once", "twice", "repeated"):
+            self.append(record)
+        if fate == "twice":
+            self.append(record)
+        if fate in ("repeated", "late"):
+            self.late.append(record)
+
+    def restate(self, reader, rank):
+        configuration = reader.configuration
+        return configuration.restatements(self.time, RETENTION, self.log.oldest, rank)
+
+    indexes = st.integers(0, 5)
+    fates = st.sampled_from(["once", "twice", "repeated", "late", "lost"])
+    numbers = st.integers(1, 3)
+
+    @rule()
+    def start_reader(self):
+        if len(self.readers) < 5:
+            self.readers.append(Reader(self.log.oldest))
+
+    @rule(index=indexes, limit=st.integers(1, 30))
+    def read(self, index, limit):
+        self.pick(index).read(self.log, limit)
+
+    @rule(index=indexes, team=st.sampled_from(TEAMS), fate=fates, token=st.booleans())
+    def change(self, index, team, fate, token):
+        configuration = self.pick(index).configuration
+        path = token_path(team) if token else policy_path(team)
+        base = configuration.version(path)
+        if configuration.may_change(path, base) is not None:
+            return
+        self.count += 1
+        name = f"c{self.count}"
+        as_of = configuration.position
+        record = published(name, base, as_of, team, self.count, self.time)
+        if token:
+            record = TeamTokenSet(name, team, base, as_of, name, "a", "r", self.time)
+        self.send(record, fate)
+
+    @rule(index=indexes, number=numbers, fate=fates)
+    def issue(self, index, number, fate):
+        configuration = self.pick(index).configuration
+        path = key_path("okonkwo", f"{number:016x}")
+        if configuration.may_change(path, NO_VERSION) is None:
+            self.send(issued(number, configuration.position, self.time), fate)
+
+    @rule(number=numbers, fate=fates, pushed=st.lists(indexes, max_size=3))
+    def withdraw(self, number, fate, pushed):
+        self.count += 1
+        record = withdrawn(number, f"w{self.count}", self.time)
+        for reader in [self.reference, *map(self.pick, pushed)]:
+            reader.configuration.withdraw_early(record)
+        self.send(record, fate)
+
+    @rule(index=indexes)
+    def arrive_late(self, index):
+        if self.late:
+            self.append(self.late.pop(index % len(self.late)))
+
+    @rule(index=indexes, late=st.booleans())
+    def restate_stale(self, index, late):
+        configuration = self.pick(index).configuration
+        for record in configuration.restatements(self.time, 0.0):
+            self.send(record, "late" if late else "once")
+
+    @rule(seconds=st.floats(0.1, RETENTION / 6), index=indexes)
+    def pass_time(self, seconds, index):
+        self.time += seconds
+        while self.log.oldest < len(self.log.records):
+            if self.time - self.log.times[self.log.oldest] <= RETENTION:
+                break
+            self.log.oldest += 1
+        self.settle(index)
+
+    @rule(count=st.integers(1, 5), index=indexes)
+    def truncate(self, count, index):
+        self.log.oldest = min(self.log.oldest + count, len(self.log.records))
+        self.settle(index)
+
+    def settle(self, index):
+        """Restate what is due, as two nodes that follow the log do."""
+        for rank, reader in enumerate([self.pick(index), self.reference]):
+            reader.read(self.log, len(self.log.records))
+            for record in self.restate(reader, rank):
+                self.append(record)
+
+    @rule(index=indexes)
+    def agree(self, index):
+        self.settle(index)
+        expected = self.state(self.reference)
+        for reader in self.readers:
+            reader.read(self.log, len(self.log.records))
+            assert self.state(reader) == expected
+            view = reader.configuration.view()
+            for number in (1, 2, 3):
+                if f"{number:016x}" in expected["withdrawn"]:
+                    assert isinstance(view.key(key_text(number)), Refusal)
+
+    def teardown(self):
+        self.agree(0)
+
+    def state(self, reader):
+        """Return what a reader enforces."""
+        entries = reader.configuration.entries.values()
+        view = reader.configuration.view()
+        keys = view.keys.values()
+        return {
+            "teams": view.teams,
+            "keys": {key.key_id for key in keys if not key.withdrawn},
+            "withdrawn": {key.key_id for key in keys if key.withdrawn},
+            "tokens": {e.path: e.digest for e in entries if e.path.endswith("/token")},
+        }
+
+    @invariant()
+    def nothing_reverts(self):
+        for reader in self.readers:
+            for path, entry in reader.configuration.entries.items():
+                assert entry.version >= reader.shown.get(path, NO_VERSION)
+                assert entry.withdrawn or path not in reader.withdrawn
+                reader.shown[path] = entry.version
+                if entry.withdrawn:
+                    reader.withdrawn.add(path)
+
+
+TestConfigurationMachine = ConfigurationMachine.TestCase
+TestConfigurationMachine.settings = settings(
+    max_examples=150, stateful_step_count=50, deadline=None, derandomize=True
+)
+
+
+PATH = policy_path("okonkwo")
+
+
+def restated(configuration, as_of=None, time=0.0):
+    entries = list(configuration.entries.values())
+    as_of = configuration.position if as_of is None else as_of
+    return Restated(entries, as_of, time)
+
+
+def test_the_first_of_two_racing_operators_wins_at_every_reader():
+    """Guards against readers that follow different operators."""
+    records = [published("a", NO_VERSION, 0), published("b", NO_VERSION, 0)]
+    _, results = fold(*records)
+    assert results == [Applied(PATH, 0), Conflict(PATH, 0, "a", "ana")]
+
+
+def test_a_repeated_append_of_an_old_change_counts_once():
+    """Guards against a lost answer that makes a node report a false conflict."""
+    first = published("a", NO_VERSION, 0, rate=1.0)
+    second = published("b", 0, 1, rate=2.0)
+    configuration, results = fold(first, second, first)
+    assert results[2] == Applied(PATH, 0, duplicate=True)
+    assert configuration.view().account("okonkwo/hall").rate == 2.0
+    configuration.forget(2)
+    assert configuration.apply(3, first) == Conflict(PATH, 1, "b", "ana")
+    assert configuration.apply(3, second) == Ignored("the record has been read before")
+
+
+def test_a_reader_that_starts_late_defers_what_it_cannot_decide():
+    """Guards against a new node that accepts a change that lost elsewhere."""
+    lost = published("lost", 3, 8)
+    won = published("won", 7, 9, rate=2.0)
+    late_loser = published("late", 7, 9, rate=3.0)
+    configuration, results = fold(lost, won, late_loser, start=10)
+    assert results == [Deferred(PATH, 10), Deferred(PATH, 11), Deferred(PATH, 12)]
+    assert configuration.view().teams == {}
+    assert configuration.may_change(PATH, 11).reason == Reason.STALE_NODE
+    full, _ = fold(published("base", NO_VERSION, 0))
+    entry = full.entries[PATH]._replace(version=7)
+    configuration.apply(13, Restated([entry], 10, 0.0))
+    assert configuration.version(PATH) == 11
+    assert configuration.may_change(PATH, 11) is None
+
+
+def test_a_deferred_change_before_a_restatement_is_not_applied_again():
+    """Guards against a replay that goes back behind the restated position."""
+    configuration, _ = fold(published("a", 5, 8), published("b", 5, 9), start=10)
+    full, _ = fold(published("base", NO_VERSION, 0))
+    entry = full.entries[PATH]._replace(version=5)
+    configuration.apply(12, Restated([entry], 11, 0.0))
+    assert configuration.version(PATH) == 11
+
+
+def test_a_stale_restatement_tells_a_new_reader_nothing():
+    """Guards against a value that was replaced before the reader started."""
+    full, _ = fold(published("a", NO_VERSION, 0), issued(1, 1))
+    configuration, _ = fold(restated(full, as_of=4), start=5)
+    assert configuration.entries == {}
+    configuration.apply(6, restated(full, as_of=5))
+    assert configuration.entries == full.entries
+
+
+def test_a_stale_restatement_does_not_count_as_a_carrier():
+    """Guards against an entry that expires because an older version was restated."""
+    full, _ = fold(published("a", NO_VERSION, 0))
+    old = restated(full, as_of=9, time=100.0)
+    full.apply(1, published("b", 0, 1, time=50.0))
+    full.apply(2, old)
+    assert full.restatements(100.0, RETENTION)[0].entries[0].version == 1
+
+
+def test_an_entry_is_restated_after_a_third_of_the_retention():
+    """Guards against entries that the log forgets, or that are restated always."""
+    full, _ = fold(published("a", NO_VERSION, 0, time=100.0))
+    assert full.restatements(119.0, RETENTION) == []
+    assert full.restatements(121.0, RETENTION, rank=1) == []
+    (record,) = full.restatements(121.0, RETENTION)
+    full.apply(1, record)
+    assert full.restatements(140.0, RETENTION) == []
+    assert len(full.restatements(60.0, RETENTION)) == 1
+
+
+def test_a_gap_makes_entries_uncertain_until_the_end_is_reached():
+    """Guards against a returning node that restates or changes what it missed."""
+    full, _ = fold(published("a", NO_VERSION, 0), withdrawn(1))
+    full.begin(9)
+    assert full.view().team("okonkwo") is not None
+    assert full.may_change(PATH, 0).reason == Reason.STALE_NODE
+    (record,) = full.restatements(100.0, RETENTION)
+    assert [entry.withdrawn for entry in record.entries] == [True]
+    missed = published("c", 4, 9, rate=5.0)
+    assert full.apply(9, missed) == Applied(PATH, 9)
+    full.begin(12)
+    assert isinstance(full.apply(12, published("d", 11, 10)), Deferred)
+    full.begin(15)
+    full.reached_end()
+    assert len(full.restatements(100.0, RETENTION)) == 1
+    assert full.may_change(PATH, 9) is None
+
+
+def test_a_pushed_withdrawal_survives_the_loss_of_its_append():
+    """Guards against a key that works again because the log was down."""
+    configuration, _ = fold(published("a", NO_VERSION, 0, time=100.0))
+    assert configuration.withdraw_early(withdrawn(1))
+    assert not configuration.withdraw_early(withdrawn(1))
+    configuration.apply(1, issued(1, 0, time=100.0))
+    refusal = configuration.view().key(key_text(1))
+    assert refusal.reason == Reason.KEY_WITHDRAWN
+    (record,) = configuration.restatements(101.0, RETENTION)
+    other, _ = fold(published("a", NO_VERSION, 0), issued(1, 0))
+    assert other.view().key(key_text(1)).account == "okonkwo/hall"
+    other.apply(2, record)
+    assert other.view().key(key_text(1)).reason == Reason.KEY_WITHDRAWN
+
+
+def test_restatements_fit_into_records():
+    """Guards against a restatement that the log or the readers refuse."""
+    records = [issued(number, 0) for number in range(1000)]
+    large = published("a", NO_VERSION, 0)._replace(reason="r" * 1000)
+    large.document["accounts"] = [
+        {"name": f"account-{number}", "rate": 1.0, "burst": 1.0}
+        for number in range(1100)
+    ]
+    configuration, _ = fold(large, *records)
+    parts = configuration.restatements(100.0, RETENTION)
+    assert sum(len(part.entries) for part in parts) == 1001
+    assert max(len(encode(part, b"secret")) for part in parts) < 64 * 1024
+
+
+def test_tokens_reach_only_their_own_subtree():
+    """Guards against a team that changes another team's policy."""
+    token = TeamTokenSet("t", "okonkwo", NO_VERSION, 0, digest("tok"), "a", "r", 0.0)
+    configuration, _ = fold(token)
+    assert configuration.authorise("tok", PATH) == "team:okonkwo"
+    assert configuration.authorise("tok", f"{PATH}/keys/1") == "team:okonkwo"
+    assert configuration.authorise(ROOT, policy_path("x")) == "root"
+    for path in ("/teams/okonkwo-2", "/teams/x", "/teams/", "/", "/teams/../okonkwo"):
+        assert configuration.authorise("tok", path).reason == Reason.FORBIDDEN
+    assert configuration.authorise("bad", PATH).reason == Reason.FORBIDDEN
+    assert configuration.authorise("", PATH).reason == Reason.KEY_MISSING
+    assert Configuration("").authorise("", PATH).reason == Reason.KEY_MISSING
+
+
+def test_an_old_version_can_be_published_again():
+    """Guards against a rollback that has nothing to roll back to."""
+    configuration, _ = fold(
+        published("a", NO_VERSION, 0, rate=1.0), published("b", 0, 1, rate=2.0)
+    )
+    assert [entry.version for entry in configuration.history(PATH)] == [1, 0]
+    old = configuration.document(PATH, 0)
+    assert old == make_document("okonkwo", 1.0)
+    rollback = published("c", 1, 2)._replace(document=old)
+    assert configuration.apply(2, rollback) == Applied(PATH, 2)
+    assert configuration.document(PATH, 9) is None
+    foreign = published("d", NO_VERSION, 0)._replace(path=policy_path("x"))
+    assert isinstance(configuration.apply(3, foreign), Ignored)
--- /dev/null
+++ b/tests/test_views.py
@@ -0,0 +1,104 @@
+from carawaywheel.records import NO_VERSION
+from carawaywheel.refusals import Importance, Reason
+
+from .test_configuration import fold, issued, key_text, make_document, published
+
+ROUTES = [
+    {"name": "root", "path": "/", "service": "okonkwo-maps", "access": "open"},
+    {"name": "maps", "path": "/maps", "service": "okonkwo-maps", "accounts": ["hall"]},
+    {
+        "name": "send",
+        "path": "/maps/send",
+        "service": "okonkwo-maps",
+        "methods": ["POST"],
+        "importance": "critical",
+    },
+]
+
+
+def routed(method, path):
+    record = published("a", NO_VERSION, 0)
+    record.document["routes"] = ROUTES
+    route = fold(record)[0].view().route(method, path)
+    return route and route.name
+
+
+def test_the_longest_prefix_of_whole_segments_decides():
+    """Guards against a request that gets the rules of another route."""
+    assert routed("GET", "/") == routed("GET", "/mapsx") == "root"
+    assert routed("GET", "/maps") == routed("GET", "/maps/x/y?z=//") == "maps"
+    assert routed("POST", "/maps/send/1") == "send"
+    assert routed("GET", "/maps/send") is None
+    assert routed("POST", "/") is None
+    assert routed("GET", "maps") is None
+
+
+def test_a_path_that_targets_may_resolve_differently_has_no_route():
+    """Guards against reaching a keyed route under the name of an open one."""
+    for path in (
+        "/x/../maps",
+        "/x/..",
+        "/./maps",
+        "//maps",
+        "/x/..;/maps",
+        "/%6Daps",
+        "/%2e%2e/maps",
+        "/x%2fmaps",
+        "/x\\maps",
+        "/x%5c..",
+        "/a b",
+        "/#maps",
+    ):
+        assert routed("GET", path) is None, path
+    assert routed("GET", "/x/..a/%C3%A9%20") == "root"
+
+
+def test_routes_allow_only_their_accounts():
+    """Guards against a key of one team or account on the route of another."""
+    record = published("a", NO_VERSION, 0)
+    record.document["routes"] = ROUTES
+    record.document["accounts"].append({"name": "b", "rate": 1.0, "burst": 1.0})
+    view = fold(record, published("b", NO_VERSION, 0, "haralson"))[0].view()
+    hall, b = view.account("okonkwo/hall"), view.account("okonkwo/b")
+    other = view.account("haralson/hall")
+    allowed = {
+        path: [view.route(method, path).allows(a) for a in (hall, b, other)]
+        for method, path in (("GET", "/"), ("GET", "/maps"), ("POST", "/maps/send"))
+    }
+    assert allowed == {
+        "/": [True, True, True],
+        "/maps": [True, False, False],
+        "/maps/send": [True, True, False],
+    }
+    send = view.route("POST", "/maps/send")
+    assert (send.importance, send.idempotent) == (Importance.CRITICAL, False)
+
+
+def test_a_team_cannot_take_over_the_paths_and_services_of_another():
+    """Guards against a policy that draws another team's requests to itself."""
+    view = fold(published("a", NO_VERSION, 0))[0].view()
+    document = make_document("haralson")
+    assert view.clashes(document) == []
+    assert view.clashes(make_document("okonkwo")) == []
+    document["services"][0]["name"] = "okonkwo-maps"
+    document["routes"][0]["path"] = "/okonkwo/x"
+    assert view.clashes(document) == [
+        "service okonkwo-maps belongs to team okonkwo",
+        "path /okonkwo belongs to team okonkwo",
+    ]
+    for path, count in (("/", 2), ("/okonkwo", 2), ("/okonkwo-2", 1)):
+        document["routes"][0]["path"] = path
+        assert len(view.clashes(document)) == count
+
+
+def test_keys_are_accepted_only_whole_and_for_known_accounts():
+    """Guards against a guessed secret or a key whose account was removed."""
+    configuration, _ = fold(published("a", NO_VERSION, 0), issued(1, 0))
+    view = configuration.view()
+    assert view.key(key_text(1)).account == "okonkwo/hall"
+    assert view.key("").reason == Reason.KEY_MISSING
+    assert view.key(key_text(1)[:-1] + "0").reason == Reason.KEY_UNKNOWN
+    assert view.key(key_text(2)).reason == Reason.KEY_UNKNOWN
+    configuration.apply(2, issued(2, 2)._replace(account="gone"))
+    assert configuration.view().key(key_text(2)).reason == Reason.FORBIDDEN
+    assert "gone" not in repr(view)
