Make a pushed withdrawal due for restatement at any time of the clock

Cause: the state machine found a pushed withdrawal whose append was lost and that was not restated while the clock was below a third of the retention. A team's token was also accepted for a path with dot segments.

--- a/src/carawaywheel/configuration.py
+++ b/src/carawaywheel/configuration.py
@@ -34,12 +34,14 @@
     token_path,
 )
 from .refusals import Reason, Refusal
-from .views import KeyEntry, Team, View, build_view, compile_team, qualify
+from .views import AMBIGUOUS, KeyEntry, Team, View, build_view, compile_team, qualify
 
 HISTORY_VERSIONS = 10
 RESTATE_SHARE = 1 / 3
 RESTATE_RANK_SHARE = 1 / 6
 ROOT_AUTHOR = "root"
+# Due at once: its position is below the oldest offset of any log.
+NO_CARRIER = Carrier(-1, 0.0)
 
 
 class Configuration:
@@ -196,7 +198,7 @@
         if held is not None and held.withdrawn:
             return False
         self.store(self.withdrawn_entry(path, self.version(path), record))
-        self.carriers[path] = Carrier(0, 0.0)
+        self.carriers[path] = NO_CARRIER
         return True
 
     def withdrawn_entry(self, path: str, version: int, record: KeyWithdrawn) -> Entry:
@@ -290,13 +292,14 @@
     def authorise(self, token: str, path: str) -> str | Refusal:
         """Return the author that a token stands for, or why it is refused.
 
-        The root token reaches every path, a team's token the team's own subtree.
+        The root token reaches every path, a team's token the team's own subtree. A
+        path with empty or dot segments has no subtree.
         """
         if not token:
             return Refusal(Reason.KEY_MISSING, step="authorise", peer=path)
         if matches(token, self.root_token_digest):
             return ROOT_AUTHOR
-        team = team_of(path)
+        team = "" if AMBIGUOUS.search(path) else team_of(path)
         held = self.entries.get(token_path(team))
         if team and held is not None and matches(token, held.digest):
             return f"team:{team}"
