--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,149 @@
+import json
+from copy import deepcopy
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carawaywheel.errors import PolicyError
+from carawaywheel.policies import check, difference, json_schema, parse
+
+ROOT = Path(__file__).parent.parent
+DOCUMENT = {
+    "team": "okonkwo",
+    "preference": "fairness",
+    "services": [{"name": "maps", "slots": 3, "connections": 9}],
+    "routes": [{"name": "r", "path": "/r", "service": "maps", "accounts": ["hall"]}],
+    "accounts": [{"name": "hall", "rate": 5.0, "burst": 9.0}],
+    "retries": {"attempts": 2},
+}
+SIZES = {
+    "silt-sable": "survey-desk 5 110 750, dispatch-yard 4 110 750, "
+    "sonar-vault 3 140 930, permit-office 3 50 380",
+    "okonkwo-haralson": "mapdesk 6 100 720, dispatcher 4 160 1040, "
+    "plansroom 3 210 1350, reportline 3 25 240",
+}
+# An integer in YAML's base 60 and a date are texts that YAML decodes by itself.
+HOSTILE = "a: &x [1]\nb: *x|a: 2026-99-99|\x00|\udc80|? [a]\n: 1|a: !!float x||a: 1:9"
+HOSTILE_TEXTS = [*HOSTILE.split("|"), "[" * 5000, '{"a":' * 5000, b"\xff", "x" * 50000]
+
+
+def edited(place, value):
+    document = deepcopy(DOCUMENT)
+    *steps, last = place
+    item = document
+    for step in steps:
+        item = item[step]
+    item[last] = value
+    return document
+
+
+@pytest.mark.parametrize("team", SIZES)
+def test_examples_are_valid_and_have_the_sizes_of_the_design(team):
+    """Guards against examples that drift from the schema or the design page."""
+    document = parse((ROOT / "examples" / f"{team}.yaml").read_text(), team)
+    check(document, f"/teams/{team}")
+    sizes = [
+        f"{s['name']} {s['endpoints']} {s['slots']} {s['connections']}"
+        for s in document["services"]
+    ]
+    assert ", ".join(sizes) == SIZES[team]
+    routes = document["routes"]
+    critical = [r for r in routes if r["importance"] == "critical"]
+    assert critical and not any(r["idempotent"] for r in critical)
+    assert len([r for r in routes if r.get("access") == "open"]) == 1
+    assert len(document["accounts"]) == 8
+
+
+def test_the_committed_schema_is_current():
+    """Guards against editors that check policies against an old schema."""
+    committed = json.loads((ROOT / "schema" / "policy.schema.json").read_text())
+    assert committed == json_schema()
+
+
+def test_json_and_yaml_are_equal():
+    """Guards against a policy that means something else in the other format."""
+    assert parse(json.dumps(DOCUMENT), "a.json") == DOCUMENT
+    empty = {"team": "a", "services": [], "routes": [], "accounts": []}
+    flow = b"{team: a, services: [], routes: [], accounts: []}"
+    assert parse(flow, "a.yaml") == empty
+
+
+ROUTE = DOCUMENT["routes"][0]
+ACCOUNT = DOCUMENT["accounts"][0]
+FAULTS = [
+    (["services", 0, "slots"], "many", "$.services[0].slots"),
+    (["services", 0, "slots"], 0, "$.services[0].slots"),
+    (["services", 0, "slot"], 1, "$.services[0].slot"),
+    (["accounts", 0, "burst"], 0.5, "$.accounts[0].burst"),
+    (["accounts", 0, "rate"], float("nan"), "$.accounts[0].rate"),
+    (["accounts", 0, "name"], "a/b", "$.accounts[0].name"),
+    (["routes", 0, "path"], "/a//b", "$.routes[0].path"),
+    (["routes", 0, "methods"], ["get"], "$.routes[0].methods[0]"),
+    (["retries", "extra"], 1, "$.retries.extra"),
+    (["team"], "a\n", "$.team"),
+    (["routes", 0, "service"], "gone", "$.routes[0].service"),
+    (["routes", 0, "accounts"], ["gone"], "$.routes[0].accounts[0]"),
+    (["routes", 0, "access"], "open", "$.routes[0].accounts"),
+    (["routes", 0, "path"], "/a/../b", "$.routes[0].path"),
+    (["routes"], [ROUTE, ROUTE], "$.routes[1].name"),
+    (["routes"], [ROUTE, ROUTE | {"name": "b"}], "$.routes[1].path"),
+    (["accounts"], [ACCOUNT, ACCOUNT], "$.accounts[1].name"),
+    (["services"], DOCUMENT["services"] * 2, "$.services[1].name"),
+    (["team"], "another", "$.team"),
+]
+
+
+@pytest.mark.parametrize(("place", "value", "peer"), FAULTS)
+def test_faults_are_refused_with_their_place(place, value, peer):
+    """Guards against a policy in force that is wrong or contradicts itself."""
+    check(DOCUMENT, "/teams/okonkwo")
+    with pytest.raises(PolicyError) as caught:
+        check(parse(json.dumps(edited(place, value)), "a.yaml"), "/teams/okonkwo")
+    assert caught.value.peer == peer
+    assert caught.value.step in ("parse a.yaml", "check")
+
+
+@pytest.mark.parametrize("text", HOSTILE_TEXTS)
+def test_hostile_texts_raise_policy_errors(text):
+    """Guards against a document that stops or stalls the node that parses it."""
+    with pytest.raises(PolicyError):
+        parse(text, "x")
+
+
+LEAVES = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9)
+FIELDS = ["team", "services", "routes", "accounts", "retries", "name", "path", "rate"]
+TREES = st.recursive(
+    LEAVES,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(FIELDS) | st.text(max_size=3), inner)
+    ),
+    max_leaves=10,
+)
+
+
+@given(st.text() | st.binary(), TREES, st.sampled_from(FIELDS[:5]))
+def test_arbitrary_input_raises_only_policy_errors(text, tree, field):
+    """Guards against an operator's mistake that crashes the admin API."""
+    with pytest.raises(PolicyError):
+        parse(text, "x")
+    try:
+        document = parse(json.dumps(edited([field], tree)), "x")
+        check(document, "/teams/okonkwo")
+    except PolicyError as error:
+        assert error.peer.startswith("$")
+
+
+def test_differences_name_the_items_that_changed():
+    """Guards against an operator who approves a change without seeing it."""
+    new = edited(["services", 0, "slots"], 4)
+    new["accounts"] = [{"name": "yard", "rate": 1.0, "burst": 2.0}]
+    lines = difference(DOCUMENT, new)
+    assert lines[0] == "- accounts[hall].burst: 9.0"
+    assert lines[3:] == [
+        "+ accounts[yard].rate: 1.0",
+        "~ services[maps].slots: 3 -> 4",
+    ]
+    assert difference(DOCUMENT, DOCUMENT) == []
