--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,386 @@
+"""Policy bench: overload cases on a seeded fleet with a paused clock."""
+
+import argparse
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bench.fleet import (
+    CONNECT_TIMEOUT,
+    LARGE_FACTOR,
+    LARGE_SHARE,
+    MEMBERSHIP_DELAY,
+    POLICIES,
+    Answer,
+    Call,
+    Fleet,
+    Host,
+    MeshShape,
+    Policy,
+    ServiceShape,
+)
+from bench.kernel import Future, Kernel, Process
+from carawaywheel.refusals import Importance
+from carawaywheel.settings import LevelSettings
+
+TRIGGER_START = 8.0
+TRIGGER_END = 16.0
+END = 23.0
+FORMER_START = 3.0
+BIN = 0.5
+RECOVERED = 0.95
+RETRY_DELAY = 0.1
+ACCOUNT_SHARES = [0.35, 0.25, 0.10, 0.10, 0.08, 0.06, 0.04, 0.02]
+IMPORTANCE_SHARES = [0.1, 0.6, 0.3]
+IDEMPOTENT_SHARE = 0.8
+USUAL_DEMAND = 0.7
+RATE_HEADROOM = 1.3
+
+# A tenth of the slots of the design page, so that a run takes seconds. The work is
+# set so that the capacity stays near 300 requests a second.
+MESHES = {
+    "silt-sable": MeshShape(
+        "silt-sable",
+        3,
+        0.0015,
+        0.008,
+        [
+            ServiceShape("survey-desk", 5, 11, 0.015),
+            ServiceShape("dispatch-yard", 4, 11, 0.03),
+            ServiceShape("sonar-vault", 3, 14, 0.12),
+        ],
+        LevelSettings(),
+    ),
+    "okonkwo": MeshShape(
+        "okonkwo",
+        3,
+        0.001,
+        0.008,
+        [
+            ServiceShape("mapdesk", 6, 10, 0.015),
+            ServiceShape("dispatcher", 4, 16, 0.03),
+            ServiceShape("plansroom", 3, 21, 0.16),
+        ],
+        LevelSettings(),
+    ),
+}
+
+
+class Case(NamedTuple):
+    """An overload case.
+
+    Attributes:
+        name: Name in the report.
+        factors: Demand of each account during the trigger, relative to its usual.
+        oversubscribed: Whether the rates cover the demand of the trigger.
+        fault: Applied to the fleet at the start of the trigger, or None.
+        repair: Applied at the end of the trigger, or None.
+        tries: Attempts of a caller.
+        patience: Seconds that a caller waits for an attempt.
+    """
+
+    name: str
+    factors: list[float]
+    oversubscribed: bool = False
+    fault: Callable[[Fleet], None] | None = None
+    repair: Callable[[Fleet], None] | None = None
+    tries: int = 1
+    patience: float = 5.0
+
+
+class Bucket:
+    """Ideal token bucket that sees every request of an account."""
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+        self.tokens = rate
+        self.at = 0.0
+
+    def take(self, now: float) -> bool:
+        """Take a token if there is one; the burst is one second of the rate."""
+        gained = (now - self.at) * self.rate
+        self.tokens = min(self.rate, self.tokens + gained)
+        self.at = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class Request:
+    """A caller's request, over all attempts.
+
+    Attributes:
+        account: Number of the account.
+        importance: Importance class.
+        arrived: Time of the first attempt in seconds.
+        in_rate: Whether the first attempt was inside the account's rate.
+        answered: Whether a whole answer arrived.
+        charged: Attempts inside the rate.
+        refused: Attempts inside the rate that were refused.
+    """
+
+    def __init__(self, account: int, importance: Importance, arrived: float) -> None:
+        self.account = account
+        self.importance = importance
+        self.arrived = arrived
+        self.in_rate = False
+        self.answered = False
+        self.charged = 0
+        self.refused = 0
+
+
+class Result(NamedTuple):
+    """Measures of a run, all over the trigger but the recovery.
+
+    Attributes:
+        goodput: Whole answers relative to what the fleet could have served.
+        recovery: Seconds until 95% of the former share is answered, or None.
+        worst: Share served of the worst-served account, of what is fair for it.
+        wrongful: Share of attempts inside the rate that were refused.
+        critical: Share of CRITICAL requests inside the rate that were answered.
+    """
+
+    goodput: float
+    recovery: float | None
+    worst: float
+    wrongful: float
+    critical: float
+
+
+class Run:
+    """One case under one policy."""
+
+    def __init__(self, mesh: MeshShape, case: Case, policy: Policy, seed: int) -> None:
+        self.case = case
+        self.policy = policy
+        self.kernel = Kernel()
+        self.rng = random.Random(seed)
+        self.fleet = Fleet(mesh, policy, self.kernel, self.rng)
+        self.usual = USUAL_DEMAND * self.fleet.capacity()
+        self.buckets = [Bucket(self.rate(n)) for n in range(len(ACCOUNT_SHARES))]
+        self.requests: list[Request] = []
+        self.capacity = self.fleet.capacity()
+
+    def rate(self, account: int) -> float:
+        """Return the rate of an account in requests a second."""
+        usual = ACCOUNT_SHARES[account] * self.usual * RATE_HEADROOM
+        grown = self.case.factors[account] if self.case.oversubscribed else 1.0
+        return usual * grown
+
+    def run(self) -> Result:
+        """Run the case and return its measures."""
+        for account in range(len(ACCOUNT_SHARES)):
+            self.kernel.spawn(self.arrivals(account))
+        self.kernel.run(TRIGGER_START)
+        if self.case.fault is not None:
+            self.case.fault(self.fleet)
+        self.capacity = self.fleet.capacity()
+        self.kernel.run(TRIGGER_END)
+        if self.case.repair is not None:
+            self.case.repair(self.fleet)
+        self.kernel.run(END + self.case.patience)
+        return self.measure()
+
+    def arrivals(self, account: int) -> Process:
+        """Start the requests of an account, as a Poisson process."""
+        usual = ACCOUNT_SHARES[account] * self.usual
+        while self.kernel.now < END:
+            now = self.kernel.now
+            inside = TRIGGER_START <= now < TRIGGER_END
+            factor = self.case.factors[account] if inside else 1.0
+            yield self.rng.expovariate(usual * factor)
+            self.kernel.spawn(self.caller(account))
+
+    def caller(self, account: int) -> Process:
+        """Make the attempts of one request."""
+        [importance] = self.rng.choices(list(Importance), IMPORTANCE_SHARES)
+        request = Request(account, importance, self.kernel.now)
+        self.requests.append(request)
+        factor = LARGE_FACTOR if self.rng.random() < LARGE_SHARE else 1.0
+        idempotent = self.rng.random() < IDEMPOTENT_SHARE
+        for attempt in range(self.case.tries):
+            if attempt:
+                yield RETRY_DELAY
+            inside = self.buckets[account].take(self.kernel.now)
+            if not attempt:
+                request.in_rate = inside
+            if self.policy.limited and not inside:
+                continue
+            request.charged += inside
+            deadline = self.kernel.now + self.case.patience
+            call = Call(f"a{account}", importance, deadline, factor, idempotent)
+            future = Future(self.kernel)
+            self.kernel.spawn(self.send(call, future))
+            self.kernel.set_later(future, self.case.patience, None)
+            answer = yield future
+            if answer is not None and answer.refusal is None:
+                request.answered = True
+                return
+            request.refused += inside and answer is not None
+
+    def send(self, call: Call, future: Future) -> Process:
+        """Send one attempt to an entry node that accepts connections."""
+        latency = self.fleet.mesh.client
+        while True:
+            entry = self.rng.choice([h for h in self.fleet.hosts[0] if not h.gone])
+            if entry.alive:
+                break
+            yield CONNECT_TIMEOUT
+        yield latency
+        answer: Answer = yield from self.fleet.enter(entry, call)
+        if entry.alive:
+            yield latency
+            future.set(answer)
+
+    def measure(self) -> Result:
+        """Compute the measures from the requests."""
+        span = TRIGGER_END - TRIGGER_START
+        during = [r for r in self.requests if TRIGGER_START <= r.arrived < TRIGGER_END]
+        inside = [r for r in during if r.in_rate]
+        answered = sum(r.answered for r in during) / span
+        possible = min(self.capacity, len(inside) / span)
+        charged = sum(r.charged for r in during)
+        critical = [r for r in inside if r.importance is Importance.CRITICAL]
+        return Result(
+            answered / possible,
+            self.recovery(),
+            self.worst(inside, span),
+            sum(r.refused for r in during) / max(charged, 1),
+            sum(r.answered for r in critical) / max(len(critical), 1),
+        )
+
+    def worst(self, inside: list[Request], span: float) -> float:
+        """Return the least share served, of the max-min fair part of capacity."""
+        demands = [0] * len(ACCOUNT_SHARES)
+        served = [0] * len(ACCOUNT_SHARES)
+        for request in inside:
+            demands[request.account] += 1
+            served[request.account] += request.answered
+        left = self.capacity * span
+        shares = []
+        for place, account in enumerate(
+            sorted(range(len(demands)), key=demands.__getitem__)
+        ):
+            fair = min(demands[account], left / (len(demands) - place))
+            left -= fair
+            shares.append(served[account] / max(fair, 1.0))
+        return min(shares)
+
+    def recovery(self) -> float | None:
+        """Return the seconds from the end of the trigger until service is back."""
+        former = self.share(FORMER_START, TRIGGER_START)
+        if not former:
+            return None
+        start = TRIGGER_END
+        while start + 2 * BIN <= END:
+            bins = (self.share(start, start + BIN), self.share(start, start + 2 * BIN))
+            if min(bins) >= RECOVERED * former:
+                return start - TRIGGER_END
+            start += BIN
+        return None
+
+    def share(self, start: float, end: float) -> float:
+        """Return the share answered of the in-rate requests that arrived then."""
+        arrived = [r for r in self.requests if start <= r.arrived < end and r.in_rate]
+        return sum(r.answered for r in arrived) / max(len(arrived), 1)
+
+
+def slow_deep(fleet: Fleet) -> None:
+    """Slow the deepest service to a third."""
+    for host in fleet.hosts[-1]:
+        host.speed = 0.33
+
+
+def lie(fleet: Fleet) -> None:
+    """Make one target of the middle service slow while it reports to be idle."""
+    host = fleet.hosts[1][0]
+    host.speed, host.lies = 0.1, True
+
+
+def repair(fleet: Fleet) -> None:
+    """Bring all targets back to normal."""
+    for host in all_hosts(fleet):
+        host.speed, host.lies = 1.0, False
+
+
+def lose_domain(fleet: Fleet) -> None:
+    """Stop the hosts of one failure domain without notice."""
+    for host in all_hosts(fleet):
+        if host.domain == fleet.mesh.domains - 1:
+            host.die()
+            fleet.kernel.spawn(notice(host))
+
+
+def notice(host: Host) -> Process:
+    """Let membership notice that a host does not answer."""
+    yield MEMBERSHIP_DELAY
+    host.gone = not host.alive
+
+
+def restore_domain(fleet: Fleet) -> None:
+    """Start the stopped hosts again, with cold targets."""
+    for host in all_hosts(fleet):
+        if not host.alive:
+            fleet.kernel.spawn(host.revive())
+
+
+def all_hosts(fleet: Fleet) -> list[Host]:
+    """Return the hosts of all services."""
+    return [host for row in fleet.hosts for host in row]
+
+
+def surge_factors() -> list[float]:
+    """Return factors by which the two large accounts bring 3 times capacity."""
+    small = USUAL_DEMAND * sum(ACCOUNT_SHARES[2:])
+    large = USUAL_DEMAND * sum(ACCOUNT_SHARES[:2])
+    return [(3.0 - small) / large] * 2 + [1.0] * 6
+
+
+CASES = [
+    Case("steady load", [1.0] * 8),
+    Case("one tenant at 5 times its rate", [5.0 * RATE_HEADROOM] + [1.0] * 7),
+    Case("surge to 3 times capacity, large accounts", surge_factors(), True),
+    Case("surge to 3 times capacity, all accounts", [3.0 / USUAL_DEMAND] * 8, True),
+    Case(
+        "deep service slow, callers retry hard",
+        [1.0] * 8,
+        False,
+        slow_deep,
+        repair,
+        tries=5,
+        patience=1.0,
+    ),
+    Case("lying health", [1.0] * 8, False, lie, repair),
+    Case("loss of a failure domain", [1.0] * 8, False, lose_domain, restore_domain),
+]
+
+
+def line(case: Case, policy: Policy, result: Result) -> str:
+    """Format one row of the table."""
+    recovery = "never" if result.recovery is None else f"{result.recovery:.1f} s"
+    return (
+        f"{case.name:42} {policy.name:27} {result.goodput:8.1%} {recovery:>8} "
+        f"{result.worst:8.1%} {result.wrongful:9.1%} {result.critical:9.1%}"
+    )
+
+
+def main() -> None:
+    """Run all cases and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=7)
+    parser.add_argument("--mesh", choices=sorted(MESHES), default="silt-sable")
+    options = parser.parse_args()
+    print(f"python -m bench.overload --seed {options.seed} --mesh {options.mesh}")
+    print(
+        f"{'case':42} {'policy':27} {'goodput':>8} {'recovery':>8} "
+        f"{'worst':>8} {'wrongful':>9} {'critical':>9}"
+    )
+    for case in CASES:
+        for policy in POLICIES:
+            run = Run(MESHES[options.mesh], case, policy, options.seed)
+            print(line(case, policy, run.run()), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/carawaywheel/admission.py
+++ b/src/carawaywheel/admission.py
@@ -11,6 +11,8 @@
 from .settings import AdmissionSettings
 
 STEP = "admission"
+# Iterating over the enum itself costs several times as much.
+LOWEST_FIRST = tuple(reversed(Importance))
 MEAN_GAIN = 0.1
 MEDIAN_GAIN = 0.1
 RETRY_AFTER_MIN = 0.1
@@ -234,8 +236,8 @@
         An importance counts as not admitted for 1 s after a ticket of it found no
         place, because the queue has a place again at each finished request.
         """
-        admitted = int(max(Importance))
-        for importance in reversed(Importance):
+        admitted = int(LOWEST_FIRST[0])
+        for importance in LOWEST_FIRST:
             if now - self.refused_at[importance] < REFUSAL_HOLD:
                 admitted = importance - 1
         demand = self.in_flight + self.queued
@@ -286,7 +288,7 @@
         return None
 
     def _victim(self, ticket: Ticket) -> Ticket | None:
-        for importance in reversed(Importance):
+        for importance in LOWEST_FIRST:
             queue = self.classes[importance]
             if importance < ticket.importance:
                 return None
--- a/src/carawaywheel/levels.py
+++ b/src/carawaywheel/levels.py
@@ -9,7 +9,7 @@
 from .settings import LevelSettings
 
 STEP = "entry"
-NOTHING_REFUSED = int(max(Importance))
+CLASSES_TO_SHED = int(max(Importance))
 RETRY_AFTER_MIN = 0.5
 RETRY_AFTER_MAX = 2.0
 
@@ -139,9 +139,9 @@
                 CRITICAL as well.
             importance: The importance.
         """
-        rank = int(max(Importance)) - importance
+        rank = CLASSES_TO_SHED - importance
         share = min(max(severity - rank, 0.0), 1.0)
-        critical_suffers = severity > int(max(Importance))
+        critical_suffers = severity > CLASSES_TO_SHED
         if critical_suffers and importance != Importance.CRITICAL:
             return 1.0
         return min(share, 1.0 - self.settings.probe_share)
@@ -158,11 +158,10 @@
         age = now - learned.learned_at
         weight = max(0.0, 1.0 - age / self.settings.max_age)
         start, full = self.settings.shed_from, self.settings.shed_all
-        classes = int(max(Importance))
-        severity = classes * (learned.pressure - start) / (full - start)
+        severity = CLASSES_TO_SHED * (learned.pressure - start) / (full - start)
         if now - learned.refuses_all_at >= self.settings.max_age:
-            severity = min(severity, float(classes))
-        return weight * min(max(severity, 0.0), classes + 1.0)
+            severity = min(severity, float(CLASSES_TO_SHED))
+        return weight * min(max(severity, 0.0), CLASSES_TO_SHED + 1.0)
 
     def _worst(self, route: str, now: float) -> tuple[str, float]:
         worst, highest = "", 0.0
