Check the size and the sender of a request before its body is read

Cause: heads over 16 KiB that arrived in one read were accepted, an announced body of 100 MB was read up to the limit, and unsigned peers could make a node hold 4 MB each. Change: the head's size and the announced length are checked first, control requests sign a digest of the body, callers are authenticated before their body is read, and all buffered bodies share one budget.

--- a/src/carawaywheel/administration.py
+++ b/src/carawaywheel/administration.py
@@ -10,7 +10,6 @@
 from .configuration import Configuration
 from .errors import LogError, PeerError
 from .follower import StreamFollower
-from .headers import SIGNATURE_HEADER
 from .logs import LogService
 from .pool import Pool
 from .records import KeyWithdrawn, Record, encode
@@ -150,11 +149,7 @@
 
     async def post(self, address: str, path: str, body: bytes) -> bool:
         """Send a control message; return whether the node took it."""
-        headers: list[tuple[bytes, bytes]] = [
-            (b"host", address.encode()),
-            (SIGNATURE_HEADER, self.signer.sign(b"POST", path.encode(), body)),
-            (b"content-length", str(len(body)).encode()),
-        ]
+        headers = self.signer.control_headers("POST", path, body, address)
         try:
             answer, _ = await curio.timeout_after(
                 PUSH_TIMEOUT_SECONDS,
--- a/src/carawaywheel/entry.py
+++ b/src/carawaywheel/entry.py
@@ -63,41 +63,43 @@
     async def handle(self, connection: ServerConnection, request: Request) -> None:
         """Answer one request of a caller or of the local target."""
         started = self.clock.now()
-        body = await connection.read_body(self.max_body)
         flight = self.in_flight.get(request.header(REQUEST_ID_HEADER))
         if flight is None:
-            await self.handle_caller(connection, request, body, started)
+            await self.handle_caller(connection, request, started)
         else:
-            await self.handle_subcall(connection, request, body, flight, started)
+            await self.handle_subcall(connection, request, flight, started)
 
     async def handle_caller(
         self,
         connection: ServerConnection,
         request: Request,
-        body: bytes,
         started: float,
     ) -> None:
-        """Answer a request from outside."""
+        """Answer a request from outside; its body is read once the key is known."""
         root_id = new_id()
         self.recorder.count("entry.requests")
-        context = self.authenticate(request, body, root_id, started)
+        context = self.authenticate(request, root_id, started)
         if isinstance(context, Refusal):
+            connection.close_unless_read()
             await self.refuse_unknown(connection, request, root_id, context)
             return
+        body = await connection.read_body(self.max_body)
+        if holds_key(request.target, request.headers, body):
+            # A target would see a key that does not stand in its own header.
+            refusal = Refusal(Reason.BAD_REQUEST, step="check for keys")
+            await self.refuse(connection, context, refusal, False)
+            return
         deadline = started + context.remaining
         await self.run(connection, request, body, context, deadline, None)
 
     def authenticate(
-        self, request: Request, body: bytes, root_id: str, now: float
+        self, request: Request, root_id: str, now: float
     ) -> RequestContext | Refusal:
         """Find the route and the client account of a request from outside."""
         view = self.state.view()
         route = view.route(request.method, request.path)
         if route is None:
             return Refusal(Reason.NO_ROUTE, step=STEP)
-        if holds_key(request.target, request.headers, body):
-            # A target would see a key that does not stand in its own header.
-            return Refusal(Reason.BAD_REQUEST, step="check for keys", peer=route.name)
         account, key_id = "", ""
         if not route.open:
             if not self.state.news_is_fresh(now):
@@ -142,12 +144,12 @@
         self,
         connection: ServerConnection,
         request: Request,
-        body: bytes,
         flight: Flight,
         started: float,
     ) -> None:
         """Answer a call that the local target makes for a request in flight."""
         self.recorder.count("entry.subcalls")
+        body = await connection.read_body(self.max_body)
         context = self.subcall_context(request, body, flight, started)
         if isinstance(context, Refusal):
             await self.refuse(connection, flight.context, context, False)
--- a/src/carawaywheel/fleet.py
+++ b/src/carawaywheel/fleet.py
@@ -9,7 +9,6 @@
 from .clock import Clock
 from .errors import LogError, PeerError, RecordError
 from .events import Event, decode_events, merge
-from .headers import SIGNATURE_HEADER
 from .logs import LogService
 from .membership import Membership
 from .pool import Pool
@@ -79,10 +78,7 @@
 
     async def get(self, address: str, target: str) -> bytes | None:
         """Send a control request to one node; None if it did not answer."""
-        headers: list[tuple[bytes, bytes]] = [
-            (b"host", address.encode()),
-            (SIGNATURE_HEADER, self.signer.sign(b"GET", target.encode(), b"")),
-        ]
+        headers = self.signer.control_headers("GET", target, b"", address)
         try:
             answer, content = await curio.timeout_after(
                 ASK_TIMEOUT_SECONDS,
--- a/src/carawaywheel/follower.py
+++ b/src/carawaywheel/follower.py
@@ -178,10 +178,7 @@
     async def poll_peer(self, address: str, wait: float) -> bool:
         """Read from a node that reads the log."""
         target = f"/streams/{self.stream}?from={self.position}&wait={wait:g}"
-        headers = [
-            (b"host", address.encode()),
-            (b"x-cw-signature", self.signer.sign(b"GET", target.encode(), b"")),
-        ]
+        headers = self.signer.control_headers("GET", target, b"", address)
         try:
             answer, content = await curio.timeout_after(
                 wait + RELAY_TIMEOUT_SECONDS,
--- a/src/carawaywheel/gossip.py
+++ b/src/carawaywheel/gossip.py
@@ -8,7 +8,6 @@
 from .datagrams import Address, DatagramHandler, DatagramSocket, format_address
 from .errors import LogError, PeerError, ProtocolError, RecordError
 from .events import EventKind
-from .headers import SIGNATURE_HEADER
 from .logs import LogService
 from .members import Change, Member, MemberState
 from .membership import Membership
@@ -173,11 +172,9 @@
         if peer is None:
             return
         body = members_encoder.encode(self.membership.full_state(self.clock.now()))
-        headers = [
-            (b"host", peer.peer_address.encode()),
-            (SIGNATURE_HEADER, self.signer.sign(b"POST", b"/members", body)),
-            (b"content-length", str(len(body)).encode()),
-        ]
+        headers = self.signer.control_headers(
+            "POST", "/members", body, peer.peer_address
+        )
         try:
             answer, content = await curio.timeout_after(
                 EXCHANGE_TIMEOUT_SECONDS,
--- a/src/carawaywheel/headers.py
+++ b/src/carawaywheel/headers.py
@@ -7,6 +7,7 @@
 CONTEXT_HEADER = b"x-cw-context"
 SIGNATURE_HEADER = b"x-cw-signature"
 ANSWER_HEADER = b"x-cw-answer"
+DIGEST_HEADER = b"x-cw-digest"
 INTERNAL_PREFIX = b"x-cw-"
 REQUEST_ID_HEADER = b"x-request-id"
 DEADLINE_HEADER = b"x-deadline-ms"
--- a/src/carawaywheel/http.py
+++ b/src/carawaywheel/http.py
@@ -58,6 +58,30 @@
         return self.target.partition("?")[0]
 
 
+class BodyBudget:
+    """Memory that the buffered request bodies of all connections share.
+
+    Attributes:
+        capacity: Most bytes held.
+        held: Bytes held.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
+        self.held = 0
+
+    def take(self, size: int) -> bool:
+        """Take memory; return False if there is not enough."""
+        if self.held + size > self.capacity:
+            return False
+        self.held += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Give memory back."""
+        self.held -= size
+
+
 class ServerConnection:
     """One connection of a caller or a peer.
 
@@ -68,9 +92,12 @@
         last: Whether the connection closes after the current answer.
     """
 
-    def __init__(self, sock: Any, peer: str) -> None:
+    def __init__(self, sock: Any, peer: str, budget: BodyBudget) -> None:
         self.sock = sock
         self.peer = peer
+        self.budget = budget
+        self.buffered = 0
+        self.announced = 0
         self.gone = False
         self.last = False
         self.started = False
@@ -102,7 +129,8 @@
         if event.http_version != b"1.1":
             # The end of an answer cannot be told from a cut in HTTP/1.0.
             raise ProtocolError("HTTP/1.1 is required", "read head", self.peer)
-        check_target(event.target, self.peer)
+        check_head(event, self.peer)
+        self.announced = content_length(event.headers)
         return Request(
             event.method.decode("ascii"),
             event.target.decode("ascii"),
@@ -176,21 +204,52 @@
         Raises:
             ProtocolError: If the body is too large, cut, or too slow.
         """
+        if self.announced > limit:
+            raise self.too_large(limit)
         parts: list[bytes] = []
-        size = 0
         while True:
             event = await self.next_event(BODY_TIMEOUT_SECONDS)
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
             if not isinstance(event, h11.Data):
                 raise ProtocolError("the body was cut", "read body", self.peer)
-            size += len(event.data)
-            if size > limit:
-                raise ProtocolError(
-                    f"the body is larger than {limit} bytes", "read body", self.peer
-                )
+            self.buffer(len(event.data), limit)
             parts.append(bytes(event.data))
 
+    def buffer(self, size: int, limit: int) -> None:
+        """Account for a part of a body.
+
+        Raises:
+            ProtocolError: If the body or all bodies together are too large.
+        """
+        if self.buffered + size > limit:
+            raise self.too_large(limit)
+        if not self.budget.take(size):
+            raise ProtocolError(
+                "too many request bodies are held", "read body", self.peer
+            )
+        self.buffered += size
+
+    def release_body(self) -> None:
+        """Give back the memory of the current body."""
+        self.budget.give_back(self.buffered)
+        self.buffered = 0
+
+    def close_unless_read(self) -> None:
+        """Close after the answer if the request has a body that was not read."""
+        if self.protocol.their_state is not h11.DONE:
+            self.last = self.last or not self.is_bodyless()
+
+    def is_bodyless(self) -> bool:
+        """Read the end of a request without a body; return whether that was so."""
+        return isinstance(self.parse(), h11.EndOfMessage)
+
+    def too_large(self, limit: int) -> ProtocolError:
+        """Make the error for a body over its limit."""
+        return ProtocolError(
+            f"the body is larger than {limit} bytes", "read body", self.peer
+        )
+
     async def write(self, data: bytes) -> None:
         """Send bytes.
 
@@ -259,22 +318,48 @@
             h11.SEND_RESPONSE,
         ):
             return
-        status = 413 if "larger than" in error.message else 400
+        status = bad_input_status(error)
         body = json_body({"reason": "bad_request", "detail": error.message})
         self.last = True
         await self.respond(status, [JSON_HEADER], body)
 
 
-def check_target(target: bytes, peer: str) -> None:
-    """Refuse request targets that are not a plain path.
+def check_head(event: h11.Request, peer: str) -> None:
+    """Refuse heads that are too large and targets that are not a plain path.
 
     Raises:
-        ProtocolError: If the target is not an absolute path in ASCII.
+        ProtocolError: If the head is over its limit, or the target is not an
+            absolute path in ASCII.
     """
+    target = event.target
+    size = len(target) + sum(len(name) + len(value) for name, value in event.headers)
+    if size > MAX_HEAD_BYTES:
+        raise ProtocolError(
+            f"the head is larger than {MAX_HEAD_BYTES} bytes", "read head", peer
+        )
     if not target.startswith(b"/") or any(byte <= 32 or byte > 126 for byte in target):
         raise ProtocolError("the request target is not a path", "read head", peer)
 
 
+def content_length(headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Return the announced length of a body, 0 if there is none."""
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
+def bad_input_status(error: ProtocolError) -> int:
+    """Return the HTTP status for malformed input."""
+    if error.message.startswith("the body is larger"):
+        return 413
+    if error.message.startswith("the head is larger"):
+        return 431
+    if error.message.startswith("too many"):
+        return 503
+    return 400
+
+
 def json_body(value: Any) -> bytes:
     """Encode a value as one line of JSON."""
     return json.dumps(value, separators=(",", ":")).encode() + b"\n"
--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from .errors import ProtocolError
-from .http import Request, ServerConnection, tune_socket
+from .http import BodyBudget, Request, ServerConnection, tune_socket
 
 LISTEN_BACKLOG = 1024
 ACCEPT_RETRY_SECONDS = 0.05
@@ -88,7 +88,9 @@
         handler: RequestHandler,
         watch: HangupWatch,
         limit: int,
+        budget: BodyBudget,
     ) -> None:
+        self.budget = budget
         self.name = name
         self.handler = handler
         self.watch = watch
@@ -119,7 +121,7 @@
     async def serve(self, sock: Any, address: tuple[str, int]) -> None:
         """Serve one connection until it closes."""
         fd = sock.fileno()
-        connection = ServerConnection(sock, f"{address[0]}:{address[1]}")
+        connection = ServerConnection(sock, f"{address[0]}:{address[1]}", self.budget)
         connection.last = self.closing
         self.connections[fd] = connection
         tune_socket(sock)
@@ -164,6 +166,7 @@
             await self.handler.handle(connection, request)
         finally:
             self.watch.busy.discard(fd)
+            connection.release_body()
 
     async def answer_bad_input(
         self, connection: ServerConnection, error: ProtocolError
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -22,6 +22,7 @@
 from .fleet import SUMMARY_STREAM, FleetService
 from .follower import StreamFollower, rank_readers
 from .gossip import NODES_STREAM, GossipService
+from .http import BodyBudget
 from .lenders import Lender
 from .levels import LevelTable
 from .listener import HangupWatch, Listener
@@ -267,6 +268,7 @@
             self.clock,
         )
         limit = self.settings.max_connections
+        self.bodies = BodyBudget(self.settings.max_buffered)
         peer_address = self.sock.address
         self.listeners = {
             "callers": self.listen("callers", self.settings.listen, self.entry, limit),
@@ -277,7 +279,7 @@
     def listen(self, name: str, address: str, handler: Any, limit: int) -> Listener:
         """Open one listener."""
         host, port = split_address(address)
-        listener = Listener(name, host, port, handler, self.watch, limit)
+        listener = Listener(name, host, port, handler, self.watch, limit, self.bodies)
         listener.on_protocol_error = self.note_protocol_error
         return listener
 
--- a/src/carawaywheel/options.py
+++ b/src/carawaywheel/options.py
@@ -120,6 +120,7 @@
     "root_token_digest": "",
     "statsd": "",
     "max_body": 1_048_576,
+    "max_buffered": 67_108_864,
     "max_connections": 4096,
     "news_max_age": 0.0,
     "stop_grace": 30.0,
--- a/src/carawaywheel/peers.py
+++ b/src/carawaywheel/peers.py
@@ -1,5 +1,6 @@
 """Requests of other nodes: calls for the local target and control messages."""
 
+import hashlib
 from collections.abc import Callable
 from urllib.parse import parse_qs
 
@@ -13,7 +14,12 @@
 from .events import EventFilter, encode_events
 from .follower import READ_LIMIT, StreamFollower
 from .gossip import members_decoder, members_encoder
-from .headers import ANSWER_HEADER, CONTEXT_HEADER, SIGNATURE_HEADER
+from .headers import (
+    ANSWER_HEADER,
+    CONTEXT_HEADER,
+    DIGEST_HEADER,
+    SIGNATURE_HEADER,
+)
 from .http import JSON_HEADER, Request, ServerConnection, json_body, refusal_body
 from .listener import RequestHandler
 from .logs import encode_batch
@@ -67,8 +73,11 @@
             body = await connection.read_body(self.max_body)
             await self.handle_call(connection, request, body, context)
             return
+        digest = request.header(DIGEST_HEADER)
+        self.verify(connection, request, digest.encode("latin-1"))
         body = await connection.read_body(MAX_CONTROL_BYTES)
-        self.verify(connection, request, body)
+        if hashlib.sha256(body).hexdigest() != digest:
+            raise ProtocolError("the body is not the one signed", "verify", "peer")
         await self.handle_control(connection, request, body)
 
     def verify(
--- a/src/carawaywheel/relay.py
+++ b/src/carawaywheel/relay.py
@@ -294,11 +294,7 @@
     async def ask_state(self, address: str, attempt_id: str) -> AttemptState | None:
         """Ask a peer for the state of an attempt; None if it does not answer."""
         target = f"/attempts/{attempt_id}"
-        headers = [
-            (b"host", address.encode()),
-            (SIGNATURE_HEADER, self.signer.sign(b"POST", target.encode(), b"")),
-            (b"content-length", b"0"),
-        ]
+        headers = self.signer.control_headers("POST", target, b"", address)
         try:
             _, content = await curio.timeout_after(
                 CHECK_TIMEOUT_SECONDS,
--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -204,6 +204,7 @@
         root_token_digest: SHA-256 of the root token in hexadecimal, or empty.
         statsd: Address of the statsd server, empty for none.
         max_body: Largest request body in bytes.
+        max_buffered: Memory for the buffered bodies of all requests, in bytes.
         max_connections: Largest number of open connections of a listener.
         news_max_age: Seconds after which news from the log is too old to serve
             keyed requests; 0 for no limit.
@@ -235,6 +236,7 @@
     root_token_digest: str
     statsd: str
     max_body: int
+    max_buffered: int
     max_connections: int
     news_max_age: float
     stop_grace: float
--- a/src/carawaywheel/signing.py
+++ b/src/carawaywheel/signing.py
@@ -8,6 +8,8 @@
 
 from .contexts import AnswerInfo, RequestContext
 from .errors import ProtocolError
+from .headers import DIGEST_HEADER, SIGNATURE_HEADER
+from .http import Headers
 
 DATAGRAM_TAG_BYTES = 16
 
@@ -30,6 +32,23 @@
             .encode()
         )
 
+    def control_headers(
+        self, method: str, target: str, body: bytes, address: str
+    ) -> Headers:
+        """Return the headers of a control request to a node.
+
+        The signature covers a digest of the body, so that the receiver can check it
+        before it reads the body.
+        """
+        digest = hashlib.sha256(body).hexdigest().encode()
+        signature = self.sign(method.encode(), target.encode("latin-1"), digest)
+        return [
+            (b"host", address.encode()),
+            (DIGEST_HEADER, digest),
+            (SIGNATURE_HEADER, signature),
+            (b"content-length", str(len(body)).encode()),
+        ]
+
     def verify(self, signature: str, *parts: bytes) -> bool:
         """Return whether a signature is right, in constant time."""
         return hmac.compare_digest(signature.encode("latin-1"), self.sign(*parts))
--- /dev/null
+++ b/tests/meshes.py
@@ -0,0 +1,79 @@
+"""A mesh of real processes that the tests of the node share."""
+
+import socket
+
+from standins.mesh import Mesh
+
+DOMAINS = ("east", "middle", "west")
+POLICY = """
+team: okonkwo
+services:
+  - {name: mapdesk, slots: 20, connections: 140}
+  - {name: dispatcher, slots: 20, connections: 140}
+  - {name: reportline, slots: 5, connections: 50}
+routes:
+  - {name: maps, path: /maps, service: mapdesk, idempotent: true, deadline: 5}
+  - {name: dispatch, path: /dispatch, methods: [POST, GET], service: dispatcher,
+     importance: critical, deadline: 5}
+  - {name: reports, path: /reports, methods: [POST, GET], service: reportline,
+     importance: critical, deadline: 5}
+  - {name: outages, path: /outages, service: reportline, access: open,
+     importance: sheddable, idempotent: true, deadline: 5}
+accounts:
+  - {name: bibb, rate: 500, burst: 500}
+"""
+HOSTS = (
+    ("n1", "east", "mapdesk", ["--calls", "/dispatch"]),
+    ("n2", "middle", "dispatcher", ["--calls", "/reports"]),
+    ("n3", "west", "reportline", []),
+)
+
+
+def start_mesh(mesh, hosts=HOSTS, options=None):
+    """Start a log, nodes and targets, publish the policy and return a key."""
+    mesh.start_log()
+    for name, domain, service, arguments in hosts:
+        mesh.start_node(name, domain, options)
+        mesh.start_target(
+            name, service, arguments=["--service-time", "0.01"] + arguments
+        )
+    first = hosts[0][0]
+    mesh.wait_for(lambda: all_known(mesh, first, len(hosts)), "all nodes are known")
+    mesh.json_command(first, "policy", "publish", "-", "--reason", "test", text=POLICY)
+    issued = mesh.json_command(
+        first, "key", "issue", "--team", "okonkwo", "--account", "bibb", "--reason", "t"
+    )
+    for name, *_ in hosts:
+        mesh.wait_for(lambda name=name: served(mesh, name, issued["key"]), "served")
+    return issued
+
+
+def all_known(mesh, node, count):
+    """Return whether all nodes see each other with ready targets."""
+    nodes = mesh.status(node).values()
+    ready = [item for item in nodes if item["target_state"] == "ready"]
+    return len(ready) == count == min(item["members"] for item in nodes)
+
+
+def served(mesh, node, key):
+    """Return whether a keyed request is served at a node."""
+    return mesh.call(node, "/maps", key).status == 200
+
+
+def exchange(address, data, timeout=3.0):
+    """Send raw bytes and return all that comes back until the end."""
+    host, _, port = address.rpartition(":")
+    received = b""
+    with socket.create_connection((host, int(port)), timeout) as sock:
+        sock.sendall(data)
+        try:
+            while part := sock.recv(65536):
+                received += part
+        except TimeoutError:
+            received += b"(still open)"
+    return received
+
+
+def new_mesh():
+    """Return a mesh of three failure domains."""
+    return Mesh(DOMAINS)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -104,6 +104,6 @@
     table = ClaimTable()
     table.apply(0, ClaimMade("id", "a", "node"))
     assert table.apply(0, ClaimReleased("id", "a")) is None
-    assert table.apply(1, NodeForgotten("n", "a", "r", 0.0)) is None
+    assert table.apply(1, NodeForgotten("n", 1, "a", "r", 0.0)) is None
     table.skip(2)
     assert (table.position, table.owner("id")) == (3, "a")
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,197 @@
+import json
+import socket
+import subprocess
+import sys
+import threading
+
+import curio
+import pytest
+
+from standins.caller import request
+
+from .meshes import HOSTS, exchange, new_mesh, start_mesh
+
+
+@pytest.fixture(scope="module")
+def mesh():
+    with new_mesh() as mesh:
+        mesh.issued = start_mesh(mesh)
+        yield mesh
+
+
+def call(mesh, node, path, **options):
+    return mesh.call(node, path, mesh.issued["key"], **options)
+
+
+def counts(mesh, node):
+    address = mesh.programs[f"target-{node}"].ready["address"]
+    return json.loads(curio.run(request, address, "GET", "/counts").body)
+
+
+def test_a_chain_of_three_services_is_served_at_any_node(mesh):
+    """Guards against an entry node that cannot reach a service of another host."""
+    for node, *_ in HOSTS:
+        answer = call(mesh, node, "/maps")
+        document = json.loads(answer.body)
+        assert answer.whole and answer.status == 200
+        assert document["service"] == "mapdesk"
+        assert [item["status"] for item in document["calls"]] == [200]
+
+
+def test_no_target_sees_a_key(mesh):
+    """Guards against a key that is passed on in a header, the path or the body."""
+    key = mesh.issued["key"]
+    assert call(mesh, "n2", "/maps").status == 200
+    assert call(mesh, "n2", f"/maps?key={key}").status == 400
+    assert call(mesh, "n2", "/maps", headers={"cookie": f"a={key}"}).status == 400
+    body = b"before " + key.encode() + b" after"
+    assert call(mesh, "n2", "/dispatch", method="POST", body=body).status == 400
+    for node, *_ in HOSTS:
+        assert counts(mesh, node)["leaked"] == []
+
+
+def test_only_the_account_of_the_key_is_served(mesh):
+    """Guards against requests that run without a valid key."""
+    assert mesh.call("n1", "/maps").status == 401
+    assert mesh.call("n1", "/maps", mesh.issued["key"][:-1] + "x").status == 401
+    assert mesh.call("n1", "/nowhere", mesh.issued["key"]).status == 404
+    assert mesh.call("n1", "/outages").status == 200
+
+
+def test_a_dispatch_repeated_at_another_node_runs_once(mesh):
+    """Guards against a caller's retry that sends two crews."""
+    headers = {"idempotency-key": "crew-7", "x-dispatch-id": "crew-7"}
+    answers = [
+        call(mesh, node, "/dispatch", method="POST", body=b"crew", headers=headers)
+        for node in ("n1", "n2", "n3", "n1")
+    ]
+    assert [answer.status for answer in answers] == [200, 409, 409, 409]
+    assert json.loads(answers[1].body)["ran"] == "unknown"
+    assert counts(mesh, "n2")["runs"]["crew-7"] == 1
+
+
+BAD_REQUESTS = {
+    "not http": b"\x00\x01\x02 nonsense\r\n\r\n",
+    "http/1.0": b"GET /maps HTTP/1.0\r\nhost: a\r\n\r\n",
+    "large head": b"GET /maps HTTP/1.1\r\nhost: a\r\nx: " + b"a" * 20000 + b"\r\n\r\n",
+    "two lengths": b"POST /dispatch HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n"
+    b"content-length: 2\r\n\r\nxx",
+    "length and chunks": b"POST /dispatch HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n"
+    b"transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "absolute target": b"GET http://other/maps HTTP/1.1\r\nhost: a\r\n\r\n",
+    "large body": b"POST /dispatch HTTP/1.1\r\nhost: a\r\n"
+    b"content-length: 99999999\r\n\r\n" + b"x" * 2_000_000,
+}
+
+
+@pytest.mark.parametrize("name", BAD_REQUESTS)
+@pytest.mark.parametrize("listener", ["callers", "peers", "admin"])
+def test_bad_input_is_refused_and_the_node_goes_on(mesh, listener, name):
+    """Guards against input that crashes a node, hangs it or is half understood."""
+    address = mesh.programs["n1"].ready[listener]
+    try:
+        answer = exchange(address, BAD_REQUESTS[name])
+    except ConnectionError:
+        answer = b""
+    assert b"(still open)" not in answer
+    assert answer == b"" or answer.startswith((b"HTTP/1.1 4", b"HTTP/1.1 5"))
+    assert call(mesh, "n1", "/maps").status == 200
+
+
+def test_a_cut_request_body_does_not_run(mesh):
+    """Guards against a half-sent dispatch that is taken for a whole one."""
+    head = "POST /dispatch HTTP/1.1\r\nhost: a\r\nauthorization: Bearer "
+    head += f"{mesh.issued['key']}\r\nx-dispatch-id: half\r\ncontent-length: 9\r\n\r\n"
+    address = mesh.programs["n1"].ready["callers"]
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port))) as sock:
+        sock.sendall(head.encode() + b"abc")
+        sock.shutdown(socket.SHUT_WR)
+        sock.recv(65536)
+    assert call(mesh, "n1", "/maps").status == 200
+    assert "half" not in counts(mesh, "n2")["runs"]
+
+
+def test_forged_internal_headers_have_no_effect(mesh):
+    """Guards against a caller or a host that poses as a node of the fleet."""
+    headers = {"x-cw-context": "gA==", "x-cw-signature": "0" * 64}
+    assert mesh.call("n1", "/maps", headers=headers).status == 401
+    peers = mesh.programs["n2"].ready["peers"]
+    forged = b"GET /maps HTTP/1.1\r\nhost: a\r\nx-cw-context: gA==\r\n"
+    forged += b"x-cw-signature: " + b"0" * 64 + b"\r\n\r\n"
+    assert exchange(peers, forged).startswith(b"HTTP/1.1 400")
+    unsigned = b"GET /status HTTP/1.1\r\nhost: a\r\n\r\n"
+    assert exchange(peers, unsigned).startswith(b"HTTP/1.1 400")
+    forged_id = {"x-request-id": "0" * 32}
+    assert mesh.call("n1", "/maps", headers=forged_id).status == 401
+
+
+@pytest.mark.parametrize("fault", ["cut_answers", "short_answers"])
+def test_a_cut_or_short_answer_is_never_passed_on_as_whole(mesh, fault):
+    """Guards against half a pipe drawing that looks complete."""
+    address = mesh.programs["target-n3"].ready["address"]
+    mesh.control(address, {fault: 1})
+    answer = call(mesh, "n1", "/reports?size=300000")
+    assert not answer.whole or answer.status >= 500
+    mesh.control(address, {fault: 0})
+    whole = call(mesh, "n1", "/reports?size=300000")
+    assert whole.whole and len(whole.body) == 300_000
+    chunked = call(mesh, "n1", "/reports?size=300000&chunked=1")
+    assert chunked.whole and chunked.body == whole.body
+
+
+def test_operators_that_race_get_one_winner(mesh):
+    """Guards against a change that silently overwrites another one."""
+    shown = mesh.json_command("n1", "policy", "show", "--team", "okonkwo")
+    base = shown["versions"][0]["version"]
+    text = json.dumps(shown["versions"][0]["document"])
+    results = []
+
+    def publish(node):
+        done = mesh.command(
+            node, "policy", "publish", "-", "--reason", "race", "--json",
+            "--base-version", str(base), text=text,
+        )  # fmt: skip
+        results.append((done.returncode, json.loads(done.stdout)["result"]))
+
+    threads = [threading.Thread(target=publish, args=(n,)) for n in ("n1", "n2", "n3")]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert sorted(results) == [(0, "accepted"), (1, "conflict"), (1, "conflict")]
+
+
+def test_a_team_token_reaches_its_own_subtree_only(mesh):
+    """Guards against one team that changes the policy of another."""
+    made = mesh.command("n1", "token", "make", "--json")
+    token = json.loads(made.stdout)
+    mesh.json_command(
+        "n1", "token", "set", "--team", "other", "--digest", token["digest"],
+        "--reason", "test",
+    )  # fmt: skip
+    own = mesh.command("n1", "key", "list", "--team", "other", token=token["token"])
+    foreign = mesh.command(
+        "n1", "key", "list", "--team", "okonkwo", token=token["token"]
+    )
+    assert own.returncode == 0
+    assert foreign.returncode == 1 and "forbidden" in foreign.stderr
+
+
+def test_a_node_starts_no_other_process(mesh):
+    """Guards against a node that breaks the rule of one process on each host."""
+    pid = mesh.programs["n1"].process.pid
+    with open(f"/proc/{pid}/task/{pid}/children") as file:
+        assert file.read() == ""
+
+
+def test_wrong_settings_are_all_named_at_once():
+    """Guards against a node that runs with half of its settings wrong."""
+    done = subprocess.run(
+        [sys.executable, "-m", "carawaywheel", "node", "--listen", "localhost", "--log",
+         "10.0.0.1:99999", "--share-drift", "7", "--limit-minimum", "x"],
+        capture_output=True, text=True,
+    )  # fmt: skip
+    assert done.returncode == 2
+    for part in ("--listen", "'localhost'", "--log", "99999", "--share-drift", "'x'"):
+        assert part in done.stderr
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -5,7 +5,15 @@
 
 from carawaywheel import records
 from carawaywheel.errors import RecordError
+from carawaywheel.evidence import (
+    ClaimKind,
+    SlotClaim,
+    SlotNotice,
+    SlotObjection,
+    SlotRelease,
+)
 from carawaywheel.records import decode, encode
+from carawaywheel.summarizer import Summarizer
 
 SECRET = b"fleet secret"
 DOCUMENT = {"team": "okonkwo", "services": [], "routes": [], "accounts": []}
@@ -18,14 +26,16 @@
     records.Restated(
         [records.Entry("/teams/okonkwo", 3, "c", "a", "r", 1.0, DOCUMENT)], 8, 1.0
     ),
-    records.NodeForgotten("n1", "root", "burnt", 1.0),
+    records.NodeForgotten("n1", 2, "root", "burnt", 1.0),
     records.NodeJoined("n1", 2, "east-1", ["127.0.0.1:7000"], 1.0),
     records.NodeLeft("n1", 2, 1.0),
-    records.SlotClaimed("c5", "east-1", 5, 1, "n1", 2),
-    records.SlotReleased("c6", "east-1", 5, 1, "n1", 2),
+    SlotClaim(5, "east-1", 1, "n1", 2, "127.0.0.1:7000", ClaimKind.FREE),
+    SlotRelease(5, "east-1", 1, "n1", 2),
+    SlotNotice(5, "east-1", 1, "n1", 2),
+    SlotObjection(5, "east-1", 1, "n1", 2),
     records.ClaimMade("id", "c7", "n1"),
     records.ClaimReleased("id", "c7"),
-    records.Summary("n1", 2, 1.0, 10.0, {"admitted": 4.0}),
+    Summarizer("n1", 2, 1.0).close(10.0, 0),
 ]
 
 
@@ -88,8 +98,8 @@
 
 
 REFUSED = [
-    records.NodeForgotten("n1", "root", "r" * 1001, 1.0),
-    records.NodeForgotten("n1", "root", "r", float("nan")),
+    records.NodeForgotten("n1", 2, "root", "r" * 1001, 1.0),
+    records.NodeForgotten("n1", 2, "root", "r", float("nan")),
     records.KeyWithdrawn("c", "../x", "okonkwo", "a", "r", 1.0),
     records.KeyWithdrawn("c", KEY_ID, "okonkwo/keys", "a", "r", 1.0),
     RECORDS[0]._replace(path="/teams/okonkwo\n"),
