Run calls for the local target without a connection; wake callers at once

Cause: a call whose target stands beside the entry node passed the peer listener of the same process. A fenced attempt was trusted although the process that answered could be younger than the attempt. Change: the relay opens such calls itself, the event of a waiting caller exists before the request for tokens is sent, and the state of an attempt comes with the uptime.

--- /dev/null
+++ b/bench/latency.py
@@ -0,0 +1,231 @@
+"""Time that nodes add to a call, on real sockets over loopback.
+
+Compares calls straight to a target with the same calls through one node and through
+two, in the same run: ``python -m bench.latency``.
+"""
+
+import argparse
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+from standins.mesh import Mesh
+
+RATE = 330.0
+CONNECTIONS = 4
+POLICY = """
+team: bench
+services:
+  - {name: echo, slots: 200, connections: 1400}
+  - {name: far, slots: 200, connections: 1400}
+routes:
+  - {name: near, path: /near, service: echo, idempotent: true, deadline: 5}
+  - {name: far, path: /far, service: far, idempotent: true, deadline: 5}
+accounts:
+  - {name: load, rate: 1000000, burst: 1000000}
+"""
+PERCENTILES = (50.0, 99.0, 99.9)
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class Sample(NamedTuple):
+    """One series of calls.
+
+    Attributes:
+        name: What was called.
+        times: Seconds of each call, sorted.
+        failed: Calls without an answer of status 200.
+        cpu: Processor seconds of each node, by name.
+        elapsed: Seconds that the series took.
+    """
+
+    name: str
+    times: list[float]
+    failed: int
+    cpu: dict[str, float]
+    elapsed: float
+
+    def percentile(self, percent: float) -> float:
+        """Return a percentile of the times in milliseconds."""
+        place = min(len(self.times) - 1, int(len(self.times) * percent / 100))
+        return self.times[place] * 1000
+
+
+def read_answer(sock: socket.socket) -> bool:
+    """Read one answer with a known length; return whether its status is 200."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += receive(sock)
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = 0
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            length = int(line.partition(b":")[2])
+    while len(body) < length:
+        body += receive(sock)
+    return head.startswith(b"HTTP/1.1 200")
+
+
+def receive(sock: socket.socket) -> bytes:
+    """Read some bytes.
+
+    Raises:
+        ConnectionError: At the end of the connection.
+    """
+    data = sock.recv(65536)
+    if not data:
+        raise ConnectionError("the connection ended within an answer")
+    return data
+
+
+def run_client(address: str, path: str, key: str, rate: float, seconds: float) -> None:
+    """Call at a constant rate on one connection and print the times."""
+    host, _, port = address.rpartition(":")
+    sock = socket.create_connection((host, int(port)), 10)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    head = f"GET {path} HTTP/1.1\r\nhost: bench\r\n"
+    head += f"authorization: Bearer {key}\r\n\r\n" if key else "\r\n"
+    data = head.encode()
+    times = []
+    failed = 0
+    start = time.perf_counter()
+    for number in range(int(rate * seconds)):
+        wait = start + number / rate - time.perf_counter()
+        if wait > 0:
+            time.sleep(wait)
+        began = time.perf_counter()
+        sock.sendall(data)
+        failed += not read_answer(sock)
+        times.append(time.perf_counter() - began)
+    print(json.dumps({"times": times, "failed": failed}))
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def measure(
+    mesh: Mesh,
+    name: str,
+    address: str,
+    path: str,
+    key: str,
+    rate: float,
+    seconds: float,
+) -> Sample:
+    """Run clients that call at a total rate and gather their times."""
+    nodes = {
+        node: program.process.pid
+        for node, program in mesh.programs.items()
+        if node.startswith("n")
+    }
+    before = {node: cpu_seconds(pid) for node, pid in nodes.items()}
+    began = time.perf_counter()
+    command = [sys.executable, "-m", "bench.latency", "--client", address, path]
+    command += [str(rate / CONNECTIONS), str(seconds)]
+    clients = [
+        subprocess.Popen(
+            command,
+            stdout=subprocess.PIPE,
+            text=True,
+            env=os.environ | {"BENCH_KEY": key},
+        )
+        for _ in range(CONNECTIONS)
+    ]
+    times: list[float] = []
+    failed = 0
+    for client in clients:
+        found = json.loads(client.communicate(timeout=seconds * 10 + 30)[0])
+        times += found["times"]
+        failed += found["failed"]
+    elapsed = time.perf_counter() - began
+    cpu = {node: cpu_seconds(pid) - before[node] for node, pid in nodes.items()}
+    return Sample(name, sorted(times), failed, cpu, elapsed)
+
+
+def start(mesh: Mesh) -> str:
+    """Start a log, two nodes and their targets; return a key."""
+    mesh.start_log()
+    for node, service in (("n1", "echo"), ("n2", "far")):
+        mesh.start_node(node, "a")
+        mesh.start_target(node, service, 200, ["--service-time", "0"])
+    mesh.wait_for(lambda: len(mesh.status("n1")) == 2, "two nodes")
+    mesh.json_command("n1", "policy", "publish", "-", "--reason", "x", text=POLICY)
+    issued = mesh.json_command(
+        "n1", "key", "issue", "--team", "bench", "--account", "load", "--reason", "x"
+    )
+    key = str(issued["key"])
+    for path in ("/near", "/far"):
+        mesh.wait_for(lambda path=path: is_served(mesh, path, key), "calls are served")
+    return key
+
+
+def is_served(mesh: Mesh, path: str, key: str) -> bool:
+    """Return whether a call is served."""
+    return mesh.call("n1", path, key).status == 200
+
+
+def print_samples(samples: list[Sample]) -> None:
+    """Print the times of the series and what they add to the direct calls."""
+    base = samples[0]
+    print(f"{'series':<26}{'calls':>7}{'failed':>7}" + "".join(
+        f"{f'p{percent:g} ms':>10}{'added':>8}" for percent in PERCENTILES
+    ) + f"{'node CPU ms/call':>18}")  # fmt: skip
+    for sample in samples:
+        line = f"{sample.name:<26}{len(sample.times):>7}{sample.failed:>7}"
+        for percent in PERCENTILES:
+            value = sample.percentile(percent)
+            line += f"{value:>10.2f}{value - base.percentile(percent):>8.2f}"
+        cpu = "/".join(
+            f"{seconds / len(sample.times) * 1000:.2f}"
+            for seconds in sample.cpu.values()
+        )
+        print(line + f"{cpu:>18}")
+
+
+def main() -> None:
+    """Run the measurement from the command line."""
+    parser = argparse.ArgumentParser(prog="bench.latency", description=__doc__)
+    parser.add_argument("--client", nargs=4, help=argparse.SUPPRESS)
+    parser.add_argument("--seconds", type=float, default=6.0, help="for each series")
+    parser.add_argument("--rate", type=float, default=RATE, help="calls/s in all")
+    options = parser.parse_args()
+    if options.client:
+        address, path, rate, seconds = options.client
+        key = os.environ.get("BENCH_KEY", "")
+        run_client(address, path, key, float(rate), float(seconds))
+        return
+    with Mesh(("a",)) as mesh:
+        key = start(mesh)
+        entry = mesh.programs["n1"].ready["callers"]
+        direct = mesh.programs["target-n1"].ready["address"]
+        plans = [
+            ("direct to the target", direct, "/near", ""),
+            ("through one node", entry, "/near", key),
+            ("through two nodes", entry, "/far", key),
+        ]
+        samples = [
+            measure(mesh, name, address, path, given, options.rate, options.seconds)
+            for name, address, path, given in plans
+        ]
+        print(f"bench.latency at {options.rate:g} calls/s, {CONNECTIONS} connections")
+        print_samples(samples)
+        memory = resident_bytes(mesh.programs["n1"].process.pid)
+        print(f"resident memory of a node: {memory / 1e6:.0f} MB")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/carawaywheel/attempts.py
+++ b/src/carawaywheel/attempts.py
@@ -24,9 +24,11 @@
 
     Attributes:
         states: State of each known attempt.
+        started_at: Time since which attempts are known, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
+        self.started_at = now
         self.states: dict[str, AttemptState] = {}
         self.expiry: deque[tuple[float, str]] = deque()
 
--- a/src/carawaywheel/charging.py
+++ b/src/carawaywheel/charging.py
@@ -54,9 +54,11 @@
         """
         result = self.borrower.take(account, self.clock.now())
         while isinstance(result, NeedsTokens):
+            # The grant may arrive while the request for it is being sent.
+            event = self.waiting.setdefault(account, curio.Event())
             try:
                 await self.flush(account)
-                await self.wait(account, result.retry_at - self.clock.now())
+                await wait(event, result.retry_at - self.clock.now())
             except curio.CancelledError:
                 self.borrower.give_up(account)
                 raise
@@ -67,16 +69,6 @@
         """Give back the charge of a request that has provably not run."""
         self.borrower.refund(account, self.clock.now())
 
-    async def wait(self, account: str, seconds: float) -> None:
-        """Wait until a grant for an account arrives, or for some seconds."""
-        event = self.waiting.get(account)
-        if event is None:
-            event = self.waiting[account] = curio.Event()
-        try:
-            await curio.timeout_after(max(0.0, seconds), event.wait)
-        except curio.TaskTimeout:
-            return
-
     async def flush(self, account: str | None = None) -> None:
         """Send the requests for tokens that are due."""
         for ref, request in self.borrower.requests(self.clock.now(), account):
@@ -123,3 +115,11 @@
         while True:
             await curio.sleep(FLUSH_INTERVAL_SECONDS)
             await self.flush()
+
+
+async def wait(event: Any, seconds: float) -> None:
+    """Wait until an event is set, or for some seconds."""
+    try:
+        await curio.timeout_after(max(0.0, seconds), event.wait)
+    except curio.TaskTimeout:
+        return
--- a/src/carawaywheel/http.py
+++ b/src/carawaywheel/http.py
@@ -257,7 +257,12 @@
             ProtocolError: If the other side is gone or does not read.
         """
         try:
-            await curio.timeout_after(WRITE_TIMEOUT_SECONDS, self.sock.sendall, data)
+            # Most answers fit the socket's buffer and need no timeout.
+            rest = data[send_some(self.sock, data) :]
+            if rest:
+                await curio.timeout_after(
+                    WRITE_TIMEOUT_SECONDS, self.sock.sendall, rest
+                )
         except (OSError, curio.TaskTimeout) as error:
             self.gone = True
             raise ProtocolError("the answer was not taken", "write", self.peer) from (
@@ -378,6 +383,19 @@
     )
 
 
+def send_some(sock: Any, data: bytes) -> int:
+    """Send what the socket takes without waiting; return the number of bytes.
+
+    Raises:
+        OSError: If the connection is broken.
+    """
+    try:
+        sent: int = sock._socket.send(data)
+    except (BlockingIOError, InterruptedError):
+        return 0
+    return sent
+
+
 def tune_socket(sock: Any) -> None:
     """Send small writes at once and notice connections that went silent.
 
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -1,5 +1,6 @@
 """One node: the core modules with the sockets and timers around them."""
 
+import gc
 import random
 import secrets
 import time
@@ -35,6 +36,7 @@
 from .relay import Relay
 from .retries import ServiceBudget
 from .routing import Router, TargetState
+from .running import CallRunner
 from .serving import TargetServer
 from .settings import NodeSettings
 from .signals import StopSignal
@@ -225,10 +227,13 @@
         self.server = TargetServer(
             self.targets, settings.admission, settings.limit, self.clock, self.rng
         )
+        self.runner = CallRunner(self.server, self.recorder, self.clock)
         self.relay = Relay(
             settings.retry,
             self.router,
             self.signer,
+            self.runner,
+            settings.node_id,
             self.recorder,
             self.clock,
             self.rng,
@@ -245,7 +250,7 @@
             settings.max_body,
         )
         self.peers = PeerHandler(
-            self.server,
+            self.runner,
             self.state,
             self.membership,
             self.followers,
@@ -317,6 +322,9 @@
 
     async def run(self) -> None:
         """Run until a graceful stop is complete."""
+        # Long pauses of the collector come from objects that live as long as the node.
+        gc.collect()
+        gc.freeze()
         tasks = [
             self.sock.run,
             self.watch.run,
@@ -356,7 +364,7 @@
             now = self.clock.now()
             if self.state.tick(now):
                 self.lender.pause()
-            self.peers.attempts.expire(now)
+            self.runner.attempts.expire(now)
             self.note_target()
             self.update_peers()
             if self.state.view() is not view:
--- a/src/carawaywheel/peers.py
+++ b/src/carawaywheel/peers.py
@@ -4,12 +4,10 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs
 
-import curio
 import msgspec
 
-from .attempts import AttemptState, AttemptTable
 from .clock import Clock
-from .contexts import AnswerInfo, RequestContext
+from .contexts import RequestContext
 from .errors import ProtocolError, RecordError
 from .events import EventFilter, encode_events
 from .follower import READ_LIMIT, StreamFollower
@@ -26,8 +24,7 @@
 from .membership import Membership
 from .recorder import Recorder
 from .records import KeyWithdrawn, decode
-from .refusals import Outcome, Ran, Reason, Refusal
-from .serving import Execution, Gate, TargetServer
+from .running import CallRunner, Running
 from .signing import Signer, decode_context, encode_header
 from .state import NodeState
 from .streaming import pass_on
@@ -35,7 +32,6 @@
 MAX_WAIT_SECONDS = 5.0
 BINARY_HEADER = (b"content-type", b"application/msgpack")
 MAX_CONTROL_BYTES = 4 * 1024 * 1024
-STEP = "peer"
 
 
 class PeerHandler(RequestHandler):
@@ -43,7 +39,7 @@
 
     def __init__(
         self,
-        server: TargetServer,
+        runner: CallRunner,
         state: NodeState,
         membership: Membership,
         followers: dict[str, StreamFollower],
@@ -54,7 +50,7 @@
         status: Callable[[], dict[str, object]],
     ) -> None:
         self.status = status
-        self.server = server
+        self.runner = runner
         self.state = state
         self.membership = membership
         self.followers = followers
@@ -62,7 +58,6 @@
         self.recorder = recorder
         self.clock = clock
         self.max_body = max_body
-        self.attempts = AttemptTable()
 
     async def handle(self, connection: ServerConnection, request: Request) -> None:
         """Answer one request of another node."""
@@ -103,132 +98,24 @@
         body: bytes,
         context: RequestContext,
     ) -> None:
-        """Run a request at the local target, unless it was seen before."""
-        if not self.attempts.begin(context.attempt_id):
-            ran = Ran.UNKNOWN
-            if self.attempts.states[context.attempt_id] is AttemptState.FENCED:
-                ran = Ran.NOT_RUN
-            refusal = Refusal(Reason.DUPLICATE, ran, None, STEP, context.service)
-            await self.refuse(connection, context, refusal, context.attempts)
-            return
-        self.recorder.received(context)
+        """Run a request at the local target and pass the answer back."""
+        running = await self.runner.open(context, request, body)
+        whole = False
         try:
-            await self.run(connection, request, body, context)
+            await self.answer(connection, running)
+            whole = True
         finally:
-            self.attempts.finish(context.attempt_id, self.clock.now())
-
-    async def run(
-        self,
-        connection: ServerConnection,
-        request: Request,
-        body: bytes,
-        context: RequestContext,
-    ) -> None:
-        """Admit a request and run it at the target."""
-        deadline = self.clock.now() + context.remaining
-        gate = await self.admit(context, deadline)
-        if isinstance(gate, Refusal):
-            await self.refuse(connection, context, gate, context.attempts)
-            return
-        self.recorder.admitted(context)
-        execution = self.server.begin(context, deadline)
-        started = self.clock.now()
-        latency = 0.0
-        try:
-            refusal = await self.send(execution, gate, request, body)
-            latency = self.clock.now() - started
-            if refusal is None:
-                await self.answer(connection, context, execution, gate)
-            else:
-                await self.refuse(
-                    connection, context, refusal, execution.flight.budget.attempts
-                )
-        finally:
-            if not latency:
-                latency = self.clock.now() - started
-            await self.server.end(execution)
-            await gate.leave(context.attempt_id, execution.outcome, latency)
-
-    async def admit(self, context: RequestContext, deadline: float) -> Gate | Refusal:
-        """Wait for admission until the deadline."""
-        remaining = max(0.0, deadline - self.clock.now())
-        try:
-            return await curio.timeout_after(
-                remaining, self.server.admit, context, context.attempt_id, deadline
-            )
-        except curio.TaskTimeout:
-            return Refusal(
-                Reason.DEADLINE, Ran.NOT_RUN, None, "admission", context.service
-            )
-
-    async def send(
-        self, execution: Execution, gate: Gate, request: Request, body: bytes
-    ) -> Refusal | None:
-        """Send a request to the target until the deadline."""
-        remaining = max(0.0, execution.flight.deadline - self.clock.now())
-        try:
-            return await curio.timeout_after(
-                remaining, self.server.send, execution, gate, request, body
-            )
-        except curio.TaskTimeout:
-            execution.outcome = Outcome.TIMEOUT
-            service = execution.flight.context.service
-            return Refusal(Reason.DEADLINE, Ran.UNKNOWN, None, "target", service)
-
-    async def answer(
-        self,
-        connection: ServerConnection,
-        context: RequestContext,
-        execution: Execution,
-        gate: Gate,
-    ) -> None:
-        """Pass the target's answer back."""
-        answer = execution.answer
-        assert answer is not None
-        flight = execution.flight
-        info = self.make_info(context, gate, flight.budget.attempts, None, execution)
-        # The unused attempts go back with the head and cannot be spent any more.
-        flight.budget.attempts = 0
-        shed = execution.outcome is Outcome.SHED
-        execution.outcome = Outcome.FAILED
-        self.recorder.answered(context)
-        await pass_on(answer, connection, [(ANSWER_HEADER, encode_header(info))])
-        execution.outcome = Outcome.SHED if shed else Outcome.OK
-        self.recorder.ended(context, None)
-
-    def make_info(
-        self,
-        context: RequestContext,
-        gate: Gate | None,
-        unused: int,
-        refusal: Refusal | None,
-        execution: Execution | None,
-    ) -> AnswerInfo:
-        """Describe an answer to the node that asked."""
-        levels = []
-        pressure = 0.0
-        if gate is not None:
-            own = gate.queue.level(context.service, self.clock.now())
-            pressure = own.pressure
-            levels.append(own)
-        if execution is not None:
-            levels += execution.flight.levels.values()
-        return AnswerInfo(context.attempt_id, unused, levels, refusal, pressure)
-
-    async def refuse(
-        self,
-        connection: ServerConnection,
-        context: RequestContext,
-        refusal: Refusal,
-        unused: int,
-    ) -> None:
-        """Refuse a request of another node."""
-        self.recorder.shed(context, refusal)
-        self.recorder.answered(context)
-        gate = self.server.gate
-        info = self.make_info(context, gate, unused, refusal, None)
-        headers = [JSON_HEADER, (ANSWER_HEADER, encode_header(info))]
-        await connection.respond(refusal.status, headers, refusal_body(refusal))
+            await self.runner.close(running, whole)
+
+    async def answer(self, connection: ServerConnection, running: Running) -> None:
+        """Pass the target's answer or the refusal back."""
+        header = (ANSWER_HEADER, encode_header(running.info))
+        refusal = running.info.refusal
+        if refusal is not None:
+            headers = [JSON_HEADER, header]
+            await connection.respond(refusal.status, headers, refusal_body(refusal))
+        elif running.execution is not None and running.execution.answer is not None:
+            await pass_on(running.execution.answer, connection, [header])
 
     async def handle_control(
         self, connection: ServerConnection, request: Request, body: bytes
@@ -237,8 +124,7 @@
         path = request.path
         query = parse_qs(request.target.partition("?")[2])
         if path.startswith("/attempts/"):
-            state = self.attempts.fence(path.rpartition("/")[2], self.clock.now())
-            await self.reply(connection, {"state": state.value})
+            await self.reply_attempt(connection, path.rpartition("/")[2])
         elif path.startswith("/streams/"):
             await self.relay_stream(connection, path.rpartition("/")[2], query)
         elif path == "/members":
@@ -257,6 +143,16 @@
         """Send a JSON answer."""
         await connection.respond(200, [JSON_HEADER], json_body(value))
 
+    async def reply_attempt(
+        self, connection: ServerConnection, attempt_id: str
+    ) -> None:
+        """Tell the state of an attempt, and for how long this process has run."""
+        now = self.clock.now()
+        attempts = self.runner.attempts
+        state = attempts.fence(attempt_id, now)
+        uptime = now - attempts.started_at
+        await self.reply(connection, {"state": state.value, "uptime": uptime})
+
     async def relay_stream(
         self, connection: ServerConnection, stream: str, query: dict[str, list[str]]
     ) -> None:
--- a/src/carawaywheel/pool.py
+++ b/src/carawaywheel/pool.py
@@ -11,7 +11,7 @@
 import h11
 
 from .errors import PeerError
-from .http import MAX_HEAD_BYTES, READ_BYTES, Headers, tune_socket
+from .http import MAX_HEAD_BYTES, READ_BYTES, Headers, send_some, tune_socket
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_PER_ADDRESS = 64
@@ -108,7 +108,9 @@
             data += send(h11.Data(data=body)) or b""
         data += send(h11.EndOfMessage()) or b""
         try:
-            await self.sock.sendall(data)
+            rest = data[send_some(self.sock, data) :]
+            if rest:
+                await self.sock.sendall(rest)
         except OSError as error:
             raise self.failure(str(error), "send") from error
 
@@ -165,6 +167,8 @@
 
     def ready_chunk(self, answer: Answer) -> bytes | None:
         """Return body bytes that need no further read, or None."""
+        if answer.complete:
+            return b""
         event = self.parse()
         if event is h11.NEED_DATA:
             return None
--- a/src/carawaywheel/relay.py
+++ b/src/carawaywheel/relay.py
@@ -28,6 +28,7 @@
 from .refusals import Outcome, Ran, Reason, Refusal
 from .retries import ChainBudget, RetryDecision, ServiceBudget, decide_retry
 from .routing import Candidate, Router
+from .running import CallRunner, Running
 from .settings import RetrySettings
 from .signing import Signer, decode_answer, encode_header
 
@@ -36,6 +37,8 @@
 LAST_LOOK_SECONDS = 0.25
 CHECK_LIMIT_BYTES = 4096
 LATENCY_GAIN = 0.1
+# Clocks of two hosts may run at rates that differ by 2%.
+UPTIME_MARGIN = 1.1
 BODY_METHODS = ("POST", "PUT", "PATCH")
 
 # What a refusal tells the router about the target that it came from.
@@ -106,12 +109,14 @@
         info: What the peer says of the answer.
         candidate: The target that answered.
         started: Time at which the attempt began, in seconds.
+        running: The call at the local target; None if a peer answered.
     """
 
     answer: Answer
     info: AnswerInfo
     candidate: Candidate
     started: float
+    running: Running | None = None
 
 
 class Relay:
@@ -122,10 +127,14 @@
         settings: RetrySettings,
         router: Router,
         signer: Signer,
+        runner: CallRunner,
+        node_id: str,
         recorder: Recorder,
         clock: Clock,
         rng: random.Random,
     ) -> None:
+        self.runner = runner
+        self.node_id = node_id
         self.settings = settings
         self.router = router
         self.signer = signer
@@ -226,6 +235,8 @@
             remaining=max(0.0, call.deadline - started),
             attempts=taken,
         )
+        if candidate.node_id == self.node_id:
+            return await self.run_locally(call, context, candidate, started)
         try:
             connection = await self.pool.acquire(address)
         except PeerError as error:
@@ -249,6 +260,28 @@
             return answer
         return await self.take_answer(call, context, candidate, taken, answer, started)
 
+    async def run_locally(
+        self,
+        call: Call,
+        context: RequestContext,
+        candidate: Candidate,
+        started: float,
+    ) -> Exchange | Refusal:
+        """Run one attempt at the local target, without a connection."""
+        parent_id = call.context.attempt_id if context.depth > 1 else ""
+        self.recorder.sent(context, candidate, parent_id)
+        call.progress.in_doubt = True
+        running = await self.runner.open(context, call.request, call.body)
+        info = running.info
+        call.budget.release(info.attempts_unused, context.attempts)
+        if info.refusal is not None or running.execution is None:
+            call.progress.levels = info.levels
+            await self.runner.close(running, False)
+            return info.refusal or Refusal(Reason.TARGET_FAILED, Ran.UNKNOWN)
+        answer = running.execution.answer
+        assert answer is not None
+        return Exchange(answer, info, candidate, started, running)
+
     async def send(
         self,
         connection: ClientConnection,
@@ -263,6 +296,7 @@
         """
         headers = self.peer_headers(call, context, candidate.address)
         request = call.request
+        sent_at = self.clock.now()
         await connection.send(request.method, request.target, headers, call.body)
         while True:
             try:
@@ -270,7 +304,9 @@
                     SILENCE_SECONDS, connection.receive_head
                 )
             except curio.TaskTimeout:
-                state = await self.ask_state(candidate.address, context.attempt_id)
+                state = await self.ask_state(
+                    candidate.address, context.attempt_id, sent_at
+                )
             if state is AttemptState.RUNNING:
                 continue
             if state is AttemptState.FINISHED:
@@ -291,8 +327,15 @@
         except curio.TaskTimeout:
             return None
 
-    async def ask_state(self, address: str, attempt_id: str) -> AttemptState | None:
-        """Ask a peer for the state of an attempt; None if it does not answer."""
+    async def ask_state(
+        self, address: str, attempt_id: str, sent_at: float
+    ) -> AttemptState | None:
+        """Ask a peer for the state of an attempt.
+
+        Returns:
+            The state; None if the peer does not answer or if its process is younger
+            than the attempt, for an earlier one may have run it.
+        """
         target = f"/attempts/{attempt_id}"
         headers = self.signer.control_headers("POST", target, b"", address)
         try:
@@ -303,7 +346,10 @@
                 target,
                 headers,
             )
-            return AttemptState(json.loads(content)["state"])
+            found = json.loads(content)
+            if found["uptime"] <= (self.clock.now() - sent_at) * UPTIME_MARGIN:
+                return None
+            return AttemptState(found["state"])
         except (PeerError, curio.TaskTimeout, ValueError, KeyError, TypeError):
             return None
 
@@ -386,7 +432,9 @@
         )
         if outcome is Outcome.OK:
             self.learn_latency(exchange.candidate.service, latency)
-        if exchange.answer.complete:
+        if exchange.running is not None:
+            await self.runner.close(exchange.running, outcome is Outcome.OK)
+        elif exchange.answer.complete:
             await self.pool.release(exchange.answer.connection)
         else:
             await self.pool.discard(exchange.answer.connection)
--- a/src/carawaywheel/streaming.py
+++ b/src/carawaywheel/streaming.py
@@ -1,11 +1,14 @@
 """Passing an answer on while it arrives, with bounded memory."""
 
+import curio
+
 from .errors import PeerError, ProtocolError
 from .headers import forwarded_answer_headers
 from .http import Headers, ServerConnection
 from .pool import Answer
 
 WRITE_BATCH_BYTES = 256 * 1024
+STALL_SECONDS = 30.0
 
 
 class CutAnswer(ProtocolError):
@@ -28,7 +31,7 @@
     headers = forwarded_answer_headers(answer.status, answer.headers) + extra
     pending = connection.encode_head(answer.status, headers)
     try:
-        while chunk := await answer.next_chunk():
+        while chunk := await next_chunk(answer):
             pending += connection.encode_data(chunk)
             pending = await write_full(answer, connection, pending)
     except PeerError as error:
@@ -38,6 +41,22 @@
     await connection.write(pending)
 
 
+async def next_chunk(answer: Answer) -> bytes:
+    """Return the next part of an answer.
+
+    Raises:
+        PeerError: If the answer was cut or nothing came for the stall time.
+    """
+    chunk = answer.next_ready()
+    if chunk is not None:
+        return chunk
+    try:
+        return await curio.timeout_after(STALL_SECONDS, answer.next_chunk)
+    except curio.TaskTimeout as error:
+        address = answer.connection.address
+        raise PeerError("the answer stalled", "read body", address, True) from error
+
+
 async def write_full(
     answer: Answer, connection: ServerConnection, pending: bytes
 ) -> bytes:
