Test call chains, lies and freezes of the target stand-in

Cause: these faults of the stand-in had no test; a stand-in that does not show them would make the tests that rely on them pass for no reason. Change: add three tests; calls of the target stand-in report the request id that the answer carried. Conclusion: the stand-ins show the faults that they are told to show.

--- a/standins/target.py
+++ b/standins/target.py
@@ -204,7 +204,8 @@
             headers = [("x-request-id", request_id)]
             answer = await send_request(self.options.node, "GET", path, headers)
             result = {"path": path, "status": answer.status, "whole": answer.whole}
-            made.append({**result, "reason": answer.reason()})
+            answer_id = answer.headers.get("x-request-id", "")
+            made.append({**result, "reason": answer.reason(), "answer_id": answer_id})
         return made
 
     def answer(self, request: Request, calls: list[dict[str, Any]]) -> Response:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -186,3 +186,44 @@
     assert summary["by_status"] == {"200": 50, "cut": 1}
     counts = json.loads(ask(address, "GET", "/counts").body)
     assert len(counts["leaked"]) == 51
+
+
+def test_a_target_echoes_its_request_id_on_calls_and_fails_when_they_fail(start):
+    """Guards against call chains that lose their context or hide a refusal."""
+    below = ("--service", "sonar-vault", "--service-time", "0")
+    _, callee = start("target", *below)
+    above = ("--calls", "/a,/b", "--node", f"http://{callee}", "--service-time", "0")
+    _, address = start("target", "--service", "survey-desk", *above)
+    headers = [("x-request-id", "r1")]
+    answer = ask(address, "GET", "/x", b"", headers)
+    calls = json.loads(answer.body)["calls"]
+    seen = [(call["path"], call["status"], call["answer_id"]) for call in calls]
+    assert seen == [("/a", 200, "r1"), ("/b", 200, "r1")]
+    control(callee, cut_answers=1)
+    assert ask(address, "GET", "/x", b"", headers).status == 502
+
+
+def test_a_lying_target_announces_what_it_is_told_to(start):
+    """Guards against tests of misleading reports that never mislead."""
+    _, log = start("log")
+    announce = ("--announce", f"http://{log}/streams/s/records")
+    _, address = start("target", "--service", "mapdesk", *announce)
+    control(address, lie_load=7.5, lie_health="draining")
+    offset = 0
+    for _ in range(3):
+        records = read_log(log, f"from={offset}&wait={REACH_S}")
+        offset = records["next"]
+    found = json.loads(base64.b64decode(records["records"][-1][1]))
+    assert found["load"] == 7.5
+    assert found["state"] == "draining"
+
+
+def test_a_frozen_target_answers_nothing_until_it_thaws(start):
+    """Guards against tests of silent targets whose target is not silent."""
+    _, address = start("target", "--service", "mapdesk", "--service-time", "0")
+    control(address, freeze=REACH_S)
+
+    frozen = curio.run(caller.request, address, "GET", "/x", [], b"", 0.2)
+    assert frozen.status == caller.NO_ANSWER
+    control(address, freeze=0)
+    assert ask(address, "GET", "/x").whole
