--- a/src/carawaywheel/levels.py
+++ b/src/carawaywheel/levels.py
@@ -1,5 +1,6 @@
 """Overload levels, carried on answers, and early refusal at the entry."""
 
+import math
 import random
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -180,7 +181,8 @@
             learned.pressure = level.pressure
         if now - learned.learned_at >= self.settings.max_age:
             learned.pressure = level.pressure
-        gain = self.settings.gain
+        age = now - learned.learned_at
+        gain = 1.0 - math.exp(-age / self.settings.smoothing)
         learned.pressure += gain * (level.pressure - learned.pressure)
         learned.learned_at = now
         if level.importance_admitted < Importance.CRITICAL:
--- a/src/carawaywheel/limits.py
+++ b/src/carawaywheel/limits.py
@@ -1,5 +1,6 @@
 """Concurrency limit of one target, from the node's own measurements."""
 
+import random
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
@@ -12,6 +13,10 @@
 WINDOW_MAX = 1.0
 # A node that starts under overload would take the latency it finds for normal.
 FIRST_TRIAL_DELAY = 2.0
+# Chances that a trial starts in a window in which latency is high, or in which the
+# last trial is long ago.
+SLOW_TRIAL_CHANCE = 0.2
+DUE_TRIAL_CHANCE = 0.03
 # Requests in flight, as a share of the limit, above which the limit is in use.
 IN_USE_SHARE = 0.8
 # How much of a cut latency must follow for concurrency to count as its cause:
@@ -176,6 +181,7 @@
         declared_slots: int,
         cold_until: float,
         now: float,
+        rng: random.Random | None = None,
     ) -> None:
         """Start at the declared slots, or at a share of them for a cold target.
 
@@ -184,8 +190,11 @@
             declared_slots: Slots that the target declared.
             cold_until: Time until which the target is cold, in seconds.
             now: Time in seconds.
+            rng: Spreads the trials of the nodes of a service over time; without it
+                a trial starts as soon as it is due.
         """
         self.settings = settings
+        self.rng = rng
         self.declared_slots = max(1, declared_slots)
         share = settings.cold_start_share if now < cold_until else 1.0
         self.slots = self._bounded(share * self.declared_slots)
@@ -250,7 +259,9 @@
         self.last_latency = latency
         if slow and self.slots > self.knee:
             self._step_down(latency / self.baseline)
-        elif steady if slow else due:
+        elif (slow and steady and self._chance(SLOW_TRIAL_CHANCE)) or (
+            due and not slow and self._chance(DUE_TRIAL_CHANCE)
+        ):
             self._start_trial(window, latency)
         elif slow:
             self.step = 1.0
@@ -272,6 +283,10 @@
         self.slots = max(self.knee, self.slots * factor)
         self.step = 1.0
 
+    def _chance(self, share: float) -> bool:
+        """Draw at random, since trials at once on all nodes cost throughput."""
+        return self.rng is None or self.rng.random() < share
+
     def _start_trial(self, window: Window, latency: float) -> None:
         self.trial = Trial(self.slots, latency, window.mean_in_flight(), False)
         self.slots = self._bounded(self.slots * (1.0 - self.settings.trial_cut))
--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -51,7 +51,7 @@
         probe_share: Share of requests let through to notice recovery.
         shed_from: Pressure at which shedding begins.
         shed_all: Pressure at which all but CRITICAL requests are shed.
-        gain: Weight of a new level in the moving average, 0 to 1.
+        smoothing: Time constant of the moving average of pressure, in seconds.
         route_age: Seconds for which a service counts as part of a route's chain.
         fair: Whether accounts below their fair share are spared.
         fair_window: Seconds over which the demand of accounts is compared.
@@ -61,7 +61,7 @@
     probe_share: float = 0.02
     shed_from: float = 1.25
     shed_all: float = 3.0
-    gain: float = 0.1
+    smoothing: float = 0.25
     route_age: float = 60.0
     fair: bool = True
     fair_window: float = 2.0
