--- a/src/carawaywheel/levels.py
+++ b/src/carawaywheel/levels.py
@@ -1,5 +1,6 @@
 """Overload levels, carried on answers, and early refusal at the entry."""
 
+import math
 import random
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -10,6 +11,8 @@
 
 STEP = "entry"
 CLASSES_TO_SHED = int(max(Importance))
+# Where answers are rare, one of them must not decide alone.
+LARGEST_GAIN = 0.1
 RETRY_AFTER_MIN = 0.5
 RETRY_AFTER_MAX = 2.0
 
@@ -180,7 +183,8 @@
             learned.pressure = level.pressure
         if now - learned.learned_at >= self.settings.max_age:
             learned.pressure = level.pressure
-        gain = self.settings.gain
+        age = now - learned.learned_at
+        gain = min(1.0 - math.exp(-age / self.settings.smoothing), LARGEST_GAIN)
         learned.pressure += gain * (level.pressure - learned.pressure)
         learned.learned_at = now
         if level.importance_admitted < Importance.CRITICAL:
