--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --target build/site .
 	mkdir -p dist
 	$(BIN)/shiv --site-packages build/site --entry-point carawaywheel.main:run --python "/usr/bin/env python3" --output-file dist/carawaywheel
+	SHIV_ROOT=build/shiv $(BIN)/python -m bench.binary dist/carawaywheel
 
 # A long search of the state machines: make search SEED=7 CASES=tests/test_shares.py
 search: $(STAMP)
--- /dev/null
+++ b/bench/connections.py
@@ -0,0 +1,57 @@
+"""Memory and processor time of a node with many idle connections, on real sockets.
+
+``python -m bench.connections``
+"""
+
+import argparse
+import socket
+import time
+
+from standins.mesh import Mesh
+
+from .latency import cpu_seconds, resident_bytes
+
+COUNTS = (0, 750, 1350)
+SETTLE_SECONDS = 2.0
+IDLE_SECONDS = 5.0
+
+
+def open_connections(address: str, count: int) -> list[socket.socket]:
+    """Open connections, each of which has had one answer."""
+    host, _, port = address.rpartition(":")
+    opened = []
+    for _ in range(count):
+        sock = socket.create_connection((host, int(port)), 5)
+        sock.sendall(b"GET /nowhere HTTP/1.1\r\nhost: bench\r\n\r\n")
+        sock.recv(4096)
+        opened.append(sock)
+    return opened
+
+
+def main() -> None:
+    """Run the measurement from the command line."""
+    parser = argparse.ArgumentParser(prog="bench.connections", description=__doc__)
+    parser.parse_args()
+    print(f"{'connections':>11}{'resident MB':>13}{'KB each':>9}{'idle CPU %':>12}")
+    base = 0
+    for count in COUNTS:
+        with Mesh(("a",)) as mesh:
+            mesh.start_log()
+            node = mesh.start_node("n1", "a")
+            time.sleep(SETTLE_SECONDS)
+            opened = open_connections(node.ready["callers"], count)
+            time.sleep(SETTLE_SECONDS)
+            before = cpu_seconds(node.process.pid)
+            time.sleep(IDLE_SECONDS)
+            used = cpu_seconds(node.process.pid) - before
+            memory = resident_bytes(node.process.pid)
+            base = base or memory
+            each = (memory - base) / 1024 / count if count else 0.0
+            share = used / IDLE_SECONDS * 100
+            print(f"{count:>11}{memory / 1e6:>13.1f}{each:>9.1f}{share:>12.2f}")
+            for sock in opened:
+                sock.close()
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -139,12 +139,16 @@
             "leave-wait": "0.5",
             **(options or {}),
         }
-        arguments = ["-m", "carawaywheel", "node"]
+        arguments = [*self.node_command(), "node"]
         for flag, value in settings.items():
             arguments += [f"--{flag}", value]
         secret = {"CARAWAYWHEEL_FLEET_SECRET": FLEET_SECRET}
         return self.start(name, arguments, secret)
 
+    def node_command(self) -> list[str]:
+        """Return what Python runs for a node."""
+        return ["-m", "carawaywheel"]
+
     def start_target(
         self,
         node: str,
