--- a/src/carawaywheel/charging.py
+++ b/src/carawaywheel/charging.py
@@ -14,6 +14,7 @@
 
 SHARE_KIND = b"s"
 FLUSH_INTERVAL_SECONDS = 0.05
+IDLE_INTERVAL_SECONDS = 0.25
 
 
 class ChargingService(DatagramHandler):
@@ -113,7 +114,8 @@
     async def run(self) -> None:
         """Send what is due for all accounts until cancelled."""
         while True:
-            await curio.sleep(FLUSH_INTERVAL_SECONDS)
+            idle = not self.borrower.active
+            await curio.sleep(IDLE_INTERVAL_SECONDS if idle else FLUSH_INTERVAL_SECONDS)
             await self.flush()
 
 
--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -15,6 +15,7 @@
 LISTEN_BACKLOG = 1024
 ACCEPT_RETRY_SECONDS = 0.05
 HANGUP_INTERVAL_SECONDS = 0.05
+IDLE_INTERVAL_SECONDS = 0.25
 HANGUP_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
@@ -58,7 +59,10 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            await curio.sleep(HANGUP_INTERVAL_SECONDS)
+            idle = not self.busy
+            await curio.sleep(
+                IDLE_INTERVAL_SECONDS if idle else HANGUP_INTERVAL_SECONDS
+            )
             await self.poll()
 
     async def poll(self) -> None:
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -396,16 +396,17 @@
         while True:
             await curio.sleep(RESTATE_INTERVAL_SECONDS)
             members = self.membership.members(self.clock.now())
-            first = rank_readers([member.node_id for member in members])[:1]
-            if first == [self.settings.node_id] and self.state.configuration.caught_up:
-                await self.restate()
+            ranked = rank_readers([member.node_id for member in members])
+            if self.settings.node_id in ranked and self.state.configuration.caught_up:
+                await self.restate(ranked.index(self.settings.node_id))
 
-    async def restate(self) -> None:
-        """Append the restatements that are due."""
+    async def restate(self, rank: int) -> None:
+        """Append the restatements that are due at a node of this rank."""
         follower = self.followers[CONFIGURATION_STREAM]
         due = self.state.configuration.restatements(
-            wall_time(), self.settings.log_retention, follower.cache.log_first
+            wall_time(), self.settings.log_retention, follower.cache.log_first, rank
         )
+        self.state.configuration.forget(follower.cache.log_first)
         for record in due:
             try:
                 data = encode(record, self.settings.fleet_secret)
--- a/src/carawaywheel/serving.py
+++ b/src/carawaywheel/serving.py
@@ -24,6 +24,7 @@
 from .targets import LocalTarget, TargetSource
 
 POLL_INTERVAL_SECONDS = 0.02
+IDLE_INTERVAL_SECONDS = 0.25
 MILLISECONDS = 1000
 SHED_STATUSES = (429, 503)
 NOT_STARTED_HEADER = b"x-not-started"
@@ -166,8 +167,9 @@
     async def run_polls(self) -> None:
         """Drop expired requests from the queue until cancelled."""
         while True:
-            await curio.sleep(POLL_INTERVAL_SECONDS)
-            if self.gate is not None and self.gate.waiting:
+            idle = self.gate is None or not self.gate.waiting
+            await curio.sleep(IDLE_INTERVAL_SECONDS if idle else POLL_INTERVAL_SECONDS)
+            if self.gate is not None:
                 await self.gate.poll()
 
     async def admit(
