Open the peer listener and the gossip socket as a pair

Cause: with port 0 the port of one socket may be taken for the other; a node then did not start ([Errno 98], seen once in three starts). Change: a new pair is tried, up to 20 times.

--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -9,6 +9,7 @@
 import curio
 from loguru import logger
 
+from .datagrams import format_address
 from .errors import ProtocolError
 from .http import BodyBudget, Request, ServerConnection, tune_socket
 
@@ -19,6 +20,15 @@
 HANGUP_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
+def open_socket(host: str, port: int) -> Any:
+    """Return a listening TCP socket; port 0 takes one that is free.
+
+    Raises:
+        OSError: If the address cannot be used.
+    """
+    return curio.tcp_server_socket(host, port, backlog=LISTEN_BACKLOG)
+
+
 class RequestHandler(ABC):
     """Handles the requests of one listener."""
 
@@ -87,8 +97,7 @@
     def __init__(
         self,
         name: str,
-        host: str,
-        port: int,
+        sock: Any,
         handler: RequestHandler,
         watch: HangupWatch,
         limit: int,
@@ -99,9 +108,8 @@
         self.handler = handler
         self.watch = watch
         self.limit = limit
-        self.sock = curio.tcp_server_socket(host, port, backlog=LISTEN_BACKLOG)
-        bound = self.sock.getsockname()
-        self.address = f"{bound[0]}:{bound[1]}"
+        self.sock = sock
+        self.address = format_address(sock.getsockname())
         self.connections: dict[int, ServerConnection] = {}
         self.idle: set[int] = set()
         self.closing = False
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -26,7 +26,7 @@
 from .http import BodyBudget
 from .lenders import Lender
 from .levels import LevelTable
-from .listener import HangupWatch, Listener
+from .listener import HangupWatch, Listener, open_socket
 from .logs import HttpLogService, LogService
 from .members import Member, MemberState
 from .membership import Membership
@@ -57,6 +57,7 @@
 RESTATE_INTERVAL_SECONDS = 5.0
 BACKLOG_SUMMARIES = 60
 STOP_POLL_SECONDS = 0.05
+PORT_TRIES = 20
 READ_LIMIT = 1000
 
 
@@ -113,9 +114,10 @@
         self.recorder = Recorder(buffer, summary, self.clock, settings.statsd)
 
     def build_network(self) -> None:
-        """Open the gossip socket; the peer listener uses the same port number."""
+        """Open the peer listener and the gossip socket, on the same port number."""
         host, port = split_address(self.settings.peer_listen)
-        self.sock = DatagramSocket(host, port, self.signer)
+        tries = 1 if port else PORT_TRIES
+        self.peer_socket, self.sock = open_pair(host, port, self.signer, tries)
         self.watch = HangupWatch()
 
     def build_membership(self) -> None:
@@ -274,17 +276,17 @@
         )
         limit = self.settings.max_connections
         self.bodies = BodyBudget(self.settings.max_buffered)
-        peer_address = self.sock.address
+        callers = open_socket(*split_address(self.settings.listen))
+        admins = open_socket(*split_address(self.settings.admin_listen))
         self.listeners = {
-            "callers": self.listen("callers", self.settings.listen, self.entry, limit),
-            "peers": self.listen("peers", peer_address, self.peers, limit),
-            "admin": self.listen("admin", self.settings.admin_listen, admin, limit),
+            "callers": self.listen("callers", callers, self.entry, limit),
+            "peers": self.listen("peers", self.peer_socket, self.peers, limit),
+            "admin": self.listen("admin", admins, admin, limit),
         }
 
-    def listen(self, name: str, address: str, handler: Any, limit: int) -> Listener:
-        """Open one listener."""
-        host, port = split_address(address)
-        listener = Listener(name, host, port, handler, self.watch, limit, self.bodies)
+    def listen(self, name: str, sock: Any, handler: Any, limit: int) -> Listener:
+        """Serve one listening socket."""
+        listener = Listener(name, sock, handler, self.watch, limit, self.bodies)
         listener.on_protocol_error = self.note_protocol_error
         return listener
 
@@ -496,6 +498,26 @@
         }
 
 
+def open_pair(
+    host: str, port: int, signer: Signer, tries: int
+) -> tuple[Any, DatagramSocket]:
+    """Open a TCP listener and a UDP socket on the same port number.
+
+    A port that the system chose for one of them may be taken for the other.
+
+    Raises:
+        OSError: If no try succeeded.
+    """
+    for _ in range(tries - 1):
+        listener = open_socket(host, port)
+        try:
+            return listener, DatagramSocket(host, listener.getsockname()[1], signer)
+        except OSError:
+            listener._socket.close()
+    listener = open_socket(host, port)
+    return listener, DatagramSocket(host, listener.getsockname()[1], signer)
+
+
 def finite(seconds: float) -> float | None:
     """Return a time for JSON, None if it is infinite."""
     return round(seconds, 3) if seconds < float("inf") else None
