Spend less processor time when idle

Cause: a node read three streams of the log each second and compared all slot holders after each read. Change: the shares stream waits 4 s for a record, the nodes stream is read each 10 s once others are known, and lenders are compared only after a record.

--- a/src/carawaywheel/follower.py
+++ b/src/carawaywheel/follower.py
@@ -20,7 +20,6 @@
 from .pool import Pool
 from .signing import Signer
 
-POLL_WAIT_SECONDS = 1.0
 RETRY_SECONDS = 0.25
 READ_LIMIT = 500
 CACHE_RECORDS = 4096
@@ -111,6 +110,7 @@
         readers: Callable[[], Sequence[str] | None],
         signer: Signer,
         clock: Clock,
+        wait: float,
     ) -> None:
         """Create a follower.
 
@@ -122,7 +122,10 @@
                 node reads the log itself.
             signer: Signs requests to peers.
             clock: Clock.
+            wait: Seconds that a read waits for a record. News is at most this old
+                when nothing changes.
         """
+        self.wait = wait
         self.stream = stream
         self.sink = sink
         self.log = log
@@ -143,7 +146,7 @@
     async def run(self) -> None:
         """Follow the stream until cancelled."""
         while True:
-            if not await self.poll(POLL_WAIT_SECONDS):
+            if not await self.poll(self.wait):
                 await curio.sleep(RETRY_SECONDS)
 
     async def poll(self, wait: float) -> bool:
--- a/src/carawaywheel/gossip.py
+++ b/src/carawaywheel/gossip.py
@@ -24,6 +24,8 @@
 NODES_STREAM = "nodes"
 TICK_SECONDS = 0.1
 REJOIN_SECONDS = 60.0
+CONTACT_SECONDS = 10.0
+ALONE_SECONDS = 1.0
 READ_LIMIT = 1000
 EXCHANGE_TIMEOUT_SECONDS = 2.0
 MAX_EXCHANGE_BYTES = 4 * 1024 * 1024
@@ -119,7 +121,8 @@
         """Publish this node in the log and learn of others until cancelled."""
         while True:
             await self.exchange_contacts()
-            await curio.sleep(1.0)
+            settled = self.joined and len(self.membership.table.live) > 0
+            await curio.sleep(CONTACT_SECONDS if settled else ALONE_SECONDS)
 
     async def exchange_contacts(self) -> None:
         """Append the join record when it is due and read those of others.
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -58,6 +58,10 @@
 BACKLOG_SUMMARIES = 60
 STOP_POLL_SECONDS = 0.05
 PORT_TRIES = 20
+# A withdrawal of a key must reach all nodes within 5 s, over one relay.
+CONFIGURATION_WAIT_SECONDS = 1.0
+# Records arrive at once; without any, a read only renews leases of hours.
+SHARES_WAIT_SECONDS = 4.0
 READ_LIMIT = 1000
 
 
@@ -161,7 +165,9 @@
             settings.news_max_age,
         )
         self.followers = {
-            CONFIGURATION_STREAM: self.make_follower(CONFIGURATION_STREAM, self.state)
+            CONFIGURATION_STREAM: self.make_follower(
+                CONFIGURATION_STREAM, self.state, CONFIGURATION_WAIT_SECONDS
+            )
         }
         self.changes = ChangeService(
             self.state,
@@ -172,10 +178,10 @@
         )
         self.fleet = FleetService(self.membership, self.log, self.signer, self.clock)
 
-    def make_follower(self, stream: str, sink: Any) -> StreamFollower:
-        """Return a follower of a stream."""
+    def make_follower(self, stream: str, sink: Any, wait: float) -> StreamFollower:
+        """Return a follower of a stream whose reads wait for some seconds."""
         return StreamFollower(
-            stream, sink, self.log, self.readers, self.signer, self.clock
+            stream, sink, self.log, self.readers, self.signer, self.clock, wait
         )
 
     def readers(self) -> list[str] | None:
@@ -217,7 +223,9 @@
             self.recorder,
             self.clock,
         )
-        self.followers[SHARES_STREAM] = self.make_follower(SHARES_STREAM, self.slots)
+        self.followers[SHARES_STREAM] = self.make_follower(
+            SHARES_STREAM, self.slots, SHARES_WAIT_SECONDS
+        )
         self.charging = ChargingService(
             node_id, self.borrower, self.lender, self.sock, self.clock
         )
--- a/src/carawaywheel/slotting.py
+++ b/src/carawaywheel/slotting.py
@@ -53,6 +53,7 @@
         self.clock = clock
         self.caught_up = False
         self.accounts: dict[str, tuple[float, float]] = {}
+        self.changed = True
         self.noted: set[int] = set()
 
     def begin(self, offset: int) -> None:
@@ -60,6 +61,7 @@
 
     def take(self, offset: int, data: bytes) -> None:
         """Apply one record; a malformed one is passed over."""
+        self.changed = True
         try:
             record = decode(data, self.secret)
         except RecordError:
@@ -78,11 +80,13 @@
         self.caught_up = True
         self.lender.resume()
         self.table.renew(asked_at)
-        self.update()
-
-    def update(self) -> None:
-        """Tell the lender and the borrower who holds which slot."""
         self.table.update_lender(self.lender, self.clock.now())
+        if self.changed:
+            self.changed = False
+            self.update_borrower()
+
+    def update_borrower(self) -> None:
+        """Tell the borrower who lends from which slot."""
         for slot in range(self.table.settings.slots):
             refs = [
                 LenderRef(claim.holder, claim.domain, claim.term)
