--- a/src/carawaywheel/borrowers.py
+++ b/src/carawaywheel/borrowers.py
@@ -9,6 +9,9 @@
 from .shares import GrantStatus, ShareGrant, ShareRequest, digest, slot_of
 
 STEP = "shares"
+# Share of the loan time before the end of a loan at which it is renewed. Leaves time
+# to repeat a lost request once.
+RENEW_SHARE = 0.25
 
 
 class Taken(NamedTuple):
@@ -259,7 +262,7 @@
         held = sum(lane.held for lane in demand.lanes)
         expected = sum(lane.expected() for lane in demand.lanes)
         urgent = demand.waiting - held - expected
-        if urgent <= 0 and (held + expected) * 2 >= goal:
+        if urgent <= 0 and (held + expected) * 3 >= goal:
             return
         wanted = max(urgent, demand.waiting + goal - held - expected)
         for lane in demand.lanes:
@@ -281,9 +284,10 @@
     ) -> None:
         """Renew or return tokens before they expire and report spent ones."""
         left = lane.valid_until - now
-        if lane.held and left < self.settings.loan_time * 0.4:
+        if lane.held and left < self.settings.loan_time * RENEW_SHARE:
             keep = min(lane.held, goal)
-            self.send(account, lane, 0, 0, keep, now, out)
+            wanted = goal - keep if lane.open(now) else 0
+            self.send(account, lane, 0, wanted, keep, now, out)
         elif lane.spent and not lane.held and lane.prompt:
             self.send(account, lane, 0, 0, 0, now, out)
 
--- a/src/carawaywheel/lenders.py
+++ b/src/carawaywheel/lenders.py
@@ -65,7 +65,9 @@
         outstanding: Sum of all loans, abandoned ones included.
         expiries: Heap of times and borrowers; a time may be out of date.
         abandoned: Heap of times and tokens of loans that were not continued.
-        next_turn: Time in seconds of the next turn that is not given away.
+        pause: Seconds for which borrowers that are turned down stay away.
+        refusals: Requests turned down since the pause was set.
+        counted_at: Time in seconds at which the pause was set.
     """
 
     def __init__(self, slot: int, part: Part, start: float) -> None:
@@ -76,7 +78,9 @@
         self.outstanding = 0
         self.expiries: list[tuple[float, BorrowerKey]] = []
         self.abandoned: list[tuple[float, int]] = []
-        self.next_turn = start
+        self.pause = 0.01
+        self.refusals = 0
+        self.counted_at = start
 
     def resize(self, now: float) -> None:
         """Fit the bucket to what the outstanding loans leave of the burst."""
@@ -136,7 +140,7 @@
         settings: Settings of fleet-wide rates.
         domain: Failure domain of this node.
         domains: All failure domains; each account is divided among them.
-        rng: Source of the spread of turns.
+        rng: Source of the spread of pauses.
         slots: Slots that this node holds.
         accounts: Parts by account, whether this node holds the slot or not.
         paused: Whether the process was frozen and has not read the log since.
@@ -292,11 +296,10 @@
             entry.lend(loan, tokens, now)
         status = GrantStatus.GRANTED
         retry_after = 0.0
-        if tokens < urgent or (request.wanted > 0 and entry.bucket.level < 1):
+        if tokens < urgent:
             status = GrantStatus.EXHAUSTED
-            retry_after = self.turn(entry, now)
-        threshold = entry.part.burst * self.settings.prompt_share
-        prompt = entry.bucket.level < threshold
+            retry_after = self.pause_of(entry, now)
+        prompt = self.is_tight(entry)
         return ShareGrant(
             request.sequence,
             request.account,
@@ -309,22 +312,34 @@
             retry_after,
         )
 
-    def turn(self, entry: Account, now: float) -> float:
-        """Give the next turn at an empty bucket; return the seconds until it.
+    def is_tight(self, entry: Account) -> bool:
+        """Tell whether loans that are spent but not reported hold up the bucket."""
+        part = entry.part
+        if part.burst < part.rate * self.settings.loan_time * MARGIN:
+            return True
+        return entry.bucket.level < part.burst * self.settings.prompt_share
 
-        Turns are spaced by the time that a token takes. Without them, every node
-        would ask again at once while an account is over its rate.
+    def pause_of(self, entry: Account, now: float) -> float:
+        """Return the seconds after which a borrower that was turned down may ask.
+
+        This is the time until the next token while few borrowers ask. The pause
+        grows with the refusals each second, so that an account over its rate does
+        not make every node ask this lender all the time.
         """
-        longest = self.settings.turn_max
+        longest = self.settings.pause_max
         if entry.part.rate <= 0:
             return longest
+        entry.refusals += 1
+        elapsed = now - entry.counted_at
+        if elapsed >= self.settings.pause_window:
+            load = entry.refusals / elapsed / self.settings.refusals_per_second
+            pause = entry.pause * min(2.0, max(0.5, load))
+            entry.pause = min(longest, max(self.settings.pause_min, pause))
+            entry.refusals = 0
+            entry.counted_at = now
         missing = max(0.0, 1 - entry.bucket.level) / entry.part.rate
-        spacing = max(self.settings.turn_spacing, 1 / entry.part.rate)
-        at = max(entry.next_turn, now + missing)
-        if at - now > longest:
-            return longest * self.rng.uniform(0.5, 1.0)
-        entry.next_turn = at + spacing
-        return at - now
+        # Pauses differ, so that the borrowers do not come back at the same time.
+        return max(missing, entry.pause * self.rng.uniform(0.5, 1.5))
 
     def decline(self, request: ShareRequest) -> ShareGrant | None:
         """Answer for a slot that this node may not lend from."""
--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -116,9 +116,12 @@
         ahead_time: Seconds of demand that a borrower holds ahead.
         ahead_floor: Calls each second below which nothing is held ahead.
         ahead_share: Share of a bucket that one request may take ahead of demand.
-        turn_spacing: Shortest time in seconds between the turns that a lender with
-            no tokens gives to the borrowers that it turned down.
-        turn_max: Longest time in seconds until a turn.
+        pause_min: Shortest pause in seconds of borrowers that are turned down, once
+            there are many.
+        pause_max: Longest pause in seconds.
+        pause_window: Seconds over which a lender counts refusals to set the pause.
+        refusals_per_second: Refusals each second, for one account, that a lender
+            aims at by its pauses.
         prompt_share: Level of a bucket, as a share of the burst, below which spent
             tokens are to be reported at once.
     """
@@ -131,9 +134,11 @@
     reply_timeout: float = 0.1
     silence_max: float = 5.0
     demand_window: float = 2.0
-    ahead_time: float = 0.5
+    ahead_time: float = 0.9
     ahead_floor: float = 2.0
     ahead_share: float = 0.25
-    turn_spacing: float = 0.04
-    turn_max: float = 5.0
-    prompt_share: float = 0.5
+    pause_min: float = 0.01
+    pause_max: float = 5.0
+    pause_window: float = 0.5
+    refusals_per_second: float = 25.0
+    prompt_share: float = 0.7
