Suspect a member whose probe fails at any phase of the ticks

Cause: a probe ended at a time of its own. When rounding made the next tick come a hair early, the next probe replaced it and the failure was lost, so on some nodes no failed probe ever counted and a dead member stayed listed. Change: the next probe ends the one before it.

--- a/src/carawaywheel/membership.py
+++ b/src/carawaywheel/membership.py
@@ -190,6 +190,9 @@
             self.suspects[node_id] += now - last
 
     def _probe(self, now: float, out: list[Outgoing]) -> None:
+        failed = self.prober.end_round()
+        if failed is not None:
+            self._suspect(failed, now, out)
         for member in self.table.sample(self.rng, 1):
             sequence = self.prober.begin(member.node_id, now)
             out.append(self._ping(member, sequence, now))
@@ -208,9 +211,6 @@
                         subject.gossip_address,
                     )
                     out.append(Outgoing(helper.gossip_address, request))
-        failed = self.prober.failed(now)
-        if failed is not None:
-            self._suspect(failed, now, out)
 
     def _reconnect(self, now: float, out: list[Outgoing]) -> None:
         """Ping members that were lost, so that the parts of a fleet find each other."""
--- a/src/carawaywheel/probing.py
+++ b/src/carawaywheel/probing.py
@@ -16,19 +16,15 @@
         node_id: Member that was pinged.
         sequence: Number of the ping.
         indirect_at: Time in seconds at which others are asked to ping.
-        ends_at: Time in seconds at which the member is suspected.
         asked: Whether others have been asked.
     """
 
-    __slots__ = ("node_id", "sequence", "indirect_at", "ends_at", "asked")
+    __slots__ = ("node_id", "sequence", "indirect_at", "asked")
 
-    def __init__(
-        self, node_id: str, sequence: int, indirect_at: float, ends_at: float
-    ) -> None:
+    def __init__(self, node_id: str, sequence: int, indirect_at: float) -> None:
         self.node_id = node_id
         self.sequence = sequence
         self.indirect_at = indirect_at
-        self.ends_at = ends_at
         self.asked = False
 
 
@@ -81,12 +77,8 @@
     def begin(self, node_id: str, now: float) -> int:
         """Start a probe of a member and return its number."""
         sequence = self.new_sequence()
-        self.pending = Probe(
-            node_id,
-            sequence,
-            now + self.settings.probe_timeout,
-            now + self.settings.probe_interval,
-        )
+        indirect_at = now + self.settings.probe_timeout
+        self.pending = Probe(node_id, sequence, indirect_at)
         return sequence
 
     def must_ask(self, now: float) -> Probe | None:
@@ -97,13 +89,14 @@
         probe.asked = True
         return probe
 
-    def failed(self, now: float) -> str | None:
-        """Return the member whose probe has now failed, and end the probe."""
-        probe = self.pending
-        if probe is None or now < probe.ends_at:
-            return None
-        self.pending = None
-        return probe.node_id
+    def end_round(self) -> str | None:
+        """End the probe that is still unacknowledged and return its member.
+
+        The next probe ends the one before it, and not a time of its own: a tick that
+        comes a rounding error early would replace the probe and lose the failure.
+        """
+        probe, self.pending = self.pending, None
+        return probe.node_id if probe else None
 
     def add_relay(self, relay: Relay) -> int:
         """Store a ping on behalf of another member and return its number."""
