Carry suspicions and deaths in a short form

Cause: when a domain of 143 nodes was lost, full descriptions of the lost members filled every datagram. Change: suspected and dead members travel as node id, incarnation and state. A node no longer spreads a death that it concluded from a suspicion, as the others come to it by themselves. The comparison before a judgement is built saves time only; the rule that a newer incarnation prevails is tested behind it.

--- a/src/carawaywheel/dissemination.py
+++ b/src/carawaywheel/dissemination.py
@@ -7,9 +7,9 @@
 import heapq
 import math
 
-from .members import Member, MemberTable
+from .members import Entry, Member, MemberState, MemberTable
 from .settings import MembershipSettings
-from .swim import Kind, Message, update_room
+from .swim import JUDGEMENT_BYTES, Judgement, Kind, Message, update_room
 
 TRANSMIT_FACTOR = 3
 
@@ -39,10 +39,11 @@
         """Return the ids to carry on one message of ``room`` bytes."""
         if not self.sent:
             return []
-        if len(self.sent) <= self.settings.updates_per_message:
+        count = self.settings.updates_per_message
+        count += self.settings.judgements_per_message
+        if len(self.sent) <= count:
             ids = sorted(self.sent, key=self.sent.__getitem__)
         else:
-            count = self.settings.updates_per_message
             ids = heapq.nsmallest(count, self.sent, key=self.sent.__getitem__)
         taken = self._fit(table, ids, room)
         limit = self.limit(len(table.entries))
@@ -75,15 +76,21 @@
 
     def _fit(self, table: MemberTable, ids: list[str], room: int) -> list[str]:
         taken = []
+        updates = self.settings.updates_per_message
+        judgements = self.settings.judgements_per_message
         for node_id in ids:
             entry = table.entries.get(node_id)
             if entry is None:
                 self.sent.pop(node_id, None)
                 self.urgent.pop(node_id, None)
                 continue
-            if entry.size > room:
-                break
-            room -= entry.size
+            short = is_short(entry)
+            size = len(node_id.encode()) + JUDGEMENT_BYTES if short else entry.size
+            if size > room or not (judgements if short else updates):
+                continue
+            judgements -= short
+            updates -= not short
+            room -= size
             taken.append(node_id)
         return taken
 
@@ -94,6 +101,11 @@
         self.refilled_at = now
 
 
+def is_short(entry: Entry) -> bool:
+    """Return whether an update is carried as a judgement."""
+    return MemberState.ALIVE < entry.member.state < MemberState.LEFT
+
+
 class Composer:
     """Builds the messages of one node."""
 
@@ -117,7 +129,7 @@
         own = self.table.current(self.table.own_id, now)
         view = self.table.view
         offset = own.log_offset
-        return Message(kind, sequence, own, subject, address, offset, view, [], [])
+        return Message(kind, sequence, own, subject, address, offset, view, [], [], [])
 
     def digest(self, sequence: int, now: float) -> Message:
         """Return a message with the digests of all buckets."""
@@ -139,7 +151,16 @@
         if first is not None:
             message.updates.append(first)
             room -= self.table.entries[first.node_id].size
-        for node_id in self.queue.take(self.table, room):
-            if node_id != self.table.own_id:
-                message.updates.append(self.table.current(node_id, now))
+        self.carry(message, self.queue.take(self.table, room), now)
         return message
+
+    def carry(self, message: Message, node_ids: list[str], now: float) -> None:
+        """Add the news of members to a message; the node itself is its sender."""
+        for node_id in node_ids:
+            entry = self.table.entries[node_id]
+            member = entry.member
+            if is_short(entry):
+                judgement = Judgement(node_id, member.incarnation, member.state)
+                message.judgements.append(judgement)
+            elif node_id != self.table.own_id:
+                message.updates.append(entry.current(now))
--- a/src/carawaywheel/membership.py
+++ b/src/carawaywheel/membership.py
@@ -23,7 +23,7 @@
 from .probing import Prober, Relay
 from .reconciliation import Reconciler
 from .settings import MembershipSettings
-from .swim import MAX_MEMBER_BYTES, Kind, Message, Outgoing, update_room
+from .swim import MAX_MEMBER_BYTES, Judgement, Kind, Message, Outgoing, update_room
 
 CONTACTS_WHEN_ALONE = 3
 HOUSEKEEPING_INTERVAL_S = 1.0
@@ -112,6 +112,8 @@
         spread = message.kind is not Kind.RECORDS
         for member in message.updates:
             self._hear(member, now, spread)
+        for judgement in message.judgements:
+            self._hear_judgement(judgement, now)
         out = self._handle(message, sender, tell, now)
         refuted = self.own.incarnation != incarnation
         if not out and (tell or refuted):
@@ -235,12 +237,8 @@
         )
         if not ids:
             return []
-        updates = [
-            self.table.current(node_id, now)
-            for node_id in ids
-            if node_id != self.own.node_id
-        ]
-        message = self.composer.plain(Kind.UPDATE, now)._replace(updates=updates)
+        message = self.composer.plain(Kind.UPDATE, now)
+        self.composer.carry(message, ids, now)
         receivers = self.table.sample(self.rng, self.settings.urgent_fanout)
         return [Outgoing(member.gossip_address, message) for member in receivers]
 
@@ -314,6 +312,17 @@
                 spread = True
             self._accept(member, known, now, spread)
 
+    def _hear_judgement(self, judgement: Judgement, now: float) -> None:
+        known = self.table.get(judgement.node_id)
+        # Most judgements are old news: return before a description is built.
+        if known is None or judgement[1:] <= (known.incarnation, known.state):
+            return
+        current = self.table.current(judgement.node_id, now)
+        judged = current._replace(
+            incarnation=judgement.incarnation, state=judgement.state
+        )
+        self._hear(judged, now, spread=True)
+
     def _check_own(self, member: Member, now: float) -> None:
         """Refute what others hold about this node if it is wrong."""
         if member.incarnation < self.own.incarnation:
@@ -352,7 +361,8 @@
         for node_id in expired:
             known = self.table.current(node_id, now)
             dead = known._replace(state=MemberState.DEAD)
-            self._accept(dead, known, now, spread=True)
+            # Each node that heard of the suspicion comes to this by itself.
+            self._accept(dead, known, now, spread=False)
 
     def _restate(self, incarnation: int, now: float, **changes: object) -> None:
         current = self.table.current(self.own.node_id, now)
--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -101,7 +101,8 @@
         forget_time: Seconds a dead or left member is remembered. Longer than a
             partition that is to be healed, as the parts find each other again
             through the members that they remember.
-        updates_per_message: Updates carried on one datagram.
+        updates_per_message: Full descriptions carried on one datagram.
+        judgements_per_message: Suspected and dead members named on one datagram.
         urgent_fanout: Members that an urgent update is pushed to at a time.
         urgent_rounds: How many times a node pushes an urgent update.
         urgent_rate: Pushed datagrams a second on average.
@@ -117,6 +118,7 @@
     suspect_time: float = 3.0
     forget_time: float = 7200.0
     updates_per_message: int = 8
+    judgements_per_message: int = 32
     urgent_fanout: int = 4
     urgent_rounds: int = 2
     urgent_rate: float = 4.0
--- a/src/carawaywheel/swim.py
+++ b/src/carawaywheel/swim.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from .errors import ProtocolError
-from .members import Member
+from .members import Member, MemberState
 
 MAX_DATAGRAM_BYTES = 1200
 SIGNATURE_BYTES = 16
@@ -14,6 +14,8 @@
 # Kind, sequence, log offset, view and list headers at their longest encoding.
 FIXED_BYTES = 48
 MAX_MEMBER_BYTES = 400
+# A judgement beside its node id: headers, incarnation and state.
+JUDGEMENT_BYTES = 14
 
 
 class Kind(enum.IntEnum):
@@ -27,6 +29,20 @@
     RECORDS = 5
 
 
+class Judgement(NamedTuple):
+    """State of a member in the short form, for receivers that know the member.
+
+    Attributes:
+        node_id: Id of the member.
+        incarnation: Incarnation that is judged.
+        state: SUSPECT or DEAD.
+    """
+
+    node_id: str
+    incarnation: int
+    state: MemberState
+
+
 class Message(NamedTuple):
     """One datagram between two nodes.
 
@@ -42,6 +58,7 @@
         view: Digest of the live members that the sender knows.
         buckets: Digest of each bucket, in a DIGEST only.
         updates: Descriptions of members.
+        judgements: Suspected and dead members.
     """
 
     kind: Kind
@@ -53,6 +70,7 @@
     view: int
     buckets: list[int]
     updates: list[Member]
+    judgements: list[Judgement]
 
 
 class Outgoing(NamedTuple):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,7 +12,7 @@
 from carawaywheel.probing import Prober
 from carawaywheel.routing import TargetState
 from carawaywheel.settings import MembershipSettings
-from carawaywheel.swim import MAX_MESSAGE_BYTES, Kind, decode, encode
+from carawaywheel.swim import MAX_MESSAGE_BYTES, Judgement, Kind, decode, encode
 
 SETTINGS = MembershipSettings()
 STEP_S = 0.1
@@ -213,6 +213,20 @@
     assert restated.message.sender.incarnation == 1
 
 
+def test_judgement_in_short_form_follows_the_same_rules():
+    """Guards against short news that kills at once, is old or goes unrefuted."""
+    fleet = make_fleet(3)
+    node = fleet.nodes["n0"]
+    fleet.nodes["n2"].update_self(fleet.now, slots=5)
+    fleet.run(3.0)
+    dead = [Judgement(f"n{n}", 0, MemberState.DEAD) for n in range(3)]
+    message = fleet.nodes["n2"].composer.plain(Kind.UPDATE, fleet.now)
+    node.receive(message._replace(judgements=dead), "udp-n2", fleet.now)
+    assert node.own.incarnation == 1
+    assert node.table.get("n1").state is MemberState.SUSPECT
+    assert node.table.get("n2").state is MemberState.ALIVE
+
+
 def test_answer_of_another_node_does_not_end_a_probe():
     """Guards against a dead member whose address a new host answers."""
     prober = Prober(SETTINGS, random.Random(1))
