Spare the router look-ups on the path of each call

Change: keep the lists of the own and of other domains, compare with other domains only above the margin, and look for failing targets only after a failure. Conclusion: the test of the margin now fails when the margin is left out.

--- a/src/carawaywheel/ejection.py
+++ b/src/carawaywheel/ejection.py
@@ -71,6 +71,7 @@
         self.settings = settings
         self.records: dict[str, Record] = {}
         self.ejected_count = 0
+        self.any_failing = False
 
     def keep(self, target_ids: Collection[str]) -> None:
         """Replace the set of targets and lift ejections above the bound."""
@@ -166,7 +167,10 @@
         return self.failed(target_id, now)
 
     def failing(self, target_id: str) -> bool:
-        """Return whether a usable target has reached the count for ejection."""
+        """Return whether a usable target has reached the count for ejection.
+
+        ``any_failing`` spares this look-up until a target has failed so often.
+        """
         record = self.records.get(target_id)
         if record is None or record.ejected:
             return False
@@ -191,6 +195,7 @@
         return True
 
     def _eject(self, record: Record, now: float) -> bool:
+        self.any_failing = True
         if self.ejected_count >= self.bound():
             return False
         self.ejected_count += 1
--- a/src/carawaywheel/routing.py
+++ b/src/carawaywheel/routing.py
@@ -60,16 +60,18 @@
 
     Attributes:
         candidate: The announced candidate.
+        near: Whether it is in the own failure domain.
         in_flight: Requests that this node has in flight at the target.
         pressure: Last load carried on an answer.
         latency: Smoothed latency in seconds.
         heard_at: Time in seconds of the last answer, or None.
     """
 
-    __slots__ = ("candidate", "in_flight", "pressure", "latency", "heard_at")
+    __slots__ = ("candidate", "near", "in_flight", "pressure", "latency", "heard_at")
 
-    def __init__(self, candidate: Candidate) -> None:
+    def __init__(self, candidate: Candidate, near: bool) -> None:
         self.candidate = candidate
+        self.near = near
         self.in_flight = 0
         self.pressure = 0.0
         self.latency = 0.0
@@ -82,14 +84,20 @@
     Attributes:
         targets: Targets that are cold or ready.
         ejector: Ejection state of these targets.
-        pressure: Mean pressure over recent answers, or None before the first.
+        pressure: Mean pressure over recent answers.
         latency: Mean latency over recent answers, in seconds.
+        heard: Whether any answer was heard.
+        own: Those of the targets that are in the own failure domain.
+        other: Those that are not.
     """
 
     def __init__(self, settings: RoutingSettings) -> None:
         self.targets: list[Target] = []
+        self.own: list[Target] = []
+        self.other: list[Target] = []
         self.ejector = Ejector(settings)
-        self.pressure: float | None = None
+        self.heard = False
+        self.pressure = 0.0
         self.latency = 0.0
 
 
@@ -206,10 +214,12 @@
 
     def _renew(self, candidate: Candidate) -> Target:
         target = self.targets.get(candidate.target_id)
+        near = candidate.domain == self.own_domain
         if target is None:
-            return Target(candidate)
+            return Target(candidate, near)
         before = target.candidate
         target.candidate = candidate
+        target.near = near
         turned_cold = candidate.state is TargetState.COLD is not before.state
         if turned_cold or candidate.address != before.address:
             target.heard_at = None
@@ -227,6 +237,8 @@
         for service, targets in members.items():
             pool = self.pools.get(service) or Pool(self.settings)
             pool.targets = targets
+            pool.own = [target for target in targets if target.near]
+            pool.other = [target for target in targets if not target.near]
             pool.ejector.keep([target.candidate.target_id for target in targets])
             pools[service] = pool
         self.pools = pools
@@ -248,38 +260,49 @@
         return usable
 
     def _choose_by_domain(self, pool: Pool, usable: list[Target], now: float) -> Target:
-        own: list[Target] = []
-        other: list[Target] = []
-        for target in usable:
-            in_own = target.candidate.domain == self.own_domain
-            (own if in_own else other).append(target)
+        if usable is pool.targets:
+            own, other = pool.own, pool.other
+        else:
+            own = [target for target in usable if target.near]
+            other = [target for target in usable if not target.near]
         if not own or not other:
             return self._choose_of_two(pool, own or other, now)[0]
         near, near_load = self._choose_of_two(pool, own, now)
+        margin = self.settings.domain_margin
+        if near_load <= margin:
+            return near
         far, far_load = self._choose_of_two(pool, other, now)
-        return far if near_load > far_load + self.settings.domain_margin else near
+        return far if near_load > far_load + margin else near
 
     def _choose_of_two(
         self, pool: Pool, targets: list[Target], now: float
     ) -> tuple[Target, float]:
-        first = self._draw(targets, now)
+        count = len(targets)
+        if count == 1:
+            return targets[0], self._load(pool, targets[0], now)
+        index = int(self.rng.random() * count)
+        if not self._takes_part(targets[index], now):
+            index = self._another(index, count)
+        first = targets[index]
         first_load = self._load(pool, first, now)
-        if len(targets) == 1:
+        second = targets[self._another(index, count)]
+        if not self._takes_part(second, now):
             return first, first_load
-        second = self._draw([t for t in targets if t is not first], now)
         second_load = self._load(pool, second, now)
         if second_load < first_load:
             return second, second_load
         return first, first_load
 
-    def _draw(self, targets: list[Target], now: float) -> Target:
-        """Draw one target; a cold one is passed over in proportion to its age."""
-        target = targets[int(self.rng.random() * len(targets))]
+    def _another(self, index: int, count: int) -> int:
+        """Return a random index below ``count`` other than the given one."""
+        other = int(self.rng.random() * (count - 1))
+        return other + 1 if other >= index else other
+
+    def _takes_part(self, target: Target, now: float) -> bool:
+        """Return whether a drawn target counts; a cold one does now and then."""
         if target.candidate.state is not TargetState.COLD:
-            return target
-        if self.rng.random() < self._share(target.candidate, now):
-            return target
-        return targets[int(self.rng.random() * len(targets))]
+            return True
+        return self.rng.random() < self._share(target.candidate, now)
 
     def _share(self, candidate: Candidate, now: float) -> float:
         """Return the part of its slots that a target should be given now."""
@@ -295,23 +318,30 @@
         target that was avoided for long is neither shunned nor flooded. A target
         that was never heard counts as idle.
         """
-        weight = 1.0
-        if target.heard_at is not None:
-            age = now - target.heard_at
-            weight = max(0.0, 1.0 - age / self.settings.pressure_age)
         candidate = target.candidate
-        slots = max(1.0, candidate.slots * self._share(candidate, now))
-        mean = pool.pressure or 0.0
-        pressure = target.pressure * weight + mean * (1.0 - weight)
-        load = (target.in_flight + 1) / slots + pressure
-        if pool.latency > 0.0 and weight > 0.0:
-            ratio = min(target.latency / pool.latency, MAX_LATENCY_RATIO)
-            if ratio > self.settings.latency_tolerance:
-                load *= 1.0 + (ratio - self.settings.latency_tolerance) * weight
-        if pool.ejector.failing(candidate.target_id):
+        slots = float(candidate.slots)
+        if candidate.state is TargetState.COLD:
+            slots *= self._share(candidate, now)
+        load = (target.in_flight + 1) / max(1.0, slots)
+        if target.heard_at is not None:
+            weight = 1.0 - (now - target.heard_at) / self.settings.pressure_age
+            if weight <= 0.0:
+                load += pool.pressure
+            else:
+                load += target.pressure * weight + pool.pressure * (1.0 - weight)
+                excess = self._excess_latency(pool, target)
+                load *= 1.0 + excess * weight
+        if pool.ejector.any_failing and pool.ejector.failing(candidate.target_id):
             load += FAILING_LOAD
         return load
 
+    def _excess_latency(self, pool: Pool, target: Target) -> float:
+        """Return by how much the latency ratio to the mean exceeds the tolerance."""
+        if pool.latency <= 0.0:
+            return 0.0
+        ratio = min(target.latency / pool.latency, MAX_LATENCY_RATIO)
+        return max(0.0, ratio - self.settings.latency_tolerance)
+
     def _learn(
         self,
         pool: Pool,
@@ -325,7 +355,8 @@
         if outcome is Outcome.SHED:
             heard = max(heard, SHED_PRESSURE)
         target.pressure = heard
-        if pool.pressure is None:
+        if not pool.heard:
+            pool.heard = True
             pool.pressure = heard
         pool.pressure += SMOOTHING * (heard - pool.pressure)
         if outcome is Outcome.OK:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -64,7 +64,8 @@
 def test_own_domain_is_kept_until_its_load_exceeds_the_margin():
     """Guards against needless cross-domain calls and against a hot domain."""
     router = make_router(make_candidate("x", "a"), make_candidate("y", "b"))
-    router.finish("x", 0.0, Outcome.OK, 0.01, 0.2)
+    router.finish("x", 0.0, Outcome.OK, 0.01, 0.5)
+    router.finish("y", 0.0, Outcome.OK, 0.01, 0.3)
     assert set(chosen(router, 0.0)) == {"x"}
     for _ in range(60):
         router.finish("x", 0.0, Outcome.OK, 0.01, 0.95)
