--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,7 +12,7 @@
 from carawaywheel.probing import Prober
 from carawaywheel.routing import TargetState
 from carawaywheel.settings import MembershipSettings
-from carawaywheel.swim import MAX_MESSAGE_BYTES, Kind, decode, encode
+from carawaywheel.swim import MAX_MESSAGE_BYTES, Judgement, Kind, decode, encode
 
 SETTINGS = MembershipSettings()
 STEP_S = 0.1
@@ -213,12 +213,38 @@
     assert restated.message.sender.incarnation == 1
 
 
+def test_judgement_in_short_form_follows_the_same_rules():
+    """Guards against short news that kills at once, is old or goes unrefuted."""
+    fleet = make_fleet(3)
+    node = fleet.nodes["n0"]
+    fleet.nodes["n2"].update_self(fleet.now, slots=5)
+    fleet.run(3.0)
+    dead = [Judgement(f"n{n}", 0, MemberState.DEAD) for n in range(3)]
+    message = fleet.nodes["n2"].composer.plain(Kind.UPDATE, fleet.now)
+    node.receive(message._replace(judgements=dead), "udp-n2", fleet.now)
+    assert node.own.incarnation == 1
+    assert node.table.get("n1").state is MemberState.SUSPECT
+    assert node.table.get("n2").state is MemberState.ALIVE
+
+
 def test_answer_of_another_node_does_not_end_a_probe():
     """Guards against a dead member whose address a new host answers."""
     prober = Prober(SETTINGS, random.Random(1))
     sequence = prober.begin("old", 0.0)
     prober.acknowledged(sequence, "new")
-    assert prober.failed(1.0) == "old"
+    assert prober.end_round() == "old"
+
+
+def test_probe_fails_at_any_phase_of_the_ticks():
+    """Guards against a failed probe that the next one replaces unnoticed."""
+    for phase in range(50):
+        node = Membership(SETTINGS, make_member("n0"), random.Random(phase))
+        node.merge([make_member("n1")], 0.0)
+        now = phase / 7
+        for _ in range(35):
+            now += STEP_S
+            node.tick(now)
+        assert node.table.get("n1").state is MemberState.SUSPECT
 
 
 def test_member_that_left_stays_gone_and_may_return():
@@ -350,7 +376,7 @@
                     assert member.incarnation > self.gone.get(key, -1)
 
     def teardown(self):
-        self.fleet.loss = self.fleet.repeat = 0.0
+        self.fleet.loss, self.fleet.repeat, self.fleet.delay = 0.0, 0.0, 0.05
         self.fleet.frozen, self.fleet.parted = set(), set()
         self.fleet.run(90.0)
         assert self.fleet.agree(), self.fleet.views()
