Restate the slots before the log forgets their claims

Cause: a reader that starts after the first claims were forgotten could take a claim that lost for the valid one and, after a restart, lend beside the real holder. Ruled out: trusting the first claim that is still there (it may be the loser's); trusting objections (they may be appended late). Change: records are held back until a restatement leaves no gap; a holder that missed records stops lending; without any base, an empty one comes after every lease lapsed.

--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -220,6 +220,7 @@
             self.membership,
             self.log,
             settings.fleet_secret,
+            settings.log_retention,
             self.recorder,
             self.clock,
         )
--- a/src/carawaywheel/records.py
+++ b/src/carawaywheel/records.py
@@ -16,6 +16,7 @@
 from .errors import RecordError
 from .evidence import SlotClaim, SlotNotice, SlotObjection, SlotRelease
 from .policies import Name, PolicyDocument
+from .slothistory import SlotsRestated
 from .summaries import Summary
 
 # Version of an entry that does not exist; offset 0 is a valid version.
@@ -200,6 +201,7 @@
     | SlotRelease
     | SlotNotice
     | SlotObjection
+    | SlotsRestated
     | ClaimMade
     | ClaimReleased
     | Summary
@@ -219,6 +221,7 @@
     "slot-release": SlotRelease,
     "slot-notice": SlotNotice,
     "slot-objection": SlotObjection,
+    "slot-restate": SlotsRestated,
     "claim": ClaimMade,
     "claim-release": ClaimReleased,
     "summary": Summary,
--- a/src/carawaywheel/slots.py
+++ b/src/carawaywheel/slots.py
@@ -125,6 +125,14 @@
             if claim.holder == record.node and claim.incarnation <= record.incarnation:
                 self.states[key] = state._replace(forgotten=True)
 
+    def restore(self, state: SlotState) -> None:
+        """Take over the state of a slot from a restatement."""
+        claim = state.claim
+        self.states[(claim.domain, claim.slot)] = state
+        if state.notice is not None and self.is_own(claim):
+            # The notice may be older than this node's last news.
+            self.lease_from[claim.slot] = float("-inf")
+
     def renew(self, now: float) -> None:
         """Take note that the whole log as of ``now`` has been applied.
 
--- a/src/carawaywheel/slotting.py
+++ b/src/carawaywheel/slotting.py
@@ -8,13 +8,14 @@
 from .errors import LogError, RecordError
 from .events import EventKind
 from .evidence import ForgetNode, SlotRecord
-from .follower import RecordSink
+from .follower import RecordSink, rank_readers
 from .lenders import Lender
 from .logs import LogService
 from .members import Member
 from .membership import Membership
 from .recorder import Recorder
 from .records import NodeForgotten, Record, decode, encode
+from .slothistory import SlotHistory, SlotsRestated
 from .slots import SlotMember, SlotTable
 from .views import View
 
@@ -40,9 +41,11 @@
         membership: Membership,
         log: LogService,
         secret: bytes,
+        retention: float,
         recorder: Recorder,
         clock: Clock,
     ) -> None:
+        self.retention = retention
         self.table = table
         self.lender = lender
         self.borrower = borrower
@@ -53,11 +56,15 @@
         self.clock = clock
         self.caught_up = False
         self.accounts: dict[str, tuple[float, float]] = {}
+        self.history = SlotHistory(table)
+        self.oldest = 0
         self.changed = True
         self.noted: set[int] = set()
 
     def begin(self, offset: int) -> None:
         """Note the oldest offset that the stream still has."""
+        self.oldest = offset
+        self.history.begin(offset)
 
     def take(self, offset: int, data: bytes) -> None:
         """Apply one record; a malformed one is passed over."""
@@ -66,12 +73,16 @@
             record = decode(data, self.secret)
         except RecordError:
             self.recorder.count("shares.malformed")
+            self.history.skip(offset)
             return
+        now = self.clock.now()
         if isinstance(record, NodeForgotten):
             gone = ForgetNode(record.node_id, record.incarnation)
-            self.table.apply(gone, self.clock.now())
-        elif isinstance(record, SlotRecord):
-            self.table.apply(record, self.clock.now())
+            self.history.take(offset, gone, now)
+        elif isinstance(record, SlotRecord | SlotsRestated):
+            self.history.take(offset, record, now)
+        else:
+            self.history.skip(offset)
 
     def reached_end(self, asked_at: float) -> None:
         """Renew the leases and tell the lender and the borrower who holds what."""
@@ -116,6 +127,8 @@
             await curio.sleep(CLAIM_INTERVAL_SECONDS)
             self.note_slots()
             if self.caught_up:
+                await self.restate()
+            if self.caught_up and self.history.exact:
                 await self.claim()
 
     def note_slots(self) -> None:
@@ -128,6 +141,17 @@
             text = f"gained {gained}, lost {lost}, holds {len(held)}"
             self.recorder.state_event(EventKind.SLOT_CHANGED, text)
 
+    async def restate(self) -> None:
+        """Append a restatement of all slots if it is due."""
+        now = self.clock.now()
+        members = self.membership.members(now)
+        ranked = rank_readers([member.node_id for member in members])
+        own = self.membership.own.node_id
+        rank = ranked.index(own) if own in ranked else len(ranked)
+        due = self.history.due(now, self.retention, self.oldest, rank)
+        if due is not None:
+            await self.append(due)
+
     async def claim(self) -> None:
         """Append the claims, notices and objections that are due."""
         now = self.clock.now()
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -13,11 +13,13 @@
     SlotRelease,
 )
 from carawaywheel.records import decode, encode
+from carawaywheel.slothistory import SlotEntry, SlotsRestated
 from carawaywheel.summarizer import Summarizer
 
 SECRET = b"fleet secret"
 DOCUMENT = {"team": "okonkwo", "services": [], "routes": [], "accounts": []}
 KEY_ID = "0123456789abcdef"
+CLAIM = SlotClaim(5, "east-1", 1, "n1", 2, "127.0.0.1:7000", ClaimKind.FREE)
 RECORDS = [
     records.PolicyPublished("c1", "/teams/okonkwo", -1, 4, "ana", "é", 5.5, DOCUMENT),
     records.KeyIssued("c2", "okonkwo", KEY_ID, 0, "d", "hall", "ana", "new", 1.0),
@@ -29,10 +31,13 @@
     records.NodeForgotten("n1", 2, "root", "burnt", 1.0),
     records.NodeJoined("n1", 2, "east-1", ["127.0.0.1:7000"], 1.0),
     records.NodeLeft("n1", 2, 1.0),
-    SlotClaim(5, "east-1", 1, "n1", 2, "127.0.0.1:7000", ClaimKind.FREE),
+    CLAIM,
     SlotRelease(5, "east-1", 1, "n1", 2),
     SlotNotice(5, "east-1", 1, "n1", 2),
     SlotObjection(5, "east-1", 1, "n1", 2),
+    SlotsRestated(
+        [SlotEntry(CLAIM, False, True, SlotNotice(5, "east-1", 1, "n1", 2), 1)], 7
+    ),
     records.ClaimMade("id", "c7", "n1"),
     records.ClaimReleased("id", "c7"),
     Summarizer("n1", 2, 1.0).close(10.0, 0),
