Release claims whose append may have taken effect

Cause: a dispatch that was refused as not run, because the log lost the answer to its claim or went down, left its claim behind; every repetition was then refused as a duplicate and the dispatch could never run. Change: such claims are released by a task that tries until the log takes the record.

--- a/src/carawaywheel/claiming.py
+++ b/src/carawaywheel/claiming.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+from collections import deque
 from typing import Any
 
 import curio
@@ -19,6 +20,8 @@
 STREAMS = 16
 READ_LIMIT = 1000
 STEP = "claim"
+RELEASE_INTERVAL_SECONDS = 0.5
+MAX_ABANDONED = 10_000
 MAX_KEY_CHARACTERS = 256
 
 
@@ -51,6 +54,7 @@
 
     Attributes:
         streams: Claims streams by name.
+        abandoned: Claims that are still to be released.
     """
 
     def __init__(self, node_id: str, log: LogService, secret: bytes) -> None:
@@ -58,6 +62,7 @@
         self.log = log
         self.secret = secret
         self.streams: dict[str, ClaimStream] = {}
+        self.abandoned: deque[Claimed] = deque(maxlen=MAX_ABANDONED)
 
     async def claim(
         self, account: str, route: str, idempotency_key: str
@@ -74,26 +79,44 @@
         stream = self.stream_of(claim)
         change_id = new_id()
         record = ClaimMade(claim, change_id, self.node_id)
+        claimed = Claimed(claim, change_id, stream.name)
         try:
             offset = await self.log.append(stream.name, encode(record, self.secret))
             await self.read_to(stream, offset)
-        except LogError:
+        except (LogError, curio.CancelledError) as error:
+            # The append may have taken effect, and the request will not run.
+            self.abandon(claimed)
+            if isinstance(error, curio.CancelledError):
+                raise
             return Refusal(Reason.LOG_UNAVAILABLE, Ran.NOT_RUN, 1.0, STEP, route)
         if stream.table.owner(claim) == change_id:
-            return Claimed(claim, change_id, stream.name)
+            return claimed
         return Refusal(Reason.DUPLICATE, Ran.UNKNOWN, None, STEP, route)
 
-    async def release(self, claimed: Claimed) -> None:
+    def abandon(self, claimed: Claimed) -> None:
+        """Release a claim once the log answers, so that its caller can try again."""
+        self.abandoned.append(claimed)
+
+    async def run(self) -> None:
+        """Append the releases that are due until cancelled."""
+        while True:
+            await curio.sleep(RELEASE_INTERVAL_SECONDS)
+            while self.abandoned and await self.release(self.abandoned[0]):
+                self.abandoned.popleft()
+
+    async def release(self, claimed: Claimed) -> bool:
         """Release the claim of a request that has provably not run.
 
-        If the log does not answer the claim stays, and a repetition of the request
-        is refused as a duplicate.
+        Returns:
+            Whether the log took the release. Until then a repetition of the request
+            is refused as a duplicate.
         """
         record = ClaimReleased(claimed.claim_id, claimed.change_id)
         try:
             await self.log.append(claimed.stream, encode(record, self.secret))
         except LogError:
-            return
+            return False
+        return True
 
     def stream_of(self, claim: str) -> ClaimStream:
         """Return the stream that holds a claim id."""
--- a/src/carawaywheel/entry.py
+++ b/src/carawaywheel/entry.py
@@ -213,11 +213,11 @@
             result = Refusal(Reason.DEADLINE, progress.ran, None, STEP, context.service)
         except curio.CancelledError:
             self.recorder.request_event(EventKind.CANCELLED, context)
-            await self.undo(context, charges, progress.ran)
+            self.undo(context, charges, progress.ran)
             raise
         if isinstance(result, Refusal):
             self.learn(context, flight, progress.levels)
-            await self.undo(context, charges, result.ran)
+            self.undo(context, charges, result.ran)
             await self.refuse(connection, context, result, charges.charged)
             return
         await self.answer(connection, call, result, flight)
@@ -246,14 +246,14 @@
         self.recorder.request_event(EventKind.REQUEST_ADMITTED, context)
         return await self.relay.call(call)
 
-    async def undo(self, context: RequestContext, charges: "Charges", ran: Ran) -> None:
+    def undo(self, context: RequestContext, charges: "Charges", ran: Ran) -> None:
         """Give back the charge and the claim of a request that has not run."""
         if ran is not Ran.NOT_RUN:
             return
         if charges.charged:
             self.charging.refund(context.account)
         if charges.claimed is not None:
-            await self.claiming.release(charges.claimed)
+            self.claiming.abandon(charges.claimed)
 
     async def answer(
         self,
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -249,10 +249,13 @@
             self.clock,
             self.rng,
         )
+        self.claiming = ClaimingService(
+            settings.node_id, self.log, settings.fleet_secret
+        )
         self.entry = EntryHandler(
             self.state,
             self.charging,
-            ClaimingService(settings.node_id, self.log, settings.fleet_secret),
+            self.claiming,
             LevelTable(settings.level),
             self.server.in_flight,
             self.relay,
@@ -342,6 +345,7 @@
             self.gossip.run,
             self.gossip.run_contacts,
             self.charging.run,
+            self.claiming.run,
             self.slots.run,
             self.server.run_polls,
             self.recorder.run,
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,35 @@
+"""Fakes at the interfaces of the platform."""
+
+from carawaywheel.errors import LogError
+from carawaywheel.logs import Batch, LogService
+
+
+class FakeLog(LogService):
+    """A log in memory that can fail before or after an append takes effect."""
+
+    def __init__(self):
+        self.streams = {}
+        self.first = {}
+        self.down = False
+        self.lose_answers = 0
+        self.reads = 0
+
+    async def append(self, stream, data):
+        if self.down:
+            raise LogError("down", "append", "fake", unknown=False)
+        records = self.streams.setdefault(stream, [])
+        records.append(data)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise LogError("answer lost", "append", "fake", unknown=True)
+        return len(records) - 1
+
+    async def read(self, stream, offset, limit, wait):
+        self.reads += 1
+        if self.down:
+            raise LogError("down", "read", "fake")
+        first = self.first.get(stream, 0)
+        records = list(enumerate(self.streams.get(stream, [])))
+        found = [item for item in records if item[0] >= max(first, offset)][:limit]
+        following = found[-1][0] + 1 if found else max(offset, len(records))
+        return Batch(first, following, found)
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,32 @@
+from carawaywheel.attempts import FORGET_SECONDS, AttemptState, AttemptTable
+
+
+def test_a_fenced_attempt_does_not_run_when_it_arrives_late():
+    """Guards against "not run" that becomes untrue afterwards."""
+    table = AttemptTable(0.0)
+    assert table.fence("a", 1.0) is AttemptState.FENCED
+    assert not table.begin("a")
+
+
+def test_an_attempt_runs_once():
+    """Guards against a duplicated message that runs a dispatch twice."""
+    table = AttemptTable(0.0)
+    assert table.begin("a")
+    assert not table.begin("a")
+    assert table.fence("a", 1.0) is AttemptState.RUNNING
+    table.finish("a", 2.0)
+    assert not table.begin("a")
+    assert table.fence("a", 3.0) is AttemptState.FINISHED
+
+
+def test_ended_attempts_are_forgotten_in_time():
+    """Guards against a table that grows without bound."""
+    table = AttemptTable(0.0)
+    table.begin("a")
+    table.expire(1e9)
+    assert "a" in table.states
+    table.finish("a", 0.0)
+    table.expire(FORGET_SECONDS - 1)
+    assert "a" in table.states
+    table.expire(FORGET_SECONDS)
+    assert not table.states
--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,98 @@
+import curio
+
+from carawaywheel.clock import ManualClock
+from carawaywheel.follower import RecordSink, StreamCache, StreamFollower, rank_readers
+from carawaywheel.logs import Batch
+from carawaywheel.signing import Signer
+
+from .fakes import FakeLog
+
+
+class ListSink(RecordSink):
+    def __init__(self):
+        self.taken = []
+        self.first = 0
+        self.ends = []
+
+    def begin(self, offset):
+        self.first = offset
+
+    def take(self, offset, data):
+        self.taken.append((offset, data))
+
+    def reached_end(self, asked_at):
+        self.ends.append(asked_at)
+
+
+def make_follower(log, readers=lambda: None):
+    sink = ListSink()
+    clock = ManualClock(100.0)
+    follower = StreamFollower("s", sink, log, readers, Signer(b"x"), clock, 0.0)
+    return follower, sink, clock
+
+
+def test_records_are_taken_once_and_in_order():
+    """Guards against a record that is applied again after a repeated read."""
+    log = FakeLog()
+    log.streams["s"] = [b"a", b"b"]
+    follower, sink, _ = make_follower(log)
+    for _ in range(3):
+        assert curio.run(follower.poll, 0.0)
+    log.streams["s"].append(b"c")
+    curio.run(follower.poll, 0.0)
+    assert sink.taken == [(0, b"a"), (1, b"b"), (2, b"c")]
+
+
+def test_news_is_as_old_as_the_question_not_as_the_answer():
+    """Guards against a lease that is renewed by an answer that was on its way."""
+    log = FakeLog()
+    follower, sink, clock = make_follower(log)
+    read = log.read
+
+    async def slow_read(*arguments):
+        batch = await read(*arguments)
+        clock.advance(7.0)
+        return batch
+
+    log.read = slow_read
+    curio.run(follower.poll, 0.0)
+    assert sink.ends == [100.0]
+    assert follower.age == 7.0
+
+
+def test_an_unreachable_reader_is_passed_over_for_the_log():
+    """Guards against a node without news because the node it asks is gone."""
+    log = FakeLog()
+    log.streams["s"] = [b"a"]
+    follower, sink, _ = make_follower(log, lambda: ["127.0.0.1:1"])
+    assert curio.run(follower.poll, 0.0)
+    assert sink.taken == [(0, b"a")]
+
+
+def test_a_gap_is_told_to_the_sink():
+    """Guards against a reader that does not notice that records were forgotten."""
+    log = FakeLog()
+    log.streams["s"] = [b"a", b"b", b"c"]
+    log.first["s"] = 2
+    follower, sink, _ = make_follower(log)
+    curio.run(follower.poll, 0.0)
+    assert sink.first == 2
+    assert sink.taken == [(2, b"c")]
+
+
+def test_a_cache_passes_on_only_what_it_holds_without_a_gap():
+    """Guards against a relayed gap that a follower cannot see."""
+    cache = StreamCache()
+    cache.add(Batch(5, 7, [(5, b"a"), (6, b"b")]), 1.0)
+    assert not cache.holds(4)
+    assert cache.since(6, 10) == [(6, b"b")]
+    cache.add(Batch(9, 10, [(9, b"c")]), 2.0)
+    assert not cache.holds(6)
+    assert cache.since(9, 10) == [(9, b"c")]
+
+
+def test_two_nodes_of_a_failure_domain_read_the_log():
+    """Guards against a thousand nodes that poll the log."""
+    names = [f"n{number}" for number in range(143)]
+    assert len(rank_readers(names)) == 2
+    assert rank_readers(names) == rank_readers(list(reversed(names)))
