Ask for records on news instead of all the time

Cause: at 143 nodes in a failure domain each of its two readers would have answered 71 long polls a second, about 4% of a core and 39 KB/s, over the budget. Change: nodes that do not read the log ask when gossip tells of a newer position, when an operator waits for a record, and each 10 s; first a neighbour, then the readers, then the log.

--- a/src/carawaywheel/follower.py
+++ b/src/carawaywheel/follower.py
@@ -1,15 +1,12 @@
 """Following a stream of the log, directly or through a node that reads it.
 
-Two nodes of each failure domain read the log; the others ask one of these, so
-that a large fleet does not load the log with polls. Who cannot reach a reader
-turns to the log itself.
+A node that does not read the log asks another one when gossip tells of news, and at
+intervals. Who finds nobody with fresh news turns to the log itself.
 """
 
-import hashlib
 import json
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Callable, Sequence
 
 import curio
 from loguru import logger
@@ -19,14 +16,18 @@
 from .logs import Batch, LogService, parse_batch
 from .pool import Pool
 from .signing import Signer
+from .sources import NO_HINT, Hint, NewsSources
 
 RETRY_SECONDS = 0.25
 READ_LIMIT = 500
 CACHE_RECORDS = 4096
 RELAY_TIMEOUT_SECONDS = 1.0
 MAX_RELAYED_BYTES = 16 * 1024 * 1024
-READERS_PER_DOMAIN = 2
-FRESH_SECONDS = 3.0
+HEARTBEAT_SECONDS = 10.0
+HINT_POLL_SECONDS = 0.25
+# Older news is not passed on, or it would go round among nodes that cut each other off
+# from the log.
+RELAY_MAX_AGE_SECONDS = 10.0
 
 
 class RecordSink(ABC):
@@ -100,6 +101,7 @@
         position: Offset of the next record to read.
         cache: Records for other nodes.
         log_down: Whether the last direct read failed.
+        wanted: Offset up to which somebody waits for the records.
     """
 
     def __init__(
@@ -107,10 +109,11 @@
         stream: str,
         sink: RecordSink,
         log: LogService,
-        readers: Callable[[], Sequence[str] | None],
+        sources: NewsSources,
         signer: Signer,
         clock: Clock,
         wait: float,
+        hinted: bool,
     ) -> None:
         """Create a follower.
 
@@ -118,18 +121,20 @@
             stream: Name of the stream.
             sink: Takes the records.
             log: The platform's log.
-            readers: Returns the peer addresses of the nodes to ask, or None if this
-                node reads the log itself.
+            sources: Tells whom to ask.
             signer: Signs requests to peers.
             clock: Clock.
-            wait: Seconds that a read waits for a record. News is at most this old
-                when nothing changes.
+            wait: Seconds that a read of the log waits for a record.
+            hinted: Whether gossip tells the newest position of this stream.
         """
+        self.hinted = hinted
+        self.asked_peer_at = float("-inf")
+        self.wanted = 0
         self.wait = wait
         self.stream = stream
         self.sink = sink
         self.log = log
-        self.readers = readers
+        self.sources = sources
         self.signer = signer
         self.clock = clock
         self.pool = Pool()
@@ -146,17 +151,37 @@
     async def run(self) -> None:
         """Follow the stream until cancelled."""
         while True:
-            if not await self.poll(self.wait):
+            if not await self.poll():
                 await curio.sleep(RETRY_SECONDS)
 
-    async def poll(self, wait: float) -> bool:
+    async def poll(self) -> bool:
         """Read once, from a peer if possible; return whether it worked."""
-        readers = self.readers()
-        if readers is not None:
-            for address in readers:
-                if await self.poll_peer(address, wait):
-                    return True
-        return await self.poll_log(wait)
+        readers = self.sources.readers()
+        if readers is None:
+            return await self.poll_log(self.wait)
+        hint = self.sources.hint() if self.hinted else NO_HINT
+        if self.wanted > hint.position:
+            hint = Hint(self.wanted, "")
+        if not self.is_due(hint):
+            await curio.sleep(HINT_POLL_SECONDS)
+            return True
+        self.asked_peer_at = self.clock.now()
+        for address in [*self.first_choice(hint), *readers]:
+            if await self.poll_peer(address, hint):
+                return True
+        return await self.poll_log(0.0)
+
+    def is_due(self, hint: Hint) -> bool:
+        """Return whether to ask another node now."""
+        if hint.position > self.position:
+            return True
+        return self.clock.now() - self.asked_peer_at >= HEARTBEAT_SECONDS
+
+    def first_choice(self, hint: Hint) -> list[str]:
+        """Return whom to ask before the readers, to spread the questions."""
+        if hint.position > self.position and hint.address:
+            return [hint.address]
+        return self.sources.neighbour()
 
     async def poll_log(self, wait: float) -> bool:
         """Read from the log itself."""
@@ -178,13 +203,13 @@
             logger.info("log service answers again for {}", self.stream)
         self.log_down = down
 
-    async def poll_peer(self, address: str, wait: float) -> bool:
-        """Read from a node that reads the log."""
-        target = f"/streams/{self.stream}?from={self.position}&wait={wait:g}"
+    async def poll_peer(self, address: str, hint: Hint) -> bool:
+        """Read from another node; return whether it had news."""
+        target = f"/streams/{self.stream}?from={self.position}"
         headers = self.signer.control_headers("GET", target, b"", address)
         try:
             answer, content = await curio.timeout_after(
-                wait + RELAY_TIMEOUT_SECONDS,
+                RELAY_TIMEOUT_SECONDS,
                 self.pool.request,
                 address,
                 "GET",
@@ -195,14 +220,16 @@
             )
             if answer.status != 200:
                 return False
-            return await self.take_relayed(json.loads(content), address)
+            if not await self.take_relayed(json.loads(content), address):
+                return False
+            return self.position >= hint.position
         except (PeerError, LogError, curio.TaskTimeout, ValueError):
             return False
 
     async def take_relayed(self, answer: dict[str, object], address: str) -> bool:
         """Take records from a peer unless its news is older than allowed."""
         age = answer.get("age")
-        if not isinstance(age, int | float) or age > FRESH_SECONDS:
+        if not isinstance(age, int | float) or age > RELAY_MAX_AGE_SECONDS:
             return False
         await self.take(parse_batch(answer, address), self.clock.now() - age)
         return True
@@ -226,6 +253,7 @@
 
     async def read_to(self, offset: int, timeout: float) -> bool:
         """Read until a record was taken; return False if it did not come in time."""
+        self.wanted = max(self.wanted, offset + 1)
         deadline = self.clock.now() + timeout
         while self.position <= offset:
             remaining = deadline - self.clock.now()
@@ -237,25 +265,10 @@
                 return False
         return True
 
-    async def relay(self, offset: int, limit: int, wait: float) -> Batch | None:
+    def relay(self, offset: int, limit: int) -> Batch | None:
         """Return records for another node; None if it must ask the log itself."""
         if not self.cache.holds(offset):
             return None
         records = self.cache.since(offset, limit)
-        if not records and wait > 0:
-            try:
-                await curio.timeout_after(wait, self.changed.wait)
-            except curio.TaskTimeout:
-                pass
-            records = self.cache.since(offset, limit)
         following = records[-1][0] + 1 if records else max(offset, self.cache.next)
         return Batch(self.cache.log_first, following, records)
-
-
-def rank_readers(domain_nodes: Sequence[str]) -> list[str]:
-    """Return the nodes of a failure domain that read the log, by rendezvous hash."""
-
-    def score(node: str) -> bytes:
-        return hashlib.blake2b(b"reader\0" + node.encode(), digest_size=8).digest()
-
-    return sorted(domain_nodes, key=score, reverse=True)[:READERS_PER_DOMAIN]
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -21,7 +21,7 @@
 from .errors import LogError, RecordError
 from .events import EventBuffer, EventKind
 from .fleet import SUMMARY_STREAM, FleetService
-from .follower import StreamFollower, rank_readers
+from .follower import StreamFollower
 from .gossip import NODES_STREAM, GossipService
 from .http import BodyBudget
 from .lenders import Lender
@@ -49,6 +49,7 @@
     first_incarnation,
     start_incarnation,
 )
+from .sources import NewsSources, rank_readers
 from .state import NodeState
 from .summarizer import Backlog, Summarizer
 from .targets import AnnouncedTargets
@@ -144,6 +145,9 @@
         )
         self.router = Router(settings.routing, settings.domain, self.rng)
         self.membership = Membership(settings.membership, own, self.rng)
+        self.sources = NewsSources(
+            self.membership, settings.domain, self.clock, self.rng
+        )
         self.gossip = GossipService(
             self.membership,
             self.router,
@@ -166,7 +170,7 @@
         )
         self.followers = {
             CONFIGURATION_STREAM: self.make_follower(
-                CONFIGURATION_STREAM, self.state, CONFIGURATION_WAIT_SECONDS
+                CONFIGURATION_STREAM, self.state, CONFIGURATION_WAIT_SECONDS, True
             )
         }
         self.changes = ChangeService(
@@ -178,25 +182,14 @@
         )
         self.fleet = FleetService(self.membership, self.log, self.signer, self.clock)
 
-    def make_follower(self, stream: str, sink: Any, wait: float) -> StreamFollower:
-        """Return a follower of a stream whose reads wait for some seconds."""
+    def make_follower(
+        self, stream: str, sink: Any, wait: float, hinted: bool
+    ) -> StreamFollower:
+        """Return a follower of a stream."""
         return StreamFollower(
-            stream, sink, self.log, self.readers, self.signer, self.clock, wait
+            stream, sink, self.log, self.sources, self.signer, self.clock, wait, hinted
         )
 
-    def readers(self) -> list[str] | None:
-        """Return the nodes of this failure domain that read the log for this one."""
-        members = [
-            member
-            for member in self.membership.members(self.clock.now())
-            if member.domain == self.settings.domain
-        ]
-        chosen = rank_readers([member.node_id for member in members])
-        if self.settings.node_id in chosen:
-            return None
-        addresses = {member.node_id: member.peer_address for member in members}
-        return [addresses[node_id] for node_id in chosen]
-
     def build_shares(self) -> None:
         """Build what charges client accounts."""
         settings = self.settings
@@ -225,7 +218,7 @@
             self.clock,
         )
         self.followers[SHARES_STREAM] = self.make_follower(
-            SHARES_STREAM, self.slots, SHARES_WAIT_SECONDS
+            SHARES_STREAM, self.slots, SHARES_WAIT_SECONDS, False
         )
         self.charging = ChargingService(
             node_id, self.borrower, self.lender, self.sock, self.clock
@@ -494,7 +487,7 @@
             "position": configuration.position,
             "news_age": finite(configuration.age),
             "log_down": configuration.log_down,
-            "reads_log": self.readers() is None,
+            "reads_log": self.sources.readers() is None,
             "service": target.service if target else "",
             "target": target.target_id if target else "",
             "target_state": target.state.name.lower() if target else "none",
--- a/src/carawaywheel/peers.py
+++ b/src/carawaywheel/peers.py
@@ -29,7 +29,6 @@
 from .state import NodeState
 from .streaming import pass_on
 
-MAX_WAIT_SECONDS = 5.0
 BINARY_HEADER = (b"content-type", b"application/msgpack")
 MAX_CONTROL_BYTES = 4 * 1024 * 1024
 
@@ -159,10 +158,9 @@
         """Pass records of a stream on to a node that does not read the log."""
         follower = self.followers.get(stream)
         offset = whole_number(query, "from", 0, connection.peer)
-        wait = min(MAX_WAIT_SECONDS, whole_number(query, "wait", 0, connection.peer))
         batch = None
         if follower is not None:
-            batch = await follower.relay(offset, READ_LIMIT, wait)
+            batch = follower.relay(offset, READ_LIMIT)
         if follower is None or batch is None:
             await connection.respond(410, [JSON_HEADER], json_body({}))
             return
--- a/src/carawaywheel/slotting.py
+++ b/src/carawaywheel/slotting.py
@@ -8,7 +8,7 @@
 from .errors import LogError, RecordError
 from .events import EventKind
 from .evidence import ForgetNode, SlotRecord
-from .follower import RecordSink, rank_readers
+from .follower import RecordSink
 from .lenders import Lender
 from .logs import LogService
 from .members import Member
@@ -17,6 +17,7 @@
 from .records import NodeForgotten, Record, decode, encode
 from .slothistory import SlotHistory, SlotsRestated
 from .slots import SlotMember, SlotTable
+from .sources import rank_readers
 from .views import View
 
 SHARES_STREAM = "shares"
--- /dev/null
+++ b/src/carawaywheel/sources.py
@@ -0,0 +1,78 @@
+"""Where a node gets its news of the log from."""
+
+import hashlib
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from .clock import Clock
+from .members import Member
+from .membership import Membership
+
+READERS_PER_DOMAIN = 2
+
+
+class Hint(NamedTuple):
+    """The newest position that this node has heard of.
+
+    Attributes:
+        position: Offset of the next record to read.
+        address: Peer address of the node that has read so far, empty if unknown.
+    """
+
+    position: int
+    address: str
+
+
+NO_HINT = Hint(0, "")
+
+
+class NewsSources:
+    """Chooses whom to ask for records among the nodes of the own failure domain.
+
+    Two nodes of each failure domain read the log, so that a large fleet does not load
+    it with polls. The others learn from gossip that there is news, and ask a node that
+    has it.
+    """
+
+    def __init__(
+        self, membership: Membership, domain: str, clock: Clock, rng: random.Random
+    ) -> None:
+        self.membership = membership
+        self.domain = domain
+        self.clock = clock
+        self.rng = rng
+
+    def neighbours(self) -> list[Member]:
+        """Return the live members of the own failure domain, this node included."""
+        members = self.membership.members(self.clock.now())
+        return [member for member in members if member.domain == self.domain]
+
+    def readers(self) -> list[str] | None:
+        """Return the addresses of the domain's readers; None if this node is one."""
+        members = {member.node_id: member for member in self.neighbours()}
+        chosen = rank_readers(list(members))
+        if self.membership.own.node_id in chosen:
+            return None
+        return [members[node_id].peer_address for node_id in chosen]
+
+    def neighbour(self) -> list[str]:
+        """Return the address of a random other node of the failure domain, if any."""
+        own = self.membership.own.node_id
+        others = [m.peer_address for m in self.neighbours() if m.node_id != own]
+        return [self.rng.choice(others)] if others else []
+
+    def hint(self) -> Hint:
+        """Return the newest position of the configuration stream heard by gossip."""
+        position, node_id = self.membership.newest_position
+        member = self.membership.table.get(node_id)
+        return Hint(position, member.peer_address if member else "")
+
+
+def rank_readers(domain_nodes: Sequence[str]) -> list[str]:
+    """Return the nodes of a failure domain that read the log, by rendezvous hash."""
+
+    def score(node: str) -> bytes:
+        return hashlib.blake2b(b"reader\0" + node.encode(), digest_size=8).digest()
+
+    return sorted(domain_nodes, key=score, reverse=True)[:READERS_PER_DOMAIN]
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -1,9 +1,10 @@
 import curio
 
 from carawaywheel.clock import ManualClock
-from carawaywheel.follower import RecordSink, StreamCache, StreamFollower, rank_readers
+from carawaywheel.follower import RecordSink, StreamCache, StreamFollower
 from carawaywheel.logs import Batch
 from carawaywheel.signing import Signer
+from carawaywheel.sources import Hint, NewsSources, rank_readers
 
 from .fakes import FakeLog
 
@@ -24,10 +25,27 @@
         self.ends.append(asked_at)
 
 
-def make_follower(log, readers=lambda: None):
+class FixedSources(NewsSources):
+    def __init__(self, addresses):
+        self.addresses = addresses
+        self.newest = Hint(0, "")
+
+    def readers(self):
+        return self.addresses
+
+    def neighbour(self):
+        return self.addresses
+
+    def hint(self):
+        return self.newest
+
+
+def make_follower(log, addresses=None):
     sink = ListSink()
     clock = ManualClock(100.0)
-    follower = StreamFollower("s", sink, log, readers, Signer(b"x"), clock, 0.0)
+    sources = FixedSources(addresses)
+    signer = Signer(b"x")
+    follower = StreamFollower("s", sink, log, sources, signer, clock, 0.0, True)
     return follower, sink, clock
 
 
@@ -37,9 +55,9 @@
     log.streams["s"] = [b"a", b"b"]
     follower, sink, _ = make_follower(log)
     for _ in range(3):
-        assert curio.run(follower.poll, 0.0)
+        assert curio.run(follower.poll)
     log.streams["s"].append(b"c")
-    curio.run(follower.poll, 0.0)
+    curio.run(follower.poll)
     assert sink.taken == [(0, b"a"), (1, b"b"), (2, b"c")]
 
 
@@ -55,7 +73,7 @@
         return batch
 
     log.read = slow_read
-    curio.run(follower.poll, 0.0)
+    curio.run(follower.poll)
     assert sink.ends == [100.0]
     assert follower.age == 7.0
 
@@ -64,8 +82,36 @@
     """Guards against a node without news because the node it asks is gone."""
     log = FakeLog()
     log.streams["s"] = [b"a"]
-    follower, sink, _ = make_follower(log, lambda: ["127.0.0.1:1"])
-    assert curio.run(follower.poll, 0.0)
+    follower, sink, _ = make_follower(log, ["127.0.0.1:1"])
+    assert curio.run(follower.poll)
+    assert sink.taken == [(0, b"a")]
+
+
+def test_a_follower_asks_when_gossip_tells_of_news_and_at_intervals():
+    """Guards against a thousand nodes that ask all the time, and against silence."""
+    log = FakeLog()
+    follower, _, clock = make_follower(log, ["127.0.0.1:1"])
+    for expected, seconds, position in ((1, 0, 0), (1, 5, 0), (2, 0, 7), (3, 11, 0)):
+        clock.advance(seconds)
+        follower.sources.newest = Hint(position, "127.0.0.1:1")
+        assert curio.run(follower.poll)
+        assert log.reads == expected
+
+
+def test_a_change_is_read_back_at_once_where_others_read_the_log():
+    """Guards against an operator that waits for the next heartbeat."""
+    log = FakeLog()
+    log.streams["s"] = [b"a"]
+    follower, sink, _ = make_follower(log, ["127.0.0.1:1"])
+    follower.asked_peer_at = 100.0
+
+    async def run():
+        task = await curio.spawn(follower.run)
+        read = await follower.read_to(0, 5.0)
+        await task.cancel()
+        return read
+
+    assert curio.run(run)
     assert sink.taken == [(0, b"a")]
 
 
@@ -75,7 +121,7 @@
     log.streams["s"] = [b"a", b"b", b"c"]
     log.first["s"] = 2
     follower, sink, _ = make_follower(log)
-    curio.run(follower.poll, 0.0)
+    curio.run(follower.poll)
     assert sink.first == 2
     assert sink.taken == [(2, b"c")]
 
