--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,230 @@
+"""Slopes of a node's state and work, at several sizes: ``python -m bench.capacity``.
+
+Each row gives the cost of one unit, measured at growing sizes, so that a slope that
+bends is seen. docs/CAPACITY.md works the budgets of the stated size out from them.
+"""
+
+import argparse
+import gc
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from carawaywheel.borrowers import Borrower
+from carawaywheel.claims import ClaimTable
+from carawaywheel.configuration import Configuration
+from carawaywheel.events import EventBuffer, EventKind
+from carawaywheel.keys import digest, issue_key
+from carawaywheel.lanes import LenderRef
+from carawaywheel.lenders import Lender
+from carawaywheel.members import Member, MemberState, MemberTable
+from carawaywheel.policies import PolicyDocument
+from carawaywheel.records import (
+    ClaimMade,
+    KeyIssued,
+    PolicyPublished,
+    decode,
+    encode,
+)
+from carawaywheel.routing import Candidate, Router, TargetState
+from carawaywheel.settings import RoutingSettings, ShareSettings
+from carawaywheel.shares import ShareRequest, slot_of
+
+SECRET = b"a secret for the measurement"
+SIZES = (100, 1_000, 10_000)
+MICROSECONDS = 1e6
+DOMAINS = [f"d{number}" for number in range(7)]
+SERVICES = 68
+
+
+class Row(NamedTuple):
+    """One slope.
+
+    Attributes:
+        name: What one unit is.
+        size: Number of units.
+        bytes_each: Memory of a unit in bytes.
+        time_each: Processor time of a unit in microseconds.
+    """
+
+    name: str
+    size: int
+    bytes_each: float
+    time_each: float
+
+
+def measure(name: str, size: int, build: Callable[[int], Any]) -> Row:
+    """Build a state of some size twice: for its time, and for its memory."""
+    gc.collect()
+    began = time.process_time()
+    build(size)
+    used = time.process_time() - began
+    gc.collect()
+    tracemalloc.start()
+    kept = build(size)
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return Row(name, size, held / size, used / size * MICROSECONDS)
+
+
+def policy_of(team: str, accounts: int) -> PolicyDocument:
+    """Return a policy with some client accounts."""
+    return {
+        "team": team,
+        "services": [{"name": f"{team}-desk", "slots": 100, "connections": 750}],
+        "routes": [{"name": "r", "path": f"/{team}", "service": f"{team}-desk"}],
+        "accounts": [
+            {"name": f"a{number}", "rate": 100.0, "burst": 200.0}
+            for number in range(accounts)
+        ],
+    }
+
+
+def build_keys(size: int) -> Configuration:
+    """Decode and apply the records of some keys."""
+    configuration = Configuration("")
+    record = PolicyPublished("c", "/teams/t", -1, 0, "o", "r", 1.0, policy_of("t", 100))
+    configuration.apply(0, decode(encode(record, SECRET), SECRET))
+    for number in range(size):
+        key = issue_key()
+        issued = KeyIssued(
+            f"c{number}", "t", key.key_id, 0, digest(key.secret_text),
+            f"a{number % 100}", "o", "r", 1.0,
+        )  # fmt: skip
+        configuration.apply(number + 1, decode(encode(issued, SECRET), SECRET))
+    configuration.view()
+    return configuration
+
+
+def build_changes(size: int) -> Configuration:
+    """Apply changes of one policy, with a new snapshot after each."""
+    configuration = Configuration("")
+    version = -1
+    document = policy_of("t", 50)
+    for number in range(size):
+        record = PolicyPublished(
+            f"c{number}", "/teams/t", version, number, "o", "r", 1.0, document
+        )
+        configuration.apply(number, decode(encode(record, SECRET), SECRET))
+        configuration.view()
+        version = number
+    return configuration
+
+
+def build_claims(size: int) -> ClaimTable:
+    """Decode and apply claims of requests that must not be repeated."""
+    table = ClaimTable()
+    for number in range(size):
+        record = ClaimMade(f"{number:040x}", f"{number:032x}", "node-17")
+        table.apply(number, decode(encode(record, SECRET), SECRET))
+    return table
+
+
+def build_members(size: int) -> MemberTable:
+    """Store members."""
+    table = MemberTable("own")
+    for number in range(size):
+        member = Member(
+            f"node-{number}", 1 << 50, MemberState.ALIVE, DOMAINS[number % 7],
+            f"10.0.{number // 250}.{number % 250}:7002",
+            f"10.0.{number // 250}.{number % 250}:7002",
+            f"service-{number % SERVICES}", "127.0.0.1:8000", TargetState.READY,
+            110, 0.0, 12345,
+        )  # fmt: skip
+        table.store(member, 0.0)
+    return table
+
+
+def build_router(size: int) -> Router:
+    """Know some targets and choose one for as many calls."""
+    router = Router(RoutingSettings(), DOMAINS[0], random.Random(7))
+    candidates = [
+        Candidate(
+            f"node-{number}",
+            f"node-{number}",
+            f"service-{number % SERVICES}",
+            f"10.0.0.{number % 250}:7002",
+            DOMAINS[number % 7],
+            110,
+            TargetState.READY,
+            0.0,
+        )  # fmt: skip
+        for number in range(size)
+    ]
+    router.update(candidates, 0.0)
+    for number in range(size):
+        router.choose(f"service-{number % min(size, SERVICES)}", 1.0)
+    return router
+
+
+def build_lender(size: int) -> Lender:
+    """Hold the parts of some accounts and answer one request for each."""
+    settings = ShareSettings()
+    lender = Lender(settings, DOMAINS[0], DOMAINS, random.Random(7))
+    for slot in range(settings.slots):
+        lender.take_slot(slot, 0.0, 0.0)
+    for number in range(size):
+        account = f"team/account-{number}"
+        lender.set_account(account, 100.0, 200.0, 0.0)
+        request = ShareRequest("node-1", 1, 1, account, 1, 5, 1, 0, 0, False)
+        lender.handle(request, 10.0)
+    return lender
+
+
+def build_borrower(size: int) -> Borrower:
+    """Charge one call to each of some accounts and ask for tokens."""
+    settings = ShareSettings()
+    borrower = Borrower(settings, "node-1", 1, DOMAINS[0])
+    refs = [LenderRef(f"node-{name}", name, 1) for name in DOMAINS]
+    for slot in range(settings.slots):
+        borrower.set_lenders(slot, refs)
+    for number in range(size):
+        account = f"team/account-{number}"
+        assert 0 <= slot_of(account, settings) < settings.slots
+        borrower.take(account, 1.0)
+        borrower.requests(1.0, account)
+    return borrower
+
+
+def build_events(size: int) -> EventBuffer:
+    """Record events of requests."""
+    buffer = EventBuffer("node-1", 1 << 30)
+    for number in range(size):
+        buffer.append(
+            EventKind.REQUEST_REFUSED, 1.0, 1.0, request_id=f"{number:032x}",
+            account="team/account", service="service", detail="admission service",
+        )  # fmt: skip
+    return buffer
+
+
+BUILDERS: dict[str, Callable[[int], Any]] = {
+    "key, from its record": build_keys,
+    "policy change, with snapshot": build_changes,
+    "claim, from its record": build_claims,
+    "member": build_members,
+    "target, with one choice": build_router,
+    "account at a lender, one grant": build_lender,
+    "account at a borrower, one charge": build_borrower,
+    "event": build_events,
+}
+SMALL = {"policy change, with snapshot"}
+
+
+def main() -> None:
+    """Run the measurement from the command line."""
+    parser = argparse.ArgumentParser(prog="bench.capacity", description=__doc__)
+    parser.parse_args()
+    print(f"{'unit':<36}{'size':>8}{'bytes each':>12}{'us each':>10}")
+    for name, build in BUILDERS.items():
+        sizes = SIZES[:2] if name in SMALL else SIZES
+        for size in sizes:
+            row = measure(name, size, build)
+            line = f"{row.name:<36}{row.size:>8}{row.bytes_each:>12.0f}"
+            print(f"{line}{row.time_each:>10.1f}")
+
+
+if __name__ == "__main__":
+    main()
