--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -140,6 +140,34 @@
     assert chunked.whole and chunked.body == whole.body
 
 
+def test_a_caller_that_goes_away_cancels_the_whole_chain(mesh):
+    """Guards against work that goes on for nobody at every host of a chain."""
+    addresses = [mesh.programs[f"target-{n}"].ready["address"] for n in ("n1", "n2")]
+    before = [counts(mesh, node)["cancelled"] for node in ("n1", "n2")]
+    mesh.control(addresses[1], {"service_time": 4.0})
+    answer = call(mesh, "n3", "/maps", timeout=0.5)
+    assert answer.status == 0
+
+    def cancelled():
+        after = [counts(mesh, node)["cancelled"] for node in ("n1", "n2")]
+        return all(late > early for late, early in zip(after, before, strict=True))
+
+    mesh.wait_for(cancelled, "the chain is cancelled", 2.0)
+    mesh.control(addresses[1], {"service_time": 0.01})
+    status = mesh.status("n1")["n2"]
+    assert status["in_flight"] == status["queued"] == 0
+
+
+def test_a_deadline_ends_a_request_everywhere(mesh):
+    """Guards against work that goes on after its deadline has passed."""
+    address = mesh.programs["target-n3"].ready["address"]
+    mesh.control(address, {"service_time": 4.0})
+    answer = call(mesh, "n1", "/reports", headers={"x-deadline-ms": "300"}, timeout=2.0)
+    mesh.control(address, {"service_time": 0.01})
+    assert answer.status == 504
+    assert call(mesh, "n1", "/reports").status == 200
+
+
 def test_operators_that_race_get_one_winner(mesh):
     """Guards against a change that silently overwrites another one."""
     shown = mesh.json_command("n1", "policy", "show", "--team", "okonkwo")
