Split the node's upkeep, sockets and incarnations from its wiring

Change: three modules; a changed retry limit of a team now takes effect on services that are already known.

--- a/src/carawaywheel/gossip.py
+++ b/src/carawaywheel/gossip.py
@@ -8,6 +8,7 @@
 from .datagrams import Address, DatagramHandler, DatagramSocket, format_address
 from .errors import LogError, PeerError, ProtocolError, RecordError
 from .events import EventKind
+from .incarnations import NODES_STREAM
 from .logs import LogService
 from .members import Change, Member, MemberState
 from .membership import Membership
@@ -21,7 +22,6 @@
 from .swim import encode as encode_message
 
 GOSSIP_KIND = b"m"
-NODES_STREAM = "nodes"
 TICK_SECONDS = 0.1
 REJOIN_SECONDS = 60.0
 CONTACT_SECONDS = 10.0
--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -13,22 +13,12 @@
 from .errors import ProtocolError
 from .http import BodyBudget, Request, ServerConnection, tune_socket
 
-LISTEN_BACKLOG = 1024
 ACCEPT_RETRY_SECONDS = 0.05
 HANGUP_INTERVAL_SECONDS = 0.05
 IDLE_INTERVAL_SECONDS = 0.25
 HANGUP_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
-def open_socket(host: str, port: int) -> Any:
-    """Return a listening TCP socket; port 0 takes one that is free.
-
-    Raises:
-        OSError: If the address cannot be used.
-    """
-    return curio.tcp_server_socket(host, port, backlog=LISTEN_BACKLOG)
-
-
 class RequestHandler(ABC):
     """Handles the requests of one listener."""
 
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -16,23 +16,21 @@
 from .claiming import ClaimingService
 from .clock import SystemClock
 from .configuration import Configuration
-from .datagrams import DatagramSocket
 from .entry import EntryHandler
-from .errors import LogError, RecordError
 from .events import EventBuffer, EventKind
-from .fleet import SUMMARY_STREAM, FleetService
+from .fleet import FleetService
 from .follower import StreamFollower
-from .gossip import NODES_STREAM, GossipService
+from .gossip import GossipService
 from .http import BodyBudget
+from .incarnations import event_incarnation, first_incarnation, start_incarnation
 from .lenders import Lender
 from .levels import LevelTable
-from .listener import HangupWatch, Listener, open_socket
+from .listener import HangupWatch, Listener
 from .logs import HttpLogService, LogService
 from .members import Member, MemberState
 from .membership import Membership
 from .peers import PeerHandler
 from .recorder import Recorder
-from .records import NodeJoined, decode, encode
 from .relay import Relay
 from .retries import ServiceBudget
 from .routing import Router, TargetState
@@ -42,34 +40,21 @@
 from .signals import StopSignal
 from .signing import Signer
 from .slots import SlotMember, SlotTable
-from .slotting import (
-    SHARES_STREAM,
-    VERSION_BITS,
-    SlotService,
-    first_incarnation,
-    start_incarnation,
-)
-from .sources import NewsSources, rank_readers
+from .slotting import SHARES_STREAM, SlotService
+from .sockets import open_pair, open_socket, split_address
+from .sources import NewsSources
 from .state import NodeState
-from .summarizer import Backlog, Summarizer
+from .summarizer import Summarizer
 from .targets import AnnouncedTargets
+from .upkeep import Upkeep
 
 HOUSEKEEPING_SECONDS = 0.25
-RESTATE_INTERVAL_SECONDS = 5.0
-BACKLOG_SUMMARIES = 60
 STOP_POLL_SECONDS = 0.05
 PORT_TRIES = 20
 # A withdrawal of a key must reach all nodes within 5 s, over one relay.
 CONFIGURATION_WAIT_SECONDS = 1.0
 # Records arrive at once; without any, a read only renews leases of hours.
 SHARES_WAIT_SECONDS = 4.0
-READ_LIMIT = 1000
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``ip:port``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
 
 
 class Node:
@@ -111,11 +96,9 @@
         wall = wall_time()
         self.started_at = now
         self.incarnation = first_incarnation(wall, former_incarnation)
-        # Sequence numbers of events have 64 bits, which leaves room for seconds.
-        second = int(self.incarnation >> VERSION_BITS) // 1000
-        buffer = EventBuffer(settings.node_id, settings.event_bytes, second)
+        start = event_incarnation(self.incarnation)
+        buffer = EventBuffer(settings.node_id, settings.event_bytes, start)
         summary = Summarizer(settings.node_id, self.incarnation, wall)
-        self.backlog = Backlog(BACKLOG_SUMMARIES)
         self.recorder = Recorder(buffer, summary, self.clock, settings.statsd)
 
     def build_network(self) -> None:
@@ -180,6 +163,14 @@
             self.signer,
             self.clock,
         )
+        self.upkeep = Upkeep(
+            settings,
+            self.state,
+            self.followers[CONFIGURATION_STREAM],
+            self.membership,
+            self.log,
+            self.recorder,
+        )
         self.fleet = FleetService(self.membership, self.log, self.signer, self.clock)
 
     def make_follower(
@@ -343,8 +334,8 @@
             self.server.run_polls,
             self.recorder.run,
             self.run_housekeeping,
-            self.run_restatements,
-            self.run_summaries,
+            self.upkeep.run_restatements,
+            self.upkeep.run_summaries,
         ]
         tasks += [follower.run for follower in self.followers.values()]
         tasks += [listener.run for listener in self.listeners.values()]
@@ -396,49 +387,10 @@
         view = self.state.view()
         for name, service in view.services.items():
             team = view.team(service.team)
-            if team is not None and name not in self.relay.budgets:
-                self.relay.budgets[name] = ServiceBudget(team.retries)
-
-    async def run_restatements(self) -> None:
-        """Restate the configuration before the log forgets it, until cancelled."""
-        while True:
-            await curio.sleep(RESTATE_INTERVAL_SECONDS)
-            members = self.membership.members(self.clock.now())
-            ranked = rank_readers([member.node_id for member in members])
-            if self.settings.node_id in ranked and self.state.configuration.caught_up:
-                await self.restate(ranked.index(self.settings.node_id))
-
-    async def restate(self, rank: int) -> None:
-        """Append the restatements that are due at a node of this rank."""
-        follower = self.followers[CONFIGURATION_STREAM]
-        due = self.state.configuration.restatements(
-            wall_time(), self.settings.log_retention, follower.cache.log_first, rank
-        )
-        self.state.configuration.forget(follower.cache.log_first)
-        for record in due:
-            try:
-                data = encode(record, self.settings.fleet_secret)
-                await self.log.append(CONFIGURATION_STREAM, data)
-            except LogError:
-                return
-
-    async def run_summaries(self) -> None:
-        """Write summaries to the log until cancelled."""
-        while True:
-            await curio.sleep(self.settings.summary_interval)
-            await self.write_summary(False)
-
-    async def write_summary(self, final: bool) -> None:
-        """Close a summary and append all that the log has not taken yet."""
-        dropped = self.recorder.buffer.dropped
-        self.backlog.add(self.recorder.summary.close(wall_time(), dropped, final))
-        for summary in list(self.backlog.waiting):
-            try:
-                data = encode(summary, self.settings.fleet_secret)
-                await self.log.append(SUMMARY_STREAM, data)
-            except (LogError, RecordError):
-                return
-            self.backlog.accepted(summary)
+            budget = self.relay.budgets.get(name)
+            if team is None or (budget and budget.settings == team.retries):
+                continue
+            self.relay.budgets[name] = ServiceBudget(team.retries)
 
     async def wait_for_stop(self) -> None:
         """Wait for SIGTERM or SIGINT, then stop gracefully."""
@@ -461,7 +413,7 @@
         await curio.sleep(self.settings.leave_wait)
         self.server.closing = True
         await curio.ignore_after(self.settings.stop_grace, self.wait_until_idle)
-        await self.write_summary(True)
+        await self.upkeep.write_summary(True)
         self.recorder.flush()
 
     async def wait_until_idle(self) -> None:
@@ -504,26 +456,6 @@
         }
 
 
-def open_pair(
-    host: str, port: int, signer: Signer, tries: int
-) -> tuple[Any, DatagramSocket]:
-    """Open a TCP listener and a UDP socket on the same port number.
-
-    A port that the system chose for one of them may be taken for the other.
-
-    Raises:
-        OSError: If no try succeeded.
-    """
-    for _ in range(tries - 1):
-        listener = open_socket(host, port)
-        try:
-            return listener, DatagramSocket(host, listener.getsockname()[1], signer)
-        except OSError:
-            listener._socket.close()
-    listener = open_socket(host, port)
-    return listener, DatagramSocket(host, listener.getsockname()[1], signer)
-
-
 def finite(seconds: float) -> float | None:
     """Return a time for JSON, None if it is infinite."""
     return round(seconds, 3) if seconds < float("inf") else None
@@ -532,30 +464,3 @@
 def wall_time() -> float:
     """Return the wall clock in seconds since the epoch, for operators to read."""
     return time.time()
-
-
-async def former_incarnation(log: LogService, node_id: str, secret: bytes) -> int:
-    """Return the highest incarnation of a node id in the log, 0 if unknown."""
-    highest = 0
-    position = 0
-    try:
-        while True:
-            batch = await log.read(NODES_STREAM, position, READ_LIMIT, 0.0)
-            for _, data in batch.records:
-                highest = max(highest, incarnation_in(data, node_id, secret))
-            if not batch.records:
-                return highest
-            position = batch.next
-    except LogError:
-        return highest
-
-
-def incarnation_in(data: bytes, node_id: str, secret: bytes) -> int:
-    """Return the incarnation of a node's join record, 0 for any other record."""
-    try:
-        record = decode(data, secret)
-    except RecordError:
-        return 0
-    if isinstance(record, NodeJoined) and record.node_id == node_id:
-        return record.incarnation
-    return 0
--- a/src/carawaywheel/slotting.py
+++ b/src/carawaywheel/slotting.py
@@ -9,6 +9,7 @@
 from .events import EventKind
 from .evidence import ForgetNode, SlotRecord
 from .follower import RecordSink
+from .incarnations import start_incarnation
 from .lenders import Lender
 from .logs import LogService
 from .members import Member
@@ -23,7 +24,6 @@
 SHARES_STREAM = "shares"
 CLAIM_INTERVAL_SECONDS = 1.0
 CLAIMS_PER_ROUND = 64
-VERSION_BITS = 16
 
 
 class SlotService(RecordSink):
@@ -192,24 +192,3 @@
         member.peer_address,
         member.domain,
     )
-
-
-def start_incarnation(incarnation: int) -> int:
-    """Return the incarnation with which a node started.
-
-    A node raises its incarnation with each change of its description; the lower
-    bits count these changes.
-    """
-    return incarnation >> VERSION_BITS << VERSION_BITS
-
-
-def first_incarnation(wall_time: float, former: int) -> int:
-    """Return the incarnation of a node that starts.
-
-    Args:
-        wall_time: Seconds since the epoch.
-        former: Highest incarnation of this node id that is known, or 0.
-    """
-    by_clock = int(wall_time * 1000) << VERSION_BITS
-    after_former = (start_incarnation(former) >> VERSION_BITS) + 1 << VERSION_BITS
-    return max(by_clock, after_former)
--- /dev/null
+++ b/src/carawaywheel/upkeep.py
@@ -0,0 +1,86 @@
+"""Records that a node writes at intervals: restatements and summaries."""
+
+import curio
+
+from .administration import CONFIGURATION_STREAM
+from .errors import LogError, RecordError
+from .fleet import SUMMARY_STREAM
+from .follower import StreamFollower
+from .logs import LogService
+from .membership import Membership
+from .recorder import Recorder
+from .records import encode
+from .settings import NodeSettings
+from .sources import rank_readers
+from .state import NodeState
+from .summarizer import Backlog
+
+RESTATE_INTERVAL_SECONDS = 5.0
+BACKLOG_SUMMARIES = 60
+
+
+class Upkeep:
+    """Keeps the configuration and the counts of this node in the log.
+
+    Attributes:
+        backlog: Summaries that the log has not taken yet.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        state: NodeState,
+        follower: StreamFollower,
+        membership: Membership,
+        log: LogService,
+        recorder: Recorder,
+    ) -> None:
+        self.settings = settings
+        self.state = state
+        self.follower = follower
+        self.membership = membership
+        self.log = log
+        self.recorder = recorder
+        self.backlog = Backlog(BACKLOG_SUMMARIES)
+
+    async def run_restatements(self) -> None:
+        """Restate the configuration before the log forgets it, until cancelled."""
+        while True:
+            await curio.sleep(RESTATE_INTERVAL_SECONDS)
+            members = self.membership.members(self.state.clock.now())
+            ranked = rank_readers([member.node_id for member in members])
+            if self.settings.node_id in ranked and self.state.configuration.caught_up:
+                await self.restate(ranked.index(self.settings.node_id))
+
+    async def restate(self, rank: int) -> None:
+        """Append the restatements that are due at a node of this rank."""
+        oldest = self.follower.cache.log_first
+        configuration = self.state.configuration
+        configuration.forget(oldest)
+        now = self.recorder.wall_time()
+        due = configuration.restatements(now, self.settings.log_retention, oldest, rank)
+        for record in due:
+            try:
+                data = encode(record, self.settings.fleet_secret)
+                await self.log.append(CONFIGURATION_STREAM, data)
+            except LogError:
+                return
+
+    async def run_summaries(self) -> None:
+        """Write summaries to the log until cancelled."""
+        while True:
+            await curio.sleep(self.settings.summary_interval)
+            await self.write_summary(False)
+
+    async def write_summary(self, final: bool) -> None:
+        """Close a summary and append all that the log has not taken yet."""
+        dropped = self.recorder.buffer.dropped
+        now = self.recorder.wall_time()
+        self.backlog.add(self.recorder.summary.close(now, dropped, final))
+        for summary in list(self.backlog.waiting):
+            try:
+                data = encode(summary, self.settings.fleet_secret)
+                await self.log.append(SUMMARY_STREAM, data)
+            except (LogError, RecordError):
+                return
+            self.backlog.accepted(summary)
