--- a/src/carawaywheel/limits.py
+++ b/src/carawaywheel/limits.py
@@ -251,7 +251,9 @@
             return
         self.baseline = min(latency, self.baseline or latency)
         if window.mean_in_flight() < IN_USE_SHARE * int(self.slots):
+            # The latency of a light load is a measured baseline: no trial is due.
             self.step = 1.0
+            self.last_trial = now
             return
         slow = latency > self.settings.latency_tolerance * self.baseline
         due = now - self.last_trial >= self.settings.trial_interval
--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -59,8 +59,8 @@
 
     max_age: float = 2.0
     probe_share: float = 0.02
-    shed_from: float = 1.25
-    shed_all: float = 3.0
+    shed_from: float = 4.0
+    shed_all: float = 6.0
     smoothing: float = 0.25
     route_age: float = 60.0
     fair: bool = True
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -147,6 +147,7 @@
     target.run(5.0)
     target.set(cores=5)
     target.run(14.0)
+    assert target.limit.limit(target.now) <= 40
     target.set(cores=SLOTS)
     target.run(4.0)
     served, _, _, _ = target.run(1.0)
@@ -158,3 +159,25 @@
     target = Target(make_limit(), cores=10)
     target.run(60.0)
     assert target.limit.limit(target.now) <= 60
+
+
+def test_light_load_counts_as_a_measured_baseline():
+    """Guards against a trial that costs throughput at the start of a surge."""
+    target = Target(make_limit(), load=25)
+    target.run(10.0)
+    target.set(load=SLOTS)
+    _, _, lowest, _ = target.run(10.0)
+    assert lowest == SLOTS
+
+
+def test_trials_of_several_nodes_start_at_different_times():
+    """Guards against nodes of a service that all cut their limits at once."""
+    cut_at = set()
+    for seed in range(8):
+        rng = random.Random(seed)
+        limit = AdaptiveLimit(LimitSettings(), SLOTS, 0.0, 0.0, rng)
+        target = Target(limit, cores=20)
+        while target.limit.limit(target.now) == SLOTS:
+            target.run(0.5)
+        cut_at.add(round(target.now))
+    assert len(cut_at) >= 4
