Weigh a target's latency against the median of its service

Cause: with two or three targets a slow one raises the mean so far that its own ratio stays below the tolerance; and its trials every 2 s showed in the 99th percentile. Change: compare with the lower median, and let the excess fade over 10 s. Conclusion: the new test fails without the excess and without its fading.

--- a/src/carawaywheel/routing.py
+++ b/src/carawaywheel/routing.py
@@ -18,6 +18,7 @@
 # One answer in eight renews a mean, so a single outlier moves it little.
 SMOOTHING = 0.125
 MAX_LATENCY_RATIO = 8.0
+LATENCY_INTERVAL_S = 0.25
 FAILING_LOAD = 1.0
 SHED_PRESSURE = 1.0
 
@@ -85,7 +86,8 @@
         targets: Targets that are cold or ready.
         ejector: Ejection state of these targets.
         pressure: Mean pressure over recent answers.
-        latency: Mean latency over recent answers, in seconds.
+        latency: Lower median of the latencies of the targets, in seconds.
+        latency_due: Time in seconds at which this median is taken again.
         heard: Whether any answer was heard.
         own: Those of the targets that are in the own failure domain.
         other: Those that are not.
@@ -99,6 +101,7 @@
         self.heard = False
         self.pressure = 0.0
         self.latency = 0.0
+        self.latency_due = 0.0
 
 
 class Router:
@@ -324,23 +327,26 @@
             slots *= self._share(candidate, now)
         load = (target.in_flight + 1) / max(1.0, slots)
         if target.heard_at is not None:
-            weight = 1.0 - (now - target.heard_at) / self.settings.pressure_age
-            if weight <= 0.0:
-                load += pool.pressure
-            else:
-                load += target.pressure * weight + pool.pressure * (1.0 - weight)
-                excess = self._excess_latency(pool, target)
-                load *= 1.0 + excess * weight
+            age = now - target.heard_at
+            weight = max(0.0, 1.0 - age / self.settings.pressure_age)
+            load += target.pressure * weight + pool.pressure * (1.0 - weight)
+            load *= 1.0 + self._excess_latency(pool, target, age)
         if pool.ejector.any_failing and pool.ejector.failing(candidate.target_id):
             load += FAILING_LOAD
         return load
 
-    def _excess_latency(self, pool: Pool, target: Target) -> float:
-        """Return by how much the latency ratio to the mean exceeds the tolerance."""
-        if pool.latency <= 0.0:
+    def _excess_latency(self, pool: Pool, target: Target, age: float) -> float:
+        """Return by how much the latency ratio to the median exceeds the tolerance.
+
+        A slow target is tried again only now and then, because each trial costs a
+        caller its latency, so this fades more slowly than pressure does.
+        """
+        limit = pool.latency * self.settings.latency_tolerance
+        if not pool.latency or target.latency <= limit:
             return 0.0
         ratio = min(target.latency / pool.latency, MAX_LATENCY_RATIO)
-        return max(0.0, ratio - self.settings.latency_tolerance)
+        weight = max(0.0, 1.0 - age / self.settings.latency_age)
+        return (ratio - self.settings.latency_tolerance) * weight
 
     def _learn(
         self,
@@ -363,9 +369,16 @@
             known = target.heard_at is not None and target.latency > 0.0
             base = target.latency if known else latency
             target.latency = base + SMOOTHING * (latency - base)
-            mean = pool.latency or latency
-            pool.latency = mean + SMOOTHING * (latency - mean)
         target.heard_at = now
+        if now >= pool.latency_due:
+            pool.latency_due = now + LATENCY_INTERVAL_S
+            self._renew_latency(pool)
+
+    def _renew_latency(self, pool: Pool) -> None:
+        """Take the lower median, which one slow target of two or three can't raise."""
+        latencies = sorted(target.latency for target in pool.targets if target.latency)
+        if latencies:
+            pool.latency = latencies[(len(latencies) - 1) // 2]
 
     def _refuse(self, service: str, retry_after: float) -> Refusal:
         return Refusal(
--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -76,8 +76,9 @@
         eject_share: Largest share of a service's targets ejected at once.
         slow_start: Seconds over which a cold target takes its full share.
         pressure_age: Seconds over which the load carried on an answer fades.
-        latency_tolerance: Ratio of a target's latency over the mean of its
+        latency_tolerance: Ratio of a target's latency over the median of its
             service above which the target counts as more loaded.
+        latency_age: Seconds over which a latency above this ratio fades.
     """
 
     domain_margin: float = 0.25
@@ -88,6 +89,7 @@
     slow_start: float = 10.0
     pressure_age: float = 2.0
     latency_tolerance: float = 2.0
+    latency_age: float = 10.0
 
 
 class MembershipSettings(NamedTuple):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -61,6 +61,18 @@
     assert set(chosen(router, SETTINGS.pressure_age + 0.1)) == {"x", "y"}
 
 
+def test_slow_target_is_avoided_though_it_claims_to_be_idle():
+    """Guards against a target that draws work with a false load report."""
+    router = make_router(*(make_candidate(name) for name in "xyz"))
+    for step in range(20):
+        now = step / 10
+        router.finish("x", now, Outcome.OK, 1.0, 0.0)
+        router.finish("y", now, Outcome.OK, 0.1, 0.02)
+        router.finish("z", now, Outcome.OK, 0.1, 0.02)
+    assert "x" not in chosen(router, now)
+    assert "x" in chosen(router, now + SETTINGS.latency_age)
+
+
 def test_own_domain_is_kept_until_its_load_exceeds_the_margin():
     """Guards against needless cross-domain calls and against a hot domain."""
     router = make_router(make_candidate("x", "a"), make_candidate("y", "b"))
