--- a/bench/membership.py
+++ b/bench/membership.py
@@ -229,7 +229,9 @@
     """Return the seconds until all know of a draining target by probes alone."""
     for node in fleet.nodes.values():
         node.queue.settings = fleet.settings._replace(urgent_rate=0.0, urgent_burst=0)
-    name = fleet.rng.choice(list(fleet.nodes))
+    name = fleet.rng.choice(
+        [name for name, node in fleet.nodes.items() if not is_draining(node, name)]
+    )
     fleet.nodes[name].update_self(fleet.now, target_state=TargetState.DRAINING)
     time_taken = fleet.until(partial(all_know, fleet, is_draining, name))
     for node in fleet.nodes.values():
