--- a/src/carawaywheel/commands.py
+++ b/src/carawaywheel/commands.py
@@ -4,7 +4,7 @@
 import time
 from datetime import datetime
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, NoReturn
 from urllib.parse import urlencode
 
 import typer
@@ -13,6 +13,7 @@
 from .contexts import new_id
 from .errors import PolicyError
 from .keys import digest, issue_key, issue_token
+from .options import DIGEST
 from .policies import check, json_schema, parse
 from .records import policy_path
 
@@ -52,6 +53,13 @@
     """Return a connection to a node for an operator."""
     if not admin:
         fail("no node: use --admin or set CARAWAYWHEEL_ADMIN", EXIT_USAGE)
+    host, _, port = admin.rpartition(":")
+    if not host or "/" in host or not port.isascii() or not port.isdigit():
+        fail(
+            f"--admin is {admin!r}; allowed: an address and a port, such as "
+            "10.0.0.5:7003",
+            EXIT_USAGE,
+        )
     return Console(admin, read_token(token_file), as_json)
 
 
@@ -65,11 +73,7 @@
         document = parse(read_input(file), file)
         check(document, policy_path(document["team"]))
     except PolicyError as error:
-        if as_json:
-            fault = {"result": "invalid", "error": error.message, "path": error.peer}
-            typer.echo(json.dumps(fault))
-            raise typer.Exit(EXIT_FAILED) from None
-        fail(f"{file}: {error.message} at {error.peer}")
+        fail_invalid(file, error, as_json)
     counts = {
         "team": document["team"],
         "services": len(document["services"]),
@@ -81,6 +85,15 @@
     typer.echo(json.dumps({"result": "valid", **counts}) if as_json else text)
 
 
+def fail_invalid(file: str, error: PolicyError, as_json: bool) -> NoReturn:
+    """End a command with what is wrong with a policy file."""
+    if not as_json:
+        fail(f"{file}: {error.message} at {error.peer}")
+    fault = {"result": "invalid", "error": error.message, "path": error.peer}
+    typer.echo(json.dumps(fault))
+    raise typer.Exit(EXIT_FAILED)
+
+
 @policy.command("schema")
 def show_schema() -> None:
     """Print the JSON Schema of policy files."""
@@ -115,7 +128,8 @@
     try:
         team = parse(text, file)["team"]
     except PolicyError as error:
-        fail(f"{file}: {error.message} at {error.peer}")
+        fail_invalid(file, error, as_json)
+    console.team = team
     body: dict[str, Any] = {"team": team, "text": text, "reason": reason}
     body |= {"source": file, "dry_run": dry_run, "change_id": new_id()}
     if base_version is not None:
@@ -137,6 +151,7 @@
 ) -> None:
     """Publish an earlier version of a policy again, as a new version."""
     console = open_console(admin, token_file, as_json)
+    console.team = team
     body = {"team": team, "version": version, "reason": reason, "change_id": new_id()}
     finish_change(console, console.call_json("POST", "/policies/rollback", body), wait)
 
@@ -227,8 +242,7 @@
 
 def team_query(console: Console) -> str:
     """Return the query that names the operator's team, if it is known."""
-    team = getattr(console, "team", "")
-    return "?" + urlencode({"team": team}) if team else ""
+    return "?" + urlencode({"team": console.team}) if console.team else ""
 
 
 @key.command("issue")
@@ -251,19 +265,20 @@
     The key is made here and shown once; only its digest leaves this machine.
     """
     console = open_console(admin, token_file, as_json)
-    console.team = team  # type: ignore[attr-defined]
+    console.team = team
     made = issue_key()
+    if out:
+        # Before the key exists: a key that cannot be written down is of no use.
+        write_private(out, made.secret_text)
+        typer.echo(f"the key is in {out}; it is valid once accepted", err=True)
     body = {"team": team, "account": account, "reason": reason}
     body |= {"key_id": made.key_id, "digest": digest(made.secret_text)}
     answer = console.call_json("POST", "/keys", body | {"change_id": new_id()})
-    if answer["result"] == "accepted":
-        answer["key_id"] = made.key_id
-        if out:
-            write_private(out, made.secret_text)
-        else:
-            answer["key"] = made.secret_text
-            if not as_json:
-                typer.echo(made.secret_text)
+    answer["key_id"] = made.key_id
+    if answer["result"] == "accepted" and not out:
+        answer["key"] = made.secret_text
+        if not as_json:
+            typer.echo(made.secret_text)
     finish_change(console, answer, wait)
 
 
@@ -297,7 +312,7 @@
     if "_" in key_id:
         fail("give the id of the key, not the key itself", EXIT_USAGE)
     console = open_console(admin, token_file, as_json)
-    console.team = team  # type: ignore[attr-defined]
+    console.team = team
     body = {"team": team, "key_id": key_id, "reason": reason, "change_id": new_id()}
     answer = console.call_json("POST", "/keys/withdraw", body)
     if answer["result"] == "refused" and not as_json:
@@ -347,6 +362,11 @@
     as_json: AsJson = False,
 ) -> None:
     """Set the token of a team; needs the root token."""
+    if not DIGEST.fullmatch(digest_text):
+        fail(
+            "--digest must be 64 hexadecimal digits, as `token make` prints them",
+            EXIT_USAGE,
+        )
     console = open_console(admin, token_file, as_json)
     body = {"team": team, "digest": digest_text, "reason": reason}
     answer = console.call_json("POST", "/tokens", body | {"change_id": new_id()})
--- a/src/carawaywheel/console.py
+++ b/src/carawaywheel/console.py
@@ -15,6 +15,7 @@
 TIMEOUT_SECONDS = 15.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 TOKEN_VARIABLE = "CARAWAYWHEEL_TOKEN"
+FORBIDDEN_STATUS = 403
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
@@ -48,12 +49,14 @@
         admin: Admin address of any node, ``ip:port``.
         token: Token of the operator.
         as_json: Whether output is machine-readable.
+        team: Team of the operator, empty if it is not known.
     """
 
     def __init__(self, admin: str, token: str, as_json: bool) -> None:
         self.admin = admin
         self.token = token
         self.as_json = as_json
+        self.team = ""
 
     def call(
         self, method: str, target: str, value: Any = None
@@ -98,12 +101,9 @@
             answer: dict[str, Any] = json.loads(content)
         except ValueError:
             fail(f"node {self.admin} answered {status} without JSON")
-        if status in (200, 422):
+        if status == 200 or "result" in answer:
             return answer
-        if self.as_json:
-            typer.echo(json.dumps(answer))
-            raise typer.Exit(EXIT_FAILED)
-        fail(answer.get("error") or refusal_text(status, answer))
+        self.fail_with(status, answer)
 
     def call_bytes(self, target: str) -> tuple[bytes, dict[str, str]]:
         """Send a request for binary data; refusals end the command."""
@@ -114,7 +114,14 @@
             answer = json.loads(content)
         except ValueError:
             answer = {}
-        fail(refusal_text(status, answer))
+        self.fail_with(status, answer)
+
+    def fail_with(self, status: int, answer: dict[str, Any]) -> NoReturn:
+        """End the command with what the node answered instead of a result."""
+        if self.as_json:
+            typer.echo(json.dumps(answer))
+            raise typer.Exit(EXIT_FAILED)
+        fail(answer.get("error") or refusal_text(status, answer))
 
     def show(self, value: Any, text: str) -> None:
         """Print a value as JSON or as text."""
@@ -128,9 +135,19 @@
     for name in ("detail", "step", "peer", "path"):
         if answer.get(name):
             parts.append(f"{name} {answer[name]}")
+    if status == FORBIDDEN_STATUS:
+        parts.append("a team's token needs --team and reaches that team only")
     return ", ".join(parts)
 
 
+def write_output(flag: str, path: str, text: str) -> None:
+    """Write a file that the operator asked for."""
+    try:
+        Path(path).write_text(text)
+    except OSError as error:
+        fail(f"{flag} {path}: {error.strerror}")
+
+
 def read_input(path: str) -> str:
     """Return the text of a file, or of standard input for ``-``."""
     if path == "-":
--- a/src/carawaywheel/observing.py
+++ b/src/carawaywheel/observing.py
@@ -3,7 +3,6 @@
 import json
 import time
 from datetime import datetime
-from pathlib import Path
 from typing import Annotated, Any
 from urllib.parse import urlencode
 
@@ -11,7 +10,7 @@
 import typer
 
 from .commands import Admin, AsJson, Reason, TokenFile, open_console
-from .console import EXIT_USAGE, Console, fail
+from .console import EXIT_USAGE, Console, fail, write_output
 from .events import Event, EventFilter, decode_events
 from .findings import Span, build_report
 from .reports import render_html, render_json, render_text
@@ -143,7 +142,7 @@
     query = {"request": request, "team": team}
     events, missing = fetch_events(console, query)
     if picture:
-        Path(picture).write_text(render_picture(events, request))
+        write_output("--picture", picture, render_picture(events, request))
     print_events(events, chosen, as_json)
     if missing:
         typer.echo(f"no answer from: {', '.join(missing)}", err=True)
@@ -188,7 +187,7 @@
     events, missing = fetch_events(console, {"team": team})
     found = build_report(summaries, events, span)
     if html:
-        Path(html).write_text(render_html(found))
+        write_output("--html", html, render_html(found))
     typer.echo(render_json(found) if as_json else render_text(found))
     for line in filter(None, [fault, missing and f"no answer from: {missing}"]):
         typer.echo(str(line), err=True)
