--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, rule
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from carawaywheel.borrowers import Borrower, NeedsTokens, Taken
 from carawaywheel.buckets import TokenBucket
@@ -14,17 +14,21 @@
 from carawaywheel.shares import GrantStatus, ShareRequest, decode_message, part_of
 from carawaywheel.slots import (
     ClaimKind,
+    ForgetNode,
     SlotMember,
     SlotNotice,
     SlotObjection,
+    SlotRelease,
     SlotTable,
 )
 from tests.fleets import ACCOUNT, DOMAINS, SETTINGS, Fleet
 
 # The burst takes 1 s to fill. A higher rate would soon make up for wrong tokens.
 RATE = 12.0
+SLOW_RATE = 4.0
 BURST = 12.0
 SKEWS = (0.99, 1.0, 1.01)
+KINDS = ("restart", "replace", "same id", "release", "forget")
 seeds = st.integers(0, 2**32)
 picks = st.integers(0, 7)
 
@@ -73,7 +77,11 @@
 
     def __init__(self):
         super().__init__()
-        self.fleet = make_fleet()
+        self.start_fleet(RATE)
+
+    @initialize(rate=st.sampled_from([RATE, SLOW_RATE]))
+    def start_fleet(self, rate):
+        self.fleet = make_fleet(rate)
         self.fleet.run(3.0, random.Random(1), calls=1)
         self.names = 4
 
@@ -113,7 +121,7 @@
 
     @rule(
         seed=seeds,
-        kind=st.sampled_from(["restart", "replace", "same id", "release", "forget"]),
+        kind=st.sampled_from(KINDS),
         domain=st.sampled_from(DOMAINS),
         skew=st.sampled_from(SKEWS),
         idle=st.sampled_from([0.0, 0.4, 0.7, 1.3]),
@@ -150,7 +158,7 @@
         domain=st.sampled_from(DOMAINS),
         evidence=st.sampled_from(["forget", "lapse"]),
         frozen=st.booleans(),
-        seconds=st.sampled_from([0.5, 1.5, 3.0, 7.2, 7.9]),
+        seconds=st.sampled_from([0.5, 2.4, 3.0, 7.2, 7.9]),
     )
     def cut_off_holder(self, seed, domain, evidence, frozen, seconds):
         """Freeze a holder, or keep news from it, while others may take its slot."""
@@ -181,6 +189,18 @@
         self.drain_often(rng)
         heal(fleet)
 
+    @rule(seed=seeds, seconds=st.sampled_from([1.0, 1.3, 1.6]))
+    def spend_unreported(self, seed, seconds):
+        """Spend loans while no report arrives, and ask again after they expired."""
+        fleet = self.fleet
+        rng = random.Random(seed)
+        fleet.hoard(5.0, rng)
+        fleet.drain(rng, loss=1.0)
+        fleet.loss = 1.0
+        fleet.run(seconds, rng, calls=0)
+        fleet.loss = 0.0
+        self.drain_often(rng)
+
     def prepare(self, domain, rng):
         """Fill the buckets, lend all and return the holder, or None without one."""
         self.fleet.hoard(2.0, rng)
@@ -199,7 +219,8 @@
 
     @rule(number=picks)
     def lower_rate(self, number):
-        self.fleet.limits = (RATE / 2, BURST / 2)
+        rate = self.fleet.processes[0].limits[0]
+        self.fleet.limits = (min(rate, RATE / 2), BURST / 2)
         process = self.pick(number, self.fleet.running())
         self.fleet.configure(process, self.fleet.limits)
 
@@ -220,6 +241,57 @@
     )
 
 
+@pytest.mark.parametrize("kind", KINDS)
+def test_takeover_keeps_the_bound(kind):
+    """Guards against a successor that lends beside the loans of the former holder."""
+    for seed in range(30):
+        machine = ShareMachine()
+        for domain in DOMAINS:
+            machine.take_over(seed=seed, kind=kind, domain=domain, skew=1.01, idle=0.4)
+        machine.teardown()
+
+
+@pytest.mark.parametrize(
+    ("evidence", "frozen", "seconds"),
+    [("lapse", False, 7.2), ("lapse", True, 7.2), ("forget", True, 2.4)],
+)
+def test_holder_that_is_cut_off_keeps_the_bound(evidence, frozen, seconds):
+    """Guards against a holder that lends after its slot was given away."""
+    for seed in range(30):
+        machine = ShareMachine()
+        machine.cut_off_holder(
+            seed=seed, domain="east", evidence=evidence, frozen=frozen, seconds=seconds
+        )
+        machine.teardown()
+
+
+@pytest.mark.parametrize("parted", [False, True])
+def test_bad_network_keeps_the_bound(parted):
+    """Guards against tokens made by lost, late or repeated messages and freezes."""
+    for seed in range(30):
+        machine = ShareMachine()
+        machine.run(
+            seed=seed,
+            seconds=12.0,
+            loss=0.2,
+            delay=0.4,
+            duplicates=0.3,
+            parted=parted,
+            log_up=True,
+        )
+        machine.teardown()
+
+
+@pytest.mark.parametrize("rate", [RATE, SLOW_RATE])
+def test_lost_reports_keep_the_bound(rate):
+    """Guards against spent tokens that are refunded when their loan expires."""
+    for seed in range(30):
+        machine = ShareMachine()
+        machine.start_fleet(rate=rate)
+        machine.spend_unreported(seed=seed, seconds=1.3)
+        machine.teardown()
+
+
 def make_lender(rate=10.0, burst=10.0):
     """Return a lender that holds the whole account, with a full bucket."""
     lender = Lender(SETTINGS, "east", ["east"], random.Random(1))
@@ -432,6 +504,38 @@
     assert not holder.held()
 
 
+def test_late_claim_of_a_former_term_is_ignored():
+    """Guards against two holders under one term, whose loans would be mixed up."""
+    table = table_of("n0")
+    stale = table_of("n2").claim(0, 1, ClaimKind.RELEASED)
+    free = table.wanted_claims([], 0.0)
+    released = table_of("n1").claim(0, 1, ClaimKind.RELEASED)
+    first = SlotRelease(0, "east", 1, "n0", 1)
+    second = first._replace(term=2, holder="n1")
+    for record in [*free, first, released, second, stale]:
+        table.apply(record, 0.0)
+    assert table.states["east", 0].claim == released
+
+
+def test_holder_stops_when_it_releases_or_reads_that_it_was_forgotten():
+    """Guards against a holder that lends beside its successor."""
+    for forgotten in (False, True):
+        table = table_of("n0")
+        lender = make_lender()
+        lender.slots.clear()
+        for record in table.wanted_claims([], 0.0):
+            table.apply(record, 0.0)
+        table.renew(0.0)
+        table.update_lender(lender, 0.0)
+        assert lender.holds(0, 1, 2.0)
+        if forgotten:
+            table.apply(ForgetNode("n0", 1), 3.0)
+            table.update_lender(lender, 3.0)
+        else:
+            assert len(table.wanted_releases(lender.release_slot)) == 1
+        assert not lender.holds(0, 1, 3.0)
+
+
 def test_claims_without_evidence_are_ignored():
     """Guards against two holders of one slot."""
     for claim in (
@@ -462,6 +566,27 @@
     assert holder.lease_until(0) == 5.0 + SETTINGS.lease_time
 
 
+def test_node_that_starts_on_a_shortened_log_does_not_claim_held_slots():
+    """Guards against a second holder when the log has forgotten the first claim."""
+    holder, late, later = table_of("n0"), table_of("n1"), table_of("n2")
+    (free,) = holder.wanted_claims([], 0.0)
+    holder.apply(free, 0.0, 0)
+    assert holder.restatements([], 99.0, 300.0) == []
+    (restated,) = holder.restatements([], 100.0, 300.0)
+    late.begin(1)
+    later.begin(2)
+    late.apply(free._replace(holder="n9"), 100.0, 1)
+    assert late.wanted_claims([], 100.0) == []
+    for table in (late, later):
+        table.apply(restated, 100.0, 2)
+        assert not table.holders(0)
+    for table in (holder, late, later):
+        table.apply(restated._replace(position=1), 100.0, 3)
+        assert table.holders(0) == [free]
+        assert all(type(r) is SlotNotice for r in table.wanted_claims([], 100.0))
+    assert holder.restatements([], 101.0, 300.0) == []
+
+
 @pytest.mark.parametrize("data", [b"", b"\x03", b"\x01\x91\xc0", b"\x02\xff"])
 def test_broken_datagram_raises_a_protocol_error(data):
     """Guards against a datagram that stops the node."""
