Mend faults that the documentation work brought to light

Cause and change, one by one: answers carried the id of an attempt, with which a caller could make calls without a key (dropped now). A freeze that a request noticed did not pause the lender, and datagrams that had waited during a freeze ended it (a freeze now ends by an answer to a later question, from the log or from another node's list of withdrawals). A node that started in an outage of the log knew no configuration (it learns from a neighbour). Signatures of calls did not cover their bodies. forget took unknown names; digests were not checked; limit, level and log changes were not recorded.

--- a/src/carawaywheel/admin.py
+++ b/src/carawaywheel/admin.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any, NotRequired, TypedDict, TypeVar
+from typing import Annotated, Any, NotRequired, TypedDict, TypeVar
 from urllib.parse import parse_qs
 
 import msgspec
@@ -35,6 +35,8 @@
 MAX_BODY_BYTES = 256 * 1024
 LOOPBACK_PREFIX = "127."
 BINARY_HEADER = (b"content-type", b"application/msgpack")
+DIGEST_PATTERN = r"^[0-9a-f]{64}(?![\s\S])"
+KEY_ID_PATTERN = r"^[0-9a-f]{16}(?![\s\S])"
 MISSING_HEADER = b"x-missing-nodes"
 
 Body = TypeVar("Body")
@@ -65,8 +67,8 @@
     """Body of a request to issue a key, of which only the digest is sent."""
 
     team: str
-    key_id: str
-    digest: str
+    key_id: Annotated[str, msgspec.Meta(pattern=KEY_ID_PATTERN)]
+    digest: Annotated[str, msgspec.Meta(pattern=DIGEST_PATTERN)]
     account: str
     reason: str
     change_id: NotRequired[str]
@@ -85,7 +87,7 @@
     """Body of a request to set a team's token, of which only the digest is sent."""
 
     team: str
-    digest: str
+    digest: Annotated[str, msgspec.Meta(pattern=DIGEST_PATTERN)]
     reason: str
     change_id: NotRequired[str]
 
@@ -359,6 +361,10 @@
             await self.reply(connection, {"error": message}, 409)
             return
         incarnation = self.slots.newest_incarnation(wanted["node_id"])
+        if not incarnation:
+            message = f"node {wanted['node_id']} holds nothing; is its name right?"
+            await self.reply(connection, {"error": message}, 404)
+            return
         record = NodeForgotten(
             wanted["node_id"], incarnation, author, wanted["reason"], time.time()
         )
--- a/src/carawaywheel/charging.py
+++ b/src/carawaywheel/charging.py
@@ -1,5 +1,6 @@
 """Charging client accounts at the entry, with tokens lent by other nodes."""
 
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -22,6 +23,8 @@
 
     Attributes:
         addresses: Gossip address of each node by its id.
+        on_lend: Called with the time before tokens are lent to another node; notices
+            that the process stood still.
     """
 
     def __init__(
@@ -40,6 +43,7 @@
         self.addresses: dict[str, str] = {}
         self.nodes: dict[str, str] = {}
         self.waiting: dict[str, Any] = {}
+        self.on_lend: Callable[[float], object] = lambda now: None
         sock.handlers[SHARE_KIND] = self
 
     def set_addresses(self, addresses: dict[str, str]) -> None:
@@ -95,7 +99,9 @@
         address = format_address(sender)
         if isinstance(message, ShareRequest):
             # The clock is read after the datagram arrived, see `Lender.handle`.
-            grant = self.lender.handle(message, self.clock.now())
+            now = self.clock.now()
+            self.on_lend(now)
+            grant = self.lender.handle(message, now)
             if grant is not None:
                 await self.sock.send(SHARE_KIND, encode_message(grant), address)
             return
--- a/src/carawaywheel/entry.py
+++ b/src/carawaywheel/entry.py
@@ -233,7 +233,11 @@
                 return refusal
             charges.charged = True
         refusal = self.levels.check(
-            level_route(context), context.importance, self.clock.now(), self.relay.rng
+            level_route(context),
+            context.importance,
+            self.clock.now(),
+            self.relay.rng,
+            context.account,
         )
         if refusal is not None:
             return refusal
--- a/src/carawaywheel/follower.py
+++ b/src/carawaywheel/follower.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 from abc import ABC, abstractmethod
 from collections import deque
 
@@ -25,8 +26,7 @@
 MAX_RELAYED_BYTES = 16 * 1024 * 1024
 HEARTBEAT_SECONDS = 10.0
 HINT_POLL_SECONDS = 0.25
-# Older news is not passed on, or it would go round among nodes that cut each other off
-# from the log.
+# With older news, the next source is asked.
 RELAY_MAX_AGE_SECONDS = 10.0
 
 
@@ -158,7 +158,7 @@
         """Read once, from a peer if possible; return whether it worked."""
         readers = self.sources.readers()
         if readers is None:
-            return await self.poll_log(self.wait)
+            return await self.poll_log(self.wait) or await self.poll_neighbour()
         hint = self.sources.hint() if self.hinted else NO_HINT
         if self.wanted > hint.position:
             hint = Hint(self.wanted, "")
@@ -171,6 +171,12 @@
                 return True
         return await self.poll_log(0.0)
 
+    async def poll_neighbour(self) -> bool:
+        """Learn from a neighbour what it has, while the log does not answer."""
+        for address in self.sources.neighbour():
+            await self.poll_peer(address, NO_HINT)
+        return False
+
     def is_due(self, hint: Hint) -> bool:
         """Return whether to ask another node now."""
         if hint.position > self.position:
@@ -220,19 +226,22 @@
             )
             if answer.status != 200:
                 return False
-            if not await self.take_relayed(json.loads(content), address):
-                return False
-            return self.position >= hint.position
+            age = await self.take_relayed(json.loads(content), address)
+            return age <= RELAY_MAX_AGE_SECONDS and self.position >= hint.position
         except (PeerError, LogError, curio.TaskTimeout, ValueError):
             return False
 
-    async def take_relayed(self, answer: dict[str, object], address: str) -> bool:
-        """Take records from a peer unless its news is older than allowed."""
+    async def take_relayed(self, answer: dict[str, object], address: str) -> float:
+        """Take records from a peer; return how old its news is, in seconds.
+
+        Old news is better than none at a node that starts. It counts with its age, so
+        it cannot be taken for fresh, however often it is passed on.
+        """
         age = answer.get("age")
-        if not isinstance(age, int | float) or age > RELAY_MAX_AGE_SECONDS:
-            return False
+        if not isinstance(age, int | float) or not age >= 0:
+            return math.inf
         await self.take(parse_batch(answer, address), self.clock.now() - age)
-        return True
+        return age
 
     async def take(self, batch: Batch, asked_at: float) -> None:
         """Give records to the sink and wake those that wait for them."""
--- a/src/carawaywheel/headers.py
+++ b/src/carawaywheel/headers.py
@@ -36,6 +36,8 @@
     b"content-length",
     b"host",
 }
+# Who has the id of an attempt can make calls for its client account.
+ANSWER_PRIVATE = HOP_BY_HOP | {REQUEST_ID_HEADER}
 BODILESS_STATUSES = (204, 304)
 KEY_PATTERN = re.compile(rb"cw_[0-9A-Za-z]+_[0-9A-Za-z_\-]{20,}")
 
@@ -57,7 +59,7 @@
     kept = [
         (name, value)
         for name, value in headers
-        if name not in HOP_BY_HOP and not name.startswith(INTERNAL_PREFIX)
+        if name not in ANSWER_PRIVATE and not name.startswith(INTERNAL_PREFIX)
     ]
     if status in BODILESS_STATUSES:
         return kept
--- a/src/carawaywheel/lenders.py
+++ b/src/carawaywheel/lenders.py
@@ -1,6 +1,7 @@
 """Lender of tokens: the owner of the parts of the accounts in its slots."""
 
 import heapq
+import math
 import random
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -160,6 +161,7 @@
         self.slots: dict[int, HeldSlot] = {}
         self.accounts: dict[str, Account] = {}
         self.paused = False
+        self.paused_at = 0.0
 
     def set_account(self, account: str, rate: float, burst: float, now: float) -> None:
         """Add an account or change its rate and burst.
@@ -228,16 +230,25 @@
         """Stop to hold a slot; must precede the release record in the log."""
         self.slots.pop(slot, None)
 
-    def pause(self) -> None:
+    def pause(self, now: float = 0.0) -> None:
         """Lend nothing until ``resume``, after a gap in the process's run.
 
         The slots may have been given to another node during the gap.
+
+        Args:
+            now: Time in seconds at which the gap was noticed.
         """
         self.paused = True
+        self.paused_at = now
 
-    def resume(self) -> None:
-        """Lend again; the log has been read up to a position of after the gap."""
-        self.paused = False
+    def resume(self, asked_at: float = math.inf) -> None:
+        """Lend again if the log has been read up to a position of after the gap.
+
+        Args:
+            asked_at: Time in seconds at which the log was asked for its end.
+        """
+        if asked_at >= self.paused_at:
+            self.paused = False
 
     def holds(self, slot: int, term: int, now: float) -> bool:
         """Tell whether tokens of a slot may be lent at ``now``."""
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import curio
+import msgspec
 from loguru import logger
 
 from .admin import AdminHandler
@@ -31,6 +32,7 @@
 from .membership import Membership
 from .peers import PeerHandler
 from .recorder import Recorder
+from .records import Entry
 from .relay import Relay
 from .retries import ServiceBudget
 from .routing import Router, TargetState
@@ -47,6 +49,7 @@
 from .summarizer import Summarizer
 from .targets import AnnouncedTargets
 from .upkeep import Upkeep
+from .watching import StateWatch
 
 HOUSEKEEPING_SECONDS = 0.25
 STOP_POLL_SECONDS = 0.05
@@ -214,6 +217,8 @@
         self.charging = ChargingService(
             node_id, self.borrower, self.lender, self.sock, self.clock
         )
+        self.charging.on_lend = self.state.tick
+        self.state.on_freeze = self.lender.pause
 
     def build_requests(self) -> None:
         """Build the path of a request."""
@@ -223,6 +228,12 @@
             self.targets, settings.admission, settings.limit, self.clock, self.rng
         )
         self.runner = CallRunner(self.server, self.recorder, self.clock)
+        self.state_watch = StateWatch(
+            self.server,
+            self.followers[CONFIGURATION_STREAM],
+            self.recorder,
+            self.clock,
+        )
         self.relay = Relay(
             settings.retry,
             self.router,
@@ -361,8 +372,9 @@
         while True:
             await curio.sleep(HOUSEKEEPING_SECONDS)
             now = self.clock.now()
-            if self.state.tick(now):
-                self.lender.pause()
+            self.state.tick(now)
+            self.state_watch.poll()
+            await self.catch_up(now)
             self.runner.attempts.expire(now)
             self.note_target()
             self.update_peers()
@@ -373,6 +385,17 @@
             position = self.followers[CONFIGURATION_STREAM].position
             self.membership.set_position(position)
 
+    async def catch_up(self, now: float) -> None:
+        """After a freeze, learn the withdrawals that another node knows."""
+        if self.state.frozen_at is None:
+            return
+        for address in self.sources.neighbour():
+            content = await self.fleet.get(address, "/withdrawals")
+            if content is not None:
+                entries = msgspec.msgpack.decode(content, type=list[Entry])
+                self.state.take_withdrawn(entries, now)
+                return
+
     def update_peers(self) -> None:
         """Tell the parts which nodes are live."""
         members = self.membership.members(self.clock.now())
--- a/src/carawaywheel/peers.py
+++ b/src/carawaywheel/peers.py
@@ -1,6 +1,5 @@
 """Requests of other nodes: calls for the local target and control messages."""
 
-import hashlib
 from collections.abc import Callable
 from urllib.parse import parse_qs
 
@@ -25,11 +24,18 @@
 from .recorder import Recorder
 from .records import KeyWithdrawn, decode
 from .running import CallRunner, Running
-from .signing import Signer, decode_context, encode_header
+from .signing import (
+    Signer,
+    check_digest,
+    decode_context,
+    encode_header,
+    signed_context,
+)
 from .state import NodeState
 from .streaming import pass_on
 
 BINARY_HEADER = (b"content-type", b"application/msgpack")
+MAX_AGE_SECONDS = 1e9
 MAX_CONTROL_BYTES = 4 * 1024 * 1024
 
 
@@ -62,16 +68,17 @@
         """Answer one request of another node."""
         header = request.header(CONTEXT_HEADER)
         if header:
-            self.verify(connection, request, header.encode("latin-1"))
+            digest = request.header(DIGEST_HEADER)
+            self.verify(connection, request, signed_context(header, digest))
             context = decode_context(header, connection.peer)
             body = await connection.read_body(self.max_body)
+            check_digest(body, digest, connection.peer)
             await self.handle_call(connection, request, body, context)
             return
         digest = request.header(DIGEST_HEADER)
         self.verify(connection, request, digest.encode("latin-1"))
         body = await connection.read_body(MAX_CONTROL_BYTES)
-        if hashlib.sha256(body).hexdigest() != digest:
-            raise ProtocolError("the body is not the one signed", "verify", "peer")
+        check_digest(body, digest, connection.peer)
         await self.handle_control(connection, request, body)
 
     def verify(
@@ -128,6 +135,8 @@
             await self.relay_stream(connection, path.rpartition("/")[2], query)
         elif path == "/members":
             await self.exchange_members(connection, body)
+        elif path == "/withdrawals" and request.method == "GET":
+            await self.reply_withdrawals(connection)
         elif path == "/withdrawals":
             self.take_withdrawal(connection, body)
             await self.reply(connection, {})
@@ -164,7 +173,9 @@
         if follower is None or batch is None:
             await connection.respond(410, [JSON_HEADER], json_body({}))
             return
-        await self.reply(connection, {**encode_batch(batch), "age": follower.age})
+        # JSON has no infinity; a node without news says so by its largest number.
+        age = min(follower.age, MAX_AGE_SECONDS)
+        await self.reply(connection, {**encode_batch(batch), "age": age})
 
     async def exchange_members(self, connection: ServerConnection, body: bytes) -> None:
         """Merge the members that a starting node knows and send all of them.
@@ -181,6 +192,14 @@
         state = members_encoder.encode(self.membership.full_state(now))
         await connection.respond(200, [BINARY_HEADER], state)
 
+    async def reply_withdrawals(self, connection: ServerConnection) -> None:
+        """Send all withdrawals to a node that was frozen, unless this one was too."""
+        if not self.state.news_is_fresh(self.clock.now()):
+            await connection.respond(503, [JSON_HEADER], json_body({}))
+            return
+        body = msgspec.msgpack.encode(self.state.withdrawn())
+        await connection.respond(200, [BINARY_HEADER], body)
+
     def take_withdrawal(self, connection: ServerConnection, body: bytes) -> None:
         """Apply a withdrawal that another node has appended.
 
--- a/src/carawaywheel/recorder.py
+++ b/src/carawaywheel/recorder.py
@@ -113,6 +113,7 @@
             attempt_id=context.attempt_id,
             account=context.account,
             service=context.service,
+            target=self.buffer.node_id,
             importance=context.importance,
         )
 
@@ -123,6 +124,7 @@
             request_id=context.root_id,
             attempt_id=context.attempt_id,
             service=context.service,
+            target=self.buffer.node_id,
         )
 
     def completed(self, root_id: str, attempt_id: str, service: str) -> None:
@@ -218,6 +220,7 @@
             attempt_id=context.attempt_id,
             account=context.account,
             service=context.service,
+            target=self.buffer.node_id,
             importance=context.importance,
             reason=refusal.reason,
             ran=refusal.ran,
--- a/src/carawaywheel/relay.py
+++ b/src/carawaywheel/relay.py
@@ -18,6 +18,7 @@
 from .headers import (
     ANSWER_HEADER,
     CONTEXT_HEADER,
+    DIGEST_HEADER,
     SIGNATURE_HEADER,
     forwarded_request_headers,
 )
@@ -30,7 +31,13 @@
 from .routing import Candidate, Router
 from .running import CallRunner, Running
 from .settings import RetrySettings
-from .signing import Signer, decode_answer, encode_header
+from .signing import (
+    Signer,
+    body_digest,
+    decode_answer,
+    encode_header,
+    signed_context,
+)
 
 SILENCE_SECONDS = 1.0
 CHECK_TIMEOUT_SECONDS = 1.0
@@ -375,9 +382,13 @@
         headers = forwarded_request_headers(call.request.headers)
         headers.append((b"host", address.encode()))
         headers.append((CONTEXT_HEADER, encoded))
+        digest = body_digest(call.body)
+        signed = signed_context(encoded.decode(), digest)
         headers.append(
-            (SIGNATURE_HEADER, self.signer.sign(method.encode(), target, encoded))
+            (SIGNATURE_HEADER, self.signer.sign(method.encode(), target, signed))
         )
+        if digest:
+            headers.append((DIGEST_HEADER, digest.encode()))
         if call.body or method in BODY_METHODS:
             headers.append((b"content-length", str(len(call.body)).encode()))
         return headers
--- a/src/carawaywheel/signing.py
+++ b/src/carawaywheel/signing.py
@@ -40,7 +40,7 @@
         The signature covers a digest of the body, so that the receiver can check it
         before it reads the body.
         """
-        digest = hashlib.sha256(body).hexdigest().encode()
+        digest = body_digest(body).encode()
         signature = self.sign(method.encode(), target.encode("latin-1"), digest)
         return [
             (b"host", address.encode()),
@@ -69,6 +69,26 @@
         return hmac.digest(self.secret, data, "sha256")[:DATAGRAM_TAG_BYTES]
 
 
+def body_digest(body: bytes) -> str:
+    """Return the digest of a body, empty for an empty body."""
+    return hashlib.sha256(body).hexdigest() if body else ""
+
+
+def signed_context(context: str, digest: str) -> bytes:
+    """Return what the signature of a call covers besides its method and target."""
+    return f"{context}\n{digest}".encode("latin-1")
+
+
+def check_digest(body: bytes, digest: str, peer: str) -> None:
+    """Check that a body is the one that was signed.
+
+    Raises:
+        ProtocolError: If it is another one.
+    """
+    if body_digest(body) != digest:
+        raise ProtocolError("the body is not the one signed", "verify", peer)
+
+
 def encode_header(value: RequestContext | AnswerInfo) -> bytes:
     """Encode a value for a header."""
     return base64.b64encode(encoder.encode(value))
--- a/src/carawaywheel/slotting.py
+++ b/src/carawaywheel/slotting.py
@@ -90,7 +90,7 @@
         if not self.caught_up:
             logger.info("shares stream is read; this node may claim slots")
         self.caught_up = True
-        self.lender.resume()
+        self.lender.resume(asked_at)
         self.table.renew(asked_at)
         self.table.update_lender(self.lender, self.clock.now())
         if self.changed:
--- a/src/carawaywheel/sources.py
+++ b/src/carawaywheel/sources.py
@@ -57,9 +57,16 @@
         return [members[node_id].peer_address for node_id in chosen]
 
     def neighbour(self) -> list[str]:
-        """Return the address of a random other node of the failure domain, if any."""
+        """Return the address of a random other node, a near one if there is any."""
         own = self.membership.own.node_id
         others = [m.peer_address for m in self.neighbours() if m.node_id != own]
+        return [self.rng.choice(others)] if others else self.any_member()
+
+    def any_member(self) -> list[str]:
+        """Return the address of a random other node, if any is known."""
+        own = self.membership.own.node_id
+        members = self.membership.members(self.clock.now())
+        others = [m.peer_address for m in members if m.node_id != own]
         return [self.rng.choice(others)] if others else []
 
     def hint(self) -> Hint:
--- a/src/carawaywheel/state.py
+++ b/src/carawaywheel/state.py
@@ -1,5 +1,7 @@
 """What a node knows of the configuration, and how fresh that is."""
 
+from collections.abc import Callable
+
 from loguru import logger
 
 from .clock import Clock
@@ -8,7 +10,7 @@
 from .events import EventKind
 from .follower import RecordSink
 from .recorder import Recorder
-from .records import KeyWithdrawn, Record, decode
+from .records import Entry, KeyWithdrawn, Record, decode, team_of
 from .views import View
 
 FREEZE_GAP_SECONDS = 2.0
@@ -26,6 +28,7 @@
         ticked_at: Time of the last sign that the loop runs, in seconds.
         heard_at: Time of the last news from the log or a peer, in seconds.
         has_peers: Whether other nodes are known.
+        on_freeze: Called with the time after the process stood still.
         max_age: Seconds after which the log's news is too old; 0 for no limit.
     """
 
@@ -44,6 +47,7 @@
         self.max_age = max_age
         self.ticked_at = clock.now()
         self.heard_at = float("-inf")
+        self.on_freeze: Callable[[float], None] = lambda now: None
         self.read_at = float("-inf")
         self.frozen_at: float | None = None
         self.has_peers = False
@@ -82,7 +86,7 @@
         """Note that the stream was read to its end."""
         self.configuration.reached_end()
         self.read_at = max(self.read_at, asked_at)
-        self.heard(asked_at)
+        self.caught_up(asked_at)
 
     def withdraw_early(self, record: KeyWithdrawn) -> None:
         """Apply a withdrawal that another node pushed."""
@@ -92,11 +96,35 @@
             )
 
     def heard(self, at: float) -> None:
-        """Note news that was asked for or sent at a time, in seconds."""
+        """Note that another node or the log was heard at a time, in seconds."""
         self.heard_at = max(self.heard_at, at)
-        if self.frozen_at is not None and at >= self.frozen_at:
+
+    def caught_up(self, asked_at: float) -> None:
+        """Note that this node knows what others knew at a time, in seconds.
+
+        Only an answer to a question that was asked after a freeze ends it: what had
+        waited in a socket meanwhile may be older than a withdrawal.
+        """
+        self.heard(asked_at)
+        if self.frozen_at is not None and asked_at >= self.frozen_at:
             self.frozen_at = None
 
+    def withdrawn(self) -> list[Entry]:
+        """Return the entries of all withdrawn keys."""
+        entries = self.configuration.entries.values()
+        return [entry for entry in entries if entry.withdrawn]
+
+    def take_withdrawn(self, entries: list[Entry], asked_at: float) -> None:
+        """Take over the withdrawals that another node knows.
+
+        Args:
+            entries: Entries of withdrawn keys.
+            asked_at: Time in seconds at which the node was asked.
+        """
+        for entry in entries:
+            self.withdraw_early(withdrawal_of(entry))
+        self.caught_up(asked_at)
+
     def tick(self, now: float) -> bool:
         """Note that the loop runs; return whether it had stood still.
 
@@ -110,14 +138,26 @@
         self.frozen_at = now
         self.recorder.state_event(EventKind.NODE_FROZEN, f"for {gap:.1f} s")
         logger.warning("the process stood still for {:.1f} s", gap)
+        self.on_freeze(now)
         return True
 
     def news_is_fresh(self, now: float) -> bool:
         """Return whether a withdrawal of a key would have reached this node."""
-        if now - self.ticked_at > FREEZE_GAP_SECONDS:
-            self.tick(now)
+        self.tick(now)
         if self.frozen_at is not None:
             return False
         if self.max_age and now - self.read_at > self.max_age:
             return False
         return not self.has_peers or now - self.heard_at <= ISOLATION_SECONDS
+
+
+def withdrawal_of(entry: Entry) -> KeyWithdrawn:
+    """Return the record that withdraws the key of an entry."""
+    return KeyWithdrawn(
+        entry.change_id,
+        entry.path.rpartition("/")[2],
+        team_of(entry.path),
+        entry.author,
+        entry.reason,
+        entry.time,
+    )
--- /dev/null
+++ b/src/carawaywheel/watching.py
@@ -0,0 +1,50 @@
+"""Noticing changes of a node's state, for the time line."""
+
+from .clock import Clock
+from .events import EventKind
+from .follower import StreamFollower
+from .recorder import Recorder
+from .serving import TargetServer
+
+# Smaller steps of the limit are part of its normal search.
+LIMIT_STEP_SHARE = 0.2
+
+
+class StateWatch:
+    """Records the limit, the level and the log's state when they have changed."""
+
+    def __init__(
+        self,
+        server: TargetServer,
+        follower: StreamFollower,
+        recorder: Recorder,
+        clock: Clock,
+    ) -> None:
+        self.server = server
+        self.follower = follower
+        self.recorder = recorder
+        self.clock = clock
+        self.limit = 0
+        self.admitted = 2
+        self.log_down = False
+
+    def poll(self) -> None:
+        """Compare the state with the one that was recorded last."""
+        if self.follower.log_down != self.log_down:
+            self.log_down = self.follower.log_down
+            text = "does not answer" if self.log_down else "answers"
+            self.recorder.state_event(EventKind.LOG_STATE, f"the log {text}")
+        if self.server.gate is None:
+            return
+        now = self.clock.now()
+        queue = self.server.gate.queue
+        limit = queue.limit.limit(now)
+        if abs(limit - self.limit) > LIMIT_STEP_SHARE * max(1, self.limit):
+            text = f"{self.limit} to {limit}"
+            self.limit = limit
+            self.recorder.state_event(EventKind.LIMIT_CHANGED, text)
+        level = queue.level(self.server.gate.target.service, now)
+        if level.importance_admitted != self.admitted:
+            self.admitted = level.importance_admitted
+            text = f"importances up to {self.admitted} are admitted"
+            self.recorder.state_event(EventKind.LEVEL_CHANGED, text)
