Keep one way to restate slots

Cause: two changes met that restate slots before the log forgets them, one for each slot (SlotRestatement) and one for the whole stream (slothistory). Change: the second stays.

--- a/src/carawaywheel/evidence.py
+++ b/src/carawaywheel/evidence.py
@@ -80,32 +80,7 @@
     incarnation: int
 
 
-class SlotRestatement(NamedTuple):
-    """Record: the state of a slot, for nodes that start after older records are gone.
-
-    Attributes:
-        slot: Slot.
-        domain: Failure domain of the slot.
-        position: Offset up to which the log is contained in the state.
-        claim: The valid claim of the newest term, or None for a free slot.
-        released: Whether its holder has released it.
-        forgotten: Whether an operator has declared its holder gone.
-        notice: A notice that is not voided, or None.
-        notices: Number of notices in this term.
-    """
-
-    slot: int
-    domain: str
-    position: int
-    claim: SlotClaim | None
-    released: bool
-    forgotten: bool
-    notice: SlotNotice | None
-    notices: int
-
-
-SlotChange = SlotClaim | SlotRelease | SlotNotice | SlotObjection
-SlotRecord = SlotChange | ForgetNode | SlotRestatement
+SlotRecord = SlotClaim | SlotRelease | SlotNotice | SlotObjection | ForgetNode
 
 
 class SlotState(NamedTuple):
--- a/src/carawaywheel/slots.py
+++ b/src/carawaywheel/slots.py
@@ -6,13 +6,11 @@
 from .evidence import (
     ClaimKind,
     ForgetNode,
-    SlotChange,
     SlotClaim,
     SlotNotice,
     SlotObjection,
     SlotRecord,
     SlotRelease,
-    SlotRestatement,
     SlotState,
     is_by_holder,
     is_valid,
@@ -53,11 +51,6 @@
         states: State by failure domain and slot; a free slot has none.
         renewed_at: Time in seconds of the newest proof that this node has read the
             whole log, or None before the first.
-        position: Offset of the last record that was applied.
-        first: Offset of the first record that was read.
-        known: Slots whose state was restated, if the log did not start at 0.
-        changes: Offset and time in seconds of the newest change of a slot.
-        forgot: Offset of the newest ``ForgetNode`` record.
         lease_from: For slots under notice, the value of ``renewed_at`` when the
             notice was read, by slot.
     """
@@ -68,77 +61,24 @@
         self.states: dict[SlotKey, SlotState] = {}
         self.renewed_at: float | None = None
         self.lease_from: dict[int, float] = {}
-        self.position = -1
-        self.first = 0
-        self.known: set[SlotKey] = set()
-        self.changes: dict[SlotKey, tuple[int, float]] = {}
-        self.forgot = -1
 
-    def begin(self, offset: int) -> None:
-        """Set the offset of the first record that the log still holds.
-
-        Above 0, slots are unknown, not free, until their state is restated: the
-        claim of their holder may be among the records that are gone.
-        """
-        self.first = offset
-        self.position = offset - 1
-
-    def is_known(self, key: SlotKey) -> bool:
-        """Tell whether all records about a slot have been read or restated."""
-        return self.first <= 0 or key in self.known
-
-    def apply(self, record: SlotRecord, now: float, offset: int | None = None) -> None:
+    def apply(self, record: SlotRecord, now: float) -> None:
         """Fold one record, in log order.
 
         Args:
             record: Record of the shares stream.
             now: Time in seconds at which it was read.
-            offset: Offset of the record; one above the last one by default.
         """
-        self.position = self.position + 1 if offset is None else offset
-        if isinstance(record, SlotRestatement):
-            self.apply_restatement(record, now)
-            return
-        if isinstance(record, ForgetNode):
-            self.forgot = self.position
-            self.apply_forget(record)
-            return
-        key = (record.domain, record.slot)
-        self.changes[key] = (self.position, now)
-        if self.is_known(key):
-            self.apply_change(record, now)
-
-    def apply_change(self, record: SlotChange, now: float) -> None:
-        """Fold a record about a slot whose state is known."""
         if isinstance(record, SlotClaim):
             self.apply_claim(record, now)
         elif isinstance(record, SlotRelease):
             self.apply_release(record)
         elif isinstance(record, SlotNotice):
             self.apply_notice(record, now)
-        else:
+        elif isinstance(record, SlotObjection):
             self.apply_objection(record)
-
-    def apply_restatement(self, record: SlotRestatement, now: float) -> None:
-        """Take over a restated state, unless records came after it or are missing."""
-        key = (record.domain, record.slot)
-        changed, _ = self.changes.get(key, (-1, now))
-        self.changes[key] = (changed, now)
-        if self.is_known(key) or record.position < self.first - 1:
-            return
-        if max(changed, self.forgot) > record.position:
-            return
-        self.known.add(key)
-        if record.claim is not None:
-            self.states[key] = SlotState(
-                record.claim,
-                record.released,
-                record.forgotten,
-                record.notice,
-                record.notices,
-                now,
-                now,
-            )
+        else:
+            self.apply_forget(record)
 
     def apply_claim(self, claim: SlotClaim, now: float) -> None:
         """Fold a claim; one of a former term or without evidence is ignored."""
@@ -254,32 +194,6 @@
             return float("-inf")
         return start + self.settings.lease_time
 
-    def restatements(
-        self, members: Iterable[SlotMember], now: float, retention: float
-    ) -> list[SlotRestatement]:
-        """Return the states that this node should append before they are forgotten.
-
-        Args:
-            members: The live nodes, this one included or not.
-            now: Time in seconds.
-            retention: Seconds for which the log keeps a record.
-        """
-        names = {m.node for m in members if m.domain == self.own.domain}
-        peers = sorted(names | {self.own.node})
-        records = []
-        for slot in range(self.settings.slots):
-            key = (self.own.domain, slot)
-            _, changed_at = self.changes.setdefault(key, (-1, now))
-            due = now >= changed_at + retention / 3
-            if not due or not self.is_known(key) or not self.ranks(slot, peers):
-                continue
-            state = self.states.get(key)
-            values = state[:5] if state else (None, False, False, None, 0)
-            records.append(
-                SlotRestatement(slot, self.own.domain, self.position, *values)
-            )
-        return records
-
     def wanted_claims(
         self, members: Iterable[SlotMember], now: float
     ) -> list[SlotRecord]:
@@ -294,10 +208,8 @@
         peers = [name for name, m in nodes.items() if m.domain == self.own.domain]
         records: list[SlotRecord] = []
         for slot in range(self.settings.slots):
-            key = (self.own.domain, slot)
-            if not self.is_known(key):
-                continue
-            record = self.wanted(slot, self.states.get(key), nodes, peers, now)
+            state = self.states.get((self.own.domain, slot))
+            record = self.wanted(slot, state, nodes, peers, now)
             if record is not None:
                 records.append(record)
         return records
--- a/tests/test_slothistory.py
+++ b/tests/test_slothistory.py
@@ -91,3 +91,30 @@
     assert history.due(0.0, 30.0, 5, 0) is None
     assert history.due(SETTINGS.lease_time, 30.0, 5, 0) is None
     assert history.due(SETTINGS.lease_time * 1.2, 30.0, 5, 0) == SlotsRestated([], 5)
+
+
+def test_a_node_that_starts_on_a_shortened_log_does_not_claim_held_slots():
+    """Guards against a second holder when the log has forgotten the first claim."""
+    holder, late, later = history_of(WINNER), history_of(LOSER), history_of(LOSER)
+    holder.take(0, claim_of(WINNER), 0.0)
+    assert holder.due(0.0, 300.0, 0, 0) is None
+    assert holder.due(99.0, 300.0, 0, 0) is None
+    restated = holder.due(100.0, 300.0, 0, 0)
+    assert restated.as_of == 1
+    late.begin(1)
+    later.begin(2)
+    late.take(1, claim_of(LOSER), 100.0)
+    for history in (late, later):
+        assert not history.exact and not history.table.holders(0)
+    holder.take(1, claim_of(LOSER), 100.0)
+    again = holder.due(200.0, 300.0, 2, 0)
+    late.take(2, restated, 100.0)
+    later.take(2, restated, 100.0)
+    assert late.exact and not later.exact
+    later.take(3, again, 200.0)
+    for history in (late, later):
+        (held,) = history.table.holders(0)
+        assert held == claim_of(WINNER)
+        wanted = history.table.wanted_claims([], 200.0)
+        assert all(type(record) is SlotNotice for record in wanted)
+    assert holder.due(201.0, 300.0, 2, 0) is None
