Push draining targets before refutations

Cause: at 20% loss many members are suspected and refute it, and their pushes used up the tokens that a draining target needs. Change: push targets that leave first, and keep tokens for them. Conclusion: the new test fails without the reserve.

--- a/src/carawaywheel/dissemination.py
+++ b/src/carawaywheel/dissemination.py
@@ -8,6 +8,7 @@
 import math
 
 from .members import Entry, Member, MemberState, MemberTable
+from .routing import TargetState
 from .settings import MembershipSettings
 from .swim import JUDGEMENT_BYTES, Judgement, Kind, Message, update_room
 
@@ -58,10 +59,14 @@
         if not self.urgent:
             return []
         self._refill(now)
-        if self.tokens < self.settings.urgent_fanout:
+        fanout = self.settings.urgent_fanout
+        leaving = [node_id for node_id in self.urgent if is_leaving(table, node_id)]
+        # On a lossy network, refutations would use up what draining targets need.
+        reserve = 0 if leaving else fanout * self.settings.urgent_rounds
+        if self.tokens < fanout + reserve:
             return []
-        self.tokens -= self.settings.urgent_fanout
-        ids = list(self.urgent)[: self.settings.updates_per_message]
+        self.tokens -= fanout
+        ids = leaving or list(self.urgent)
         taken = self._fit(table, ids, room)
         for node_id in taken:
             rounds = self.urgent.pop(node_id) - 1
@@ -101,6 +106,16 @@
         self.refilled_at = now
 
 
+def is_leaving(table: MemberTable, node_id: str) -> bool:
+    """Return whether the news is that a target takes no new work any more."""
+    member = table.get(node_id)
+    if member is None:
+        return False
+    return member.state is MemberState.LEFT or (
+        member.target_state >= TargetState.DRAINING
+    )
+
+
 def is_short(entry: Entry) -> bool:
     """Return whether an update is carried as a judgement."""
     state = entry.member.state
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -158,6 +158,20 @@
     assert fleet.agree()
 
 
+def test_draining_target_is_pushed_though_refutations_wait():
+    """Guards against a late drain on a network that loses many probes."""
+    fleet = make_fleet(30)
+    node = fleet.nodes["n0"]
+    for _ in range(100):
+        for name in node.table.live:
+            node.queue.add(name, True)
+        node.tick(fleet.now)
+    node.update_self(fleet.now, target_state=TargetState.DRAINING)
+    out = node.tick(fleet.now)
+    assert len(out) >= SETTINGS.urgent_fanout
+    assert all(o.message.sender.target_state is TargetState.DRAINING for o in out)
+
+
 def test_long_descriptions_fit_the_datagram():
     """Guards against datagrams that the network fragments or drops."""
     fleet = Fleet()
