--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -104,8 +104,8 @@
     del fleet.nodes["n0"]
     fleet.run(10.0)
     assert fleet.agree()
-    changes = fleet.nodes["n1"].changes()
-    assert (ChangeKind.LEFT, "n0") in [(kind, m.node_id) for kind, m in changes]
+    seen = [(kind, m.node_id) for kind, m in fleet.nodes["n1"].changes()]
+    assert (ChangeKind.LEFT, "n0") in seen
 
 
 def test_loss_of_datagrams_alone_kills_nobody():
@@ -115,8 +115,8 @@
     for node in fleet.nodes.values():
         node.changes()
     fleet.run(120.0)
-    kinds = {c.kind for node in fleet.nodes.values() for c in node.changes()}
-    assert ChangeKind.LEFT not in kinds
+    changes = [change for node in fleet.nodes.values() for change in node.changes()]
+    assert ChangeKind.LEFT not in [change.kind for change in changes]
 
 
 def test_frozen_member_refutes_its_death():
@@ -162,9 +162,8 @@
     """Guards against a late drain on a network that loses many probes."""
     fleet = make_fleet(30)
     node = fleet.nodes["n0"]
-    for _ in range(100):
-        for name in node.table.live:
-            node.queue.add(name, True)
+    for step in range(3000):
+        node.queue.add(node.table.live[step % 29], True)
         node.tick(fleet.now)
     node.update_self(fleet.now, target_state=TargetState.DRAINING)
     out = node.tick(fleet.now)
@@ -208,8 +207,7 @@
     fleet = make_fleet(5)
     fleet.cut_link = {"n0", "n1"}
     fleet.run(60.0)
-    assert fleet.nodes["n0"].own.incarnation == 0
-    assert fleet.nodes["n1"].own.incarnation == 0
+    assert not any(node.own.incarnation for node in fleet.nodes.values())
 
 
 @pytest.mark.parametrize("kind", [Kind.PING, Kind.ACK])
