--- a/tests/test_slothistory.py
+++ b/tests/test_slothistory.py
@@ -117,4 +117,6 @@
         assert held == claim_of(WINNER)
         wanted = history.table.wanted_claims([], 200.0)
         assert all(type(record) is SlotNotice for record in wanted)
+    for offset, record in ((2, restated), (3, again)):
+        holder.take(offset, record, 200.0)
     assert holder.due(201.0, 300.0, 2, 0) is None
