Make a table of faults from the marks of the tests

Cause: nothing showed which invariant is proved under which fault. Before / after: no page; make faults prints the cells by state. Conclusion: cells without a test or a reason are listed as not proved.

--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,11 @@
 # A long search of the state machines: make search SEED=7 CASES=tests/test_shares.py
 search: $(STAMP)
 	HYPOTHESIS_PROFILE=search $(BIN)/pytest --hypothesis-seed=$(or $(SEED),0) $(CASES)
+
+# The table of faults and the tests that prove them: docs/FAULTS.md.
+faults: $(STAMP)
+	$(BIN)/python -m bench.faults
+
+# Breaks the source in small ways and checks that the tests notice.
+mutants: $(STAMP)
+	$(BIN)/python -m bench.mutants
--- /dev/null
+++ b/bench/faults.py
@@ -0,0 +1,275 @@
+"""Writes docs/FAULTS.md: which test proves which step under which fault.
+
+The table is made from the `proves` marks of the tests and the reasons below. A cell
+without either says that it is not proved.
+"""
+
+import argparse
+import contextlib
+import io
+import sys
+from collections import Counter, defaultdict
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+PAGE = ROOT / "docs" / "FAULTS.md"
+INVARIANTS = tuple(f"I{number}" for number in range(1, 13))
+NOT_PROVED = "not proved"
+
+STEPS = (
+    "request: authenticate",
+    "request: charge",
+    "request: claim",
+    "request: admit",
+    "request: forward",
+    "request: sub-call",
+    "request: retry",
+    "request: answer",
+    "change: publish",
+    "change: spread",
+    "change: restate",
+    "withdrawal: accept",
+    "withdrawal: spread",
+    "node: start",
+    "node: stop",
+    "target: announce",
+    "target: leave",
+)
+FAULTS = (
+    "process killed",
+    "frozen and resumed",
+    "connection cut",
+    "connection silent",
+    "message lost",
+    "message delayed",
+    "duplicated or reordered",
+    "answer lost",
+    "log down",
+    "log slow or forgetting",
+    "operators racing",
+    "clock rate",
+    "two together",
+    "same twice",
+)
+
+
+class Reason(NamedTuple):
+    """Why a fault cannot happen in some steps.
+
+    Attributes:
+        code: Code of the reason in the table.
+        steps: Steps it holds for.
+        faults: Faults it holds for.
+        text: The reason.
+    """
+
+    code: str
+    steps: tuple[str, ...]
+    faults: tuple[str, ...]
+    text: str
+
+
+LOCAL = ("request: authenticate", "request: admit")
+LOGLESS = LOCAL + (
+    "request: charge",
+    "request: forward",
+    "request: sub-call",
+    "request: retry",
+    "request: answer",
+    "target: announce",
+    "target: leave",
+)
+MESSAGES = (
+    "connection cut",
+    "connection silent",
+    "message lost",
+    "message delayed",
+    "duplicated or reordered",
+    "answer lost",
+)
+REASONS = (
+    Reason(
+        "a",
+        LOCAL,
+        MESSAGES,
+        "The step runs inside one node on what it holds in memory and sends no "
+        "message.",
+    ),
+    Reason(
+        "b",
+        tuple(s for s in STEPS if not s.startswith(("change", "withdrawal"))),
+        ("operators racing",),
+        "No operator takes part in the step.",
+    ),
+    Reason(
+        "c",
+        ("request: forward", "request: sub-call", "request: answer"),
+        ("duplicated or reordered",),
+        "The step uses one TCP connection for one request at a time, which neither "
+        "duplicates nor reorders bytes; crossed answers are told by the attempt id.",
+    ),
+    Reason(
+        "d",
+        ("change: publish", "change: spread", "withdrawal: accept"),
+        ("clock rate",),
+        "The order of the log alone decides; no clock takes part in the decision.",
+    ),
+)
+
+
+class Proof(NamedTuple):
+    """One mark of one test.
+
+    Attributes:
+        test: Node id of the test without its parameters.
+        invariant: Invariant that it shows.
+        step: Step in which the fault happens.
+        fault: The fault.
+    """
+
+    test: str
+    invariant: str
+    step: str
+    fault: str
+
+
+class Collector:
+    """Plugin of pytest that keeps the marks of all tests."""
+
+    def __init__(self) -> None:
+        self.proofs: set[Proof] = set()
+
+    def pytest_collection_modifyitems(self, items: list[pytest.Item]) -> None:
+        """Read the marks of the collected tests."""
+        for item in items:
+            name = item.nodeid.partition("[")[0].removesuffix("::runTest")
+            for mark in item.iter_markers("proves"):
+                self.proofs.add(Proof(name, *mark.args, **mark.kwargs))
+
+
+def collect() -> list[Proof]:
+    """Return the marks of all tests in order.
+
+    Raises:
+        ValueError: If the tests cannot be collected or a mark has a wrong name.
+    """
+    collector = Collector()
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output):
+        arguments = ["--collect-only", "-q", "-p", "no:cacheprovider", "tests"]
+        status = pytest.main(arguments, plugins=[collector])
+    if status != 0:
+        raise ValueError(output.getvalue())
+    for proof in collector.proofs:
+        check(proof)
+    return sorted(collector.proofs)
+
+
+def check(proof: Proof) -> None:
+    """Check the names of a mark.
+
+    Raises:
+        ValueError: If one of them is unknown, or the cell has a reason already.
+    """
+    for value, allowed in (
+        (proof.invariant, INVARIANTS),
+        (proof.step, STEPS),
+        (proof.fault, FAULTS),
+    ):
+        if value not in allowed:
+            raise ValueError(f"{proof.test}: {value!r} is not one of {allowed}")
+    if reason_for(proof.step, proof.fault) is not None:
+        raise ValueError(f"{proof.test} proves a cell that has a reason: {proof}")
+
+
+def reason_for(step: str, fault: str) -> Reason | None:
+    """Return why a fault cannot happen in a step, None if it can."""
+    for reason in REASONS:
+        if step in reason.steps and fault in reason.faults:
+            return reason
+    return None
+
+
+def render(proofs: list[Proof]) -> tuple[str, Counter[str]]:
+    """Return the page and the number of cells by state."""
+    tests = sorted({proof.test for proof in proofs})
+    numbers = {test: number for number, test in enumerate(tests, 1)}
+    cells: dict[tuple[str, str], set[int]] = defaultdict(set)
+    shown: dict[str, set[str]] = defaultdict(set)
+    for proof in proofs:
+        cells[proof.step, proof.fault].add(numbers[proof.test])
+        shown[proof.test].add(proof.invariant)
+    counts: Counter[str] = Counter()
+    rows = []
+    for step in STEPS:
+        row = [step]
+        for fault in FAULTS:
+            state, text = cell(cells, step, fault)
+            counts[state] += 1
+            row.append(text)
+        rows.append(row)
+    return page(rows, shown, numbers, counts), counts
+
+
+def cell(
+    cells: dict[tuple[str, str], set[int]], step: str, fault: str
+) -> tuple[str, str]:
+    """Return the state of a cell and its text."""
+    reason = reason_for(step, fault)
+    if reason is not None:
+        return "cannot happen", f"({reason.code})"
+    found = sorted(cells.get((step, fault), ()))
+    if found:
+        return "proved", ", ".join(map(str, found))
+    return NOT_PROVED, NOT_PROVED
+
+
+def page(
+    rows: list[list[str]],
+    shown: dict[str, set[str]],
+    numbers: dict[str, int],
+    counts: Counter[str],
+) -> str:
+    """Return the page as Markdown."""
+    lines = [
+        "# Invariants under failure",
+        "",
+        "`make faults` writes this page from the `proves` marks of the tests and the",
+        "reasons in `bench/faults.py`. A number names a test below, a letter says why",
+        "the fault cannot happen in the step. A test proves the invariants that it is",
+        "listed with, for the schedules that it runs.",
+        "",
+        "Cells: " + ", ".join(f"{counts[k]} {k}" for k in sorted(counts)) + ".",
+        "",
+        "| " + " | ".join(("step", *FAULTS)) + " |",
+        "|" + " --- |" * (len(FAULTS) + 1),
+    ]
+    lines += ["| " + " | ".join(row) + " |" for row in rows]
+    lines += ["", "## Tests", ""]
+    for test, number in numbers.items():
+        names = ", ".join(sorted(shown[test], key=INVARIANTS.index))
+        lines.append(f"{number}. `{test}` ({names})")
+    lines += ["", "## Why a fault cannot happen", ""]
+    lines += [f"- ({reason.code}) {reason.text}" for reason in REASONS]
+    return "\n".join(lines) + "\n"
+
+
+def main() -> None:
+    """Write the page, or check that it is current."""
+    parser = argparse.ArgumentParser(prog="bench.faults", description=__doc__)
+    parser.add_argument("--check", action="store_true", help="write nothing")
+    options = parser.parse_args()
+    text, counts = render(collect())
+    for state in sorted(counts):
+        print(f"{state}: {counts[state]}")
+    if not options.check:
+        PAGE.write_text(text)
+    elif not PAGE.exists() or PAGE.read_text() != text:
+        sys.exit("docs/FAULTS.md is not current: run make faults")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Profiles of hypothesis: the same cases every time, or a long search by seed."""
+"""Profiles of hypothesis, and the marks that say which fault a test guards against."""
 
 import os
 
@@ -13,3 +13,11 @@
     "search", max_examples=5000, deadline=None, suppress_health_check=SLOW
 )
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "fixed"))
+
+
+def pytest_configure(config):
+    config.addinivalue_line(
+        "markers",
+        "proves(invariant, step, fault): the test shows that an invariant holds under "
+        "a fault in a step; bench/faults.py makes docs/FAULTS.md of these marks",
+    )
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -75,6 +76,12 @@
 
 
 TestClaimMachine = ClaimMachine.TestCase
+TestClaimMachine.pytestmark = [
+    pytest.mark.proves("I9", "request: claim", "duplicated or reordered"),
+    pytest.mark.proves("I9", "request: claim", "message delayed"),
+    pytest.mark.proves("I9", "request: claim", "answer lost"),
+    pytest.mark.proves("I9", "request: claim", "same twice"),
+]
 TestClaimMachine.settings = settings(
     max_examples=150, stateful_step_count=30, deadline=None, derandomize=True
 )
@@ -99,6 +106,7 @@
     assert table.owner("id1") is None
 
 
+@pytest.mark.proves("I9", "request: claim", "duplicated or reordered")
 def test_records_that_were_read_before_change_nothing():
     """Guards against a repeated read that undoes a later release."""
     table = ClaimTable()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -249,6 +250,22 @@
 
 
 TestConfigurationMachine = ConfigurationMachine.TestCase
+TestConfigurationMachine.pytestmark = [
+    pytest.mark.proves("I12", "change: publish", "operators racing"),
+    pytest.mark.proves("I12", "change: publish", "answer lost"),
+    pytest.mark.proves("I12", "change: publish", "duplicated or reordered"),
+    pytest.mark.proves("I12", "change: publish", "message delayed"),
+    pytest.mark.proves("I12", "change: publish", "message lost"),
+    pytest.mark.proves("I12", "change: publish", "same twice"),
+    pytest.mark.proves("I12", "change: spread", "log slow or forgetting"),
+    pytest.mark.proves("I12", "change: restate", "duplicated or reordered"),
+    pytest.mark.proves("I12", "change: restate", "message delayed"),
+    pytest.mark.proves("I12", "change: restate", "log slow or forgetting"),
+    pytest.mark.proves("I12", "node: start", "log slow or forgetting"),
+    pytest.mark.proves("I5", "withdrawal: accept", "duplicated or reordered"),
+    pytest.mark.proves("I5", "withdrawal: accept", "message lost"),
+    pytest.mark.proves("I5", "withdrawal: spread", "log slow or forgetting"),
+]
 TestConfigurationMachine.settings = settings(
     max_examples=150, stateful_step_count=50, deadline=None, derandomize=True
 )
@@ -261,6 +278,7 @@
     return Restated(list(configuration.entries.values()), as_of, time)
 
 
+@pytest.mark.proves("I12", "change: publish", "operators racing")
 def test_the_first_of_two_racing_operators_wins_at_every_reader():
     """Guards against readers that follow different operators."""
     records = [published("a", NO_VERSION, 0), published("b", NO_VERSION, 0)]
@@ -268,6 +286,7 @@
     assert results == [Applied(PATH, 0), Conflict(PATH, 0, "a", "ana")]
 
 
+@pytest.mark.proves("I12", "change: publish", "answer lost")
 def test_a_repeated_append_of_an_old_change_counts_once():
     """Guards against a lost answer that makes a node report a false conflict."""
     first = published("a", NO_VERSION, 0, rate=1.0)
@@ -280,6 +299,7 @@
     assert configuration.apply(3, second) == Ignored("the record has been read before")
 
 
+@pytest.mark.proves("I12", "node: start", "log slow or forgetting")
 def test_a_reader_that_starts_late_defers_what_it_cannot_decide():
     """Guards against a new node that accepts a change that lost elsewhere."""
     changes = [published(f"c{base}", base, 9, rate=base) for base in (3, 7, 7)]
@@ -296,6 +316,7 @@
         assert configuration.may_change(PATH, max(11, as_of)) is None
 
 
+@pytest.mark.proves("I12", "change: restate", "message delayed")
 def test_a_stale_restatement_tells_a_new_reader_nothing():
     """Guards against a value that was replaced before the reader started."""
     full, _ = fold(published("a", NO_VERSION, 0), issued(1, 1))
@@ -325,6 +346,7 @@
     assert len(full.restatements(60.0, RETENTION)) == 1
 
 
+@pytest.mark.proves("I12", "change: spread", "log slow or forgetting")
 def test_a_gap_makes_entries_uncertain_until_the_end_is_reached():
     """Guards against a returning node that restates or changes what it missed."""
     full, _ = fold(published("a", NO_VERSION, 0), withdrawn(1))
@@ -344,6 +366,7 @@
     assert full.may_change(PATH, 9) is None
 
 
+@pytest.mark.proves("I5", "withdrawal: accept", "message lost")
 def test_a_pushed_withdrawal_survives_the_loss_of_its_append():
     """Guards against a key that works again because the log was down."""
     configuration, _ = fold(published("a", NO_VERSION, 0, time=100.0))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -221,6 +221,7 @@
     assert prober.failed(1.0) == "old"
 
 
+@pytest.mark.proves("I10", "node: stop", "message delayed")
 def test_member_that_left_stays_gone_and_may_return():
     """Guards against old news that brings a departed member back."""
     fleet = make_fleet(5)
@@ -357,6 +358,10 @@
 
 
 TestFaults = Faults.TestCase
+TestFaults.pytestmark = [
+    pytest.mark.proves("I10", "node: stop", "message delayed"),
+    pytest.mark.proves("I10", "node: stop", "duplicated or reordered"),
+]
 TestFaults.settings = settings(
     derandomize=True, max_examples=40, stateful_step_count=25, deadline=None
 )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -58,6 +58,7 @@
     assert mesh.call("n1", "/outages").status == 200
 
 
+@pytest.mark.proves("I9", "request: claim", "same twice")
 def test_a_dispatch_repeated_at_another_node_runs_once(mesh):
     """Guards against a caller's retry that sends two crews."""
     headers = {"idempotency-key": "crew-7", "x-dispatch-id": "crew-7"}
@@ -98,6 +99,7 @@
     assert call(mesh, "n1", "/maps").status == 200
 
 
+@pytest.mark.proves("I9", "request: forward", "connection cut")
 def test_a_cut_request_body_does_not_run(mesh):
     """Guards against a half-sent dispatch that is taken for a whole one."""
     head = "POST /dispatch HTTP/1.1\r\nhost: a\r\nauthorization: Bearer "
@@ -126,6 +128,7 @@
     assert mesh.call("n1", "/maps", headers=forged_id).status == 401
 
 
+@pytest.mark.proves("I7", "request: answer", "connection cut")
 @pytest.mark.parametrize("fault", ["cut_answers", "short_answers"])
 def test_a_cut_or_short_answer_is_never_passed_on_as_whole(mesh, fault):
     """Guards against half a pipe drawing that looks complete."""
@@ -140,6 +143,7 @@
     assert chunked.whole and chunked.body == whole.body
 
 
+@pytest.mark.proves("I12", "change: publish", "operators racing")
 def test_operators_that_race_get_one_winner(mesh):
     """Guards against a change that silently overwrites another one."""
     shown = mesh.json_command("n1", "policy", "show", "--team", "okonkwo")
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -24,6 +24,7 @@
     return decision, chain
 
 
+@pytest.mark.proves("I9", "request: retry", "answer lost")
 @pytest.mark.parametrize("reason", [Reason.PEER_FAILED, Reason.TARGET_FAILED])
 def test_unknown_outcome_is_repeated_only_when_idempotent(reason):
     """Guards against a request that must not be repeated running twice."""
@@ -87,6 +88,7 @@
         assert sum(time > start for time in retries) <= limit
 
 
+@pytest.mark.proves("I1", "request: retry", "duplicated or reordered")
 def test_answer_cannot_return_more_than_was_granted():
     """Guards against a faulty peer that inflates the budget of a request."""
     chain = ChainBudget(4)
@@ -170,6 +172,11 @@
 
 
 TestCallTree = CallTree.TestCase
+TestCallTree.pytestmark = [
+    pytest.mark.proves("I1", "request: retry", "answer lost"),
+    pytest.mark.proves("I1", "request: retry", "same twice"),
+    pytest.mark.proves("I1", "request: sub-call", "answer lost"),
+]
 TestCallTree.settings = settings(
     derandomize=True, max_examples=60, stateful_step_count=60, deadline=None
 )
