--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -116,12 +116,13 @@
         """Open the gossip socket; the peer listener uses the same port number."""
         host, port = split_address(self.settings.peer_listen)
         self.sock = DatagramSocket(host, port, self.signer)
+        self.peer_address = self.settings.peer_advertise or self.sock.address
         self.watch = HangupWatch()
 
     def build_membership(self) -> None:
         """Build routing and membership."""
         settings = self.settings
-        address = self.sock.address
+        address = self.peer_address
         own = Member(
             settings.node_id,
             self.incarnation,
@@ -202,7 +203,7 @@
         own = SlotMember(
             node_id,
             start_incarnation(self.incarnation),
-            self.sock.address,
+            self.peer_address,
             settings.domain,
         )
         self.slots = SlotService(
--- a/src/carawaywheel/options.py
+++ b/src/carawaywheel/options.py
@@ -112,6 +112,7 @@
     "listen": "127.0.0.1:0",
     "peer_listen": "127.0.0.1:0",
     "admin_listen": "127.0.0.1:0",
+    "peer_advertise": "",
     "log": "",
     "log_timeout": 2.0,
     "log_retention": 86_400.0,
@@ -255,7 +256,7 @@
     """Return what is allowed if a text is malformed."""
     if name in ("listen", "peer_listen", "admin_listen"):
         return check_address(value, False)
-    if name == "log" or (name == "statsd" and value):
+    if name == "log" or (name in ("statsd", "peer_advertise") and value):
         return check_address(value, True)
     if name in ("node_id", "domain") and not NAME.fullmatch(value):
         return "1 to 63 letters, digits, dots, dashes and underscores"
--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -220,6 +220,8 @@
         routing: Settings of the choice of targets.
         membership: Settings of gossip membership.
         share: Settings of fleet-wide rates.
+        peer_advertise: Address that other nodes are told instead of that of the peer
+            listener, for both TCP and gossip; empty if they are the same.
     """
 
     node_id: str
@@ -250,3 +252,4 @@
     routing: RoutingSettings
     membership: MembershipSettings
     share: ShareSettings
+    peer_advertise: str = ""
