--- a/standins/relay.py
+++ b/standins/relay.py
@@ -106,9 +106,10 @@
         link = Link(client, upstream)
         self.links.add(link)
         back = await curio.spawn(self.pump, link, upstream, client, True, daemon=True)
-        await self.pump(link, client, upstream, False)
-        await back.join()
-        await self.close(link)
+        async with client, upstream:
+            await self.pump(link, client, upstream, False)
+            await back.join()
+        self.links.discard(link)
 
     async def pump(self, link: Link, source: Any, sink: Any, answers: bool) -> None:
         """Pass bytes on in one direction until the connection ends."""
@@ -122,7 +123,7 @@
             if not self.holds_back(link, answers):
                 await sink.shutdown(socket.SHUT_WR)
         except OSError:
-            return
+            await self.close(link)
 
     def holds_back(self, link: Link, answers: bool) -> bool:
         """Return whether nothing passes in one direction of a connection."""
@@ -130,14 +131,15 @@
         return behaviour.silent or link.silent or (answers and behaviour.lose_answers)
 
     async def close(self, link: Link) -> None:
-        """Close both sides of a connection."""
+        """Close both sides of a connection; both pumps end with it."""
+        if link not in self.links:
+            return
         self.links.discard(link)
         for sock in (link.client, link.upstream):
             try:
                 await sock.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
-            await sock.close()
 
     async def run_datagrams(self, listener: Any) -> None:
         """Relay datagrams to the upstream until cancelled."""
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -29,7 +29,7 @@
 )
 
 
-def start_mesh(mesh, hosts=HOSTS, options=None):
+def start_mesh(mesh, hosts=HOSTS, options=None, policy=POLICY):
     """Start a log, nodes and targets, publish the policy and return a key."""
     mesh.start_log()
     for name, domain, service, arguments in hosts:
@@ -39,7 +39,7 @@
         )
     first = hosts[0][0]
     mesh.wait_for(lambda: all_known(mesh, first, len(hosts)), "all nodes are known")
-    mesh.json_command(first, "policy", "publish", "-", "--reason", "test", text=POLICY)
+    mesh.json_command(first, "policy", "publish", "-", "--reason", "test", text=policy)
     issued = mesh.json_command(
         first, "key", "issue", "--team", "okonkwo", "--account", "bibb", "--reason", "t"
     )
