Add breakages of the source that the tests must notice

Cause: a test that passes says nothing unless it fails without the rule. Change: make mutants takes one rule at a time out of a scratch copy and runs the tests that must fail.

--- /dev/null
+++ b/bench/mutants.py
@@ -0,0 +1,363 @@
+"""Breaks the source in small ways, one at a time, and checks that tests notice.
+
+Each breakage takes one rule out of a scratch copy of the tree and runs the tests
+that must fail then.
+"""
+
+import argparse
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).parent.parent
+COPIED = ("src", "tests", "standins", "bench", "docs", "examples", "schema")
+TEST_TIMEOUT_SECONDS = 60.0
+TOTAL_SECONDS = 300.0
+FAULTS = "tests/test_faults.py::test_"
+FAILED_STATUS = 1
+
+
+class Mutant(NamedTuple):
+    """One breakage.
+
+    Attributes:
+        file: Module under src/carawaywheel.
+        old: Text that stands there once.
+        new: Text in its place.
+        tests: Node ids of tests of which at least one must fail.
+    """
+
+    file: str
+    old: str
+    new: str
+    tests: tuple[str, ...]
+
+
+MUTANTS = (
+    Mutant(
+        "limits.py",
+        "slow = latency > self.settings.latency_tolerance * self.baseline",
+        "slow = False",
+        ("tests/test_limits.py::test_limit_falls_to_what_a_loaded_target_can_do",),
+    ),
+    Mutant(
+        "limits.py",
+        "self.slots = self._bounded(share * self.declared_slots)",
+        "self.slots = float(self.declared_slots)",
+        (
+            "tests/test_limits.py::"
+            "test_cold_target_starts_at_a_share_and_grows_within_5_s",
+        ),
+    ),
+    Mutant(
+        "limits.py",
+        "if window.shed_share() > self.settings.shed_tolerance:",
+        "if False:",
+        (
+            "tests/test_limits.py::"
+            "test_limit_follows_a_target_that_sheds_and_recovers_within_5_s",
+        ),
+    ),
+    Mutant(
+        "admission.py",
+        "if not self.waiting and self.in_flight < self.limit.limit(now):",
+        "if not self.waiting and self.in_flight <= self.limit.limit(now):",
+        ("tests/test_admission.py::TestQueueMachine",),
+    ),
+    Mutant(
+        "admission.py",
+        "        if self.draining:\n            refusal",
+        "        if False:\n            refusal",
+        (
+            "tests/test_admission.py::"
+            "test_drain_serves_the_queue_and_refuses_new_offers",
+        ),
+    ),
+    Mutant(
+        "levels.py",
+        "if critical_suffers and importance != Importance.CRITICAL:",
+        "if False:",
+        (
+            "tests/test_levels.py::"
+            "test_critical_is_refused_only_when_nothing_lower_passes",
+        ),
+    ),
+    Mutant(
+        "levels.py",
+        "weight = max(0.0, 1.0 - age / self.settings.max_age)",
+        "weight = 1.0",
+        ("tests/test_levels.py::test_levels_fade_and_expire",),
+    ),
+    Mutant(
+        "borrowers.py",
+        "            best.held -= 1\n",
+        "",
+        (FAULTS + "no_account_gets_more_than_its_rate[frozen]",),
+    ),
+    Mutant(
+        "lenders.py",
+        "part = Part(whole.rate / (1 + self.settings.drift), whole.burst)",
+        "part = Part(whole.rate * 2, whole.burst)",
+        (FAULTS + "no_account_gets_more_than_its_rate[late]",),
+    ),
+    Mutant(
+        "lenders.py",
+        "if loan is not None and request.sequence <= loan.sequence:",
+        "if False:",
+        (FAULTS + "no_account_gets_more_than_its_rate[duplicated]",),
+    ),
+    Mutant(
+        "retries.py",
+        "return idempotent or refusal.ran is Ran.NOT_RUN",
+        "return True",
+        (
+            "tests/test_retries.py::"
+            "test_unknown_outcome_is_repeated_only_when_idempotent",
+        ),
+    ),
+    Mutant(
+        "retries.py",
+        "        self.attempts -= taken\n",
+        "",
+        ("tests/test_retries.py::TestCallTree",),
+    ),
+    Mutant(
+        "retries.py",
+        "unused = min(unused, taken)",
+        "pass",
+        ("tests/test_retries.py::test_answer_cannot_return_more_than_was_granted",),
+    ),
+    Mutant(
+        "retries.py",
+        "if sum(self.retries) >= allowed:",
+        "if False:",
+        ("tests/test_retries.py::test_retries_stay_below_the_share_in_any_window",),
+    ),
+    Mutant(
+        "retries.py",
+        "        Reason.PEER_FAILED,\n",
+        "",
+        (FAULTS + "an_idempotent_request_of_a_killed_node_is_retried",),
+    ),
+    Mutant(
+        "claims.py",
+        "    if claim.owner:\n",
+        "    if False:\n",
+        ("tests/test_claims.py::TestClaimMachine",),
+    ),
+    Mutant(
+        "claims.py",
+        " or record.change_id in claim.spent",
+        "",
+        ("tests/test_claims.py::TestClaimMachine",),
+    ),
+    Mutant(
+        "claims.py",
+        "if offset < self.position:",
+        "if False:",
+        ("tests/test_claims.py::test_records_that_were_read_before_change_nothing",),
+    ),
+    Mutant(
+        "claims.py",
+        '        state.update(len(data).to_bytes(8, "big"))\n',
+        "",
+        ("tests/test_claims.py::test_the_fields_of_a_claim_id_cannot_run_together",),
+    ),
+    Mutant(
+        "claiming.py",
+        "if stream.table.owner(claim) == change_id:",
+        "if True:",
+        (FAULTS + "a_claimed_dispatch_runs_once_although_its_node_is_killed",),
+    ),
+    Mutant(
+        "claiming.py",
+        "return Refusal(Reason.LOG_UNAVAILABLE, Ran.NOT_RUN, 1.0, STEP, route)",
+        "return Claimed(claim, change_id, stream.name)",
+        (
+            FAULTS + "a_claim_needs_the_log",
+            FAULTS + "a_claim_whose_answer_is_lost_runs_at_most_once",
+        ),
+    ),
+    Mutant(
+        "configuration.py",
+        "if version != change.base_version:",
+        "if False:",
+        (
+            "tests/test_configuration.py::"
+            "test_the_first_of_two_racing_operators_wins_at_every_reader",
+        ),
+    ),
+    Mutant(
+        "configuration.py",
+        "if held is not None and held.withdrawn:\n            entry =",
+        "if False:\n            entry =",
+        ("tests/test_configuration.py::TestConfigurationMachine",),
+    ),
+    Mutant(
+        "configuration.py",
+        "current = carrier.as_of >= self.start",
+        "current = True",
+        (
+            "tests/test_configuration.py::"
+            "test_a_stale_restatement_tells_a_new_reader_nothing",
+        ),
+    ),
+    Mutant(
+        "configuration.py",
+        "if held is None or entry.version > held.version:",
+        "if True:",
+        ("tests/test_configuration.py::TestConfigurationMachine",),
+    ),
+    Mutant(
+        "administration.py",
+        "APPEND_TRIES = 3",
+        "APPEND_TRIES = 1",
+        (FAULTS + "a_change_whose_answer_is_lost_is_in_force_once",),
+    ),
+    Mutant(
+        "members.py",
+        "        return new.incarnation > old.incarnation\n",
+        "        return True\n",
+        ("tests/test_membership.py::TestFaults",),
+    ),
+    Mutant(
+        "members.py",
+        "if member.target_state >= TargetState.DRAINING > known.target_state:",
+        "if False:",
+        (
+            "tests/test_membership.py::"
+            "test_draining_target_is_known_to_all_within_three_seconds",
+        ),
+    ),
+    Mutant(
+        "relay.py",
+        "if self.may_have_run or self.in_doubt:",
+        "if False:",
+        (FAULTS + "a_request_of_a_killed_node_is_never_called_not_run[n2]",),
+    ),
+    Mutant(
+        "relay.py",
+        "SILENCE_SECONDS = 1.0",
+        "SILENCE_SECONDS = 100.0",
+        (FAULTS + "a_silent_link_is_noticed_and_not_run_is_true[all connections]",),
+    ),
+    Mutant(
+        "headers.py",
+        "    AUTHORIZATION_HEADER,\n    REQUEST_ID",
+        "    REQUEST_ID",
+        ("tests/test_node.py::test_no_target_sees_a_key",),
+    ),
+    Mutant(
+        "headers.py",
+        'return b"cw_" in body and KEY_PATTERN.search(body) is not None',
+        "return False",
+        ("tests/test_node.py::test_no_target_sees_a_key",),
+    ),
+    Mutant(
+        "entry.py",
+        "if parent.key_id and (key is None or key.withdrawn):",
+        "if False:",
+        (FAULTS + "a_withdrawn_key_stops_on_open_connections_and_for_sub_calls",),
+    ),
+    Mutant(
+        "node.py",
+        "await curio.ignore_after(self.settings.stop_grace, self.wait_until_idle)",
+        "pass",
+        (FAULTS + "a_graceful_stop_cuts_nothing[False]",),
+    ),
+    Mutant(
+        "state.py",
+        "if self.frozen_at is not None:\n            return False",
+        "if False:\n            return False",
+        (FAULTS + "a_withdrawn_key_stops_at_a_node_that_was_frozen",),
+    ),
+)
+
+
+def copy_tree(folder: Path) -> None:
+    """Copy what the tests need into a scratch folder."""
+    for name in COPIED:
+        ignored = shutil.ignore_patterns("__pycache__")
+        shutil.copytree(ROOT / name, folder / name, ignore=ignored)
+    shutil.copy(ROOT / "pyproject.toml", folder)
+
+
+def run_tests(folder: Path, tests: tuple[str, ...]) -> int | None:
+    """Run tests in the scratch folder.
+
+    Returns:
+        The exit status of pytest; None if it took too long.
+    """
+    arguments = ["-m", "pytest", "-x", "-p", "no:cacheprovider", *tests]
+    environment = os.environ | {"PYTHONPATH": str(folder / "src")}
+    environment["PYTHONDONTWRITEBYTECODE"] = "1"
+    process = subprocess.Popen(
+        [sys.executable, *arguments],
+        cwd=folder,
+        env=environment,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        return process.wait(TEST_TIMEOUT_SECONDS)
+    except subprocess.TimeoutExpired:
+        # SIGINT lets the fixtures end the processes that they started.
+        process.send_signal(2)
+        process.wait(TEST_TIMEOUT_SECONDS)
+        return None
+
+
+def try_mutant(folder: Path, mutant: Mutant) -> str:
+    """Apply a breakage, run its tests, put the source back; return the verdict."""
+    path = folder / "src" / "carawaywheel" / mutant.file
+    source = path.read_text()
+    if source.count(mutant.old) != 1:
+        return f"stale: the text stands there {source.count(mutant.old)} times"
+    path.write_text(source.replace(mutant.old, mutant.new))
+    try:
+        status = run_tests(folder, mutant.tests)
+    finally:
+        path.write_text(source)
+    if status is None or status == FAILED_STATUS:
+        return "caught"
+    return "survived" if status == 0 else f"not run: pytest ended with {status}"
+
+
+def run(chosen: list[Mutant]) -> list[Mutant]:
+    """Try breakages and return those that no test caught in time."""
+    missed = []
+    started = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix="carawaywheel-mutants-") as name:
+        folder = Path(name)
+        copy_tree(folder)
+        for mutant in chosen:
+            began = time.monotonic()
+            verdict = "not run: out of time"
+            if began - started < TOTAL_SECONDS:
+                verdict = try_mutant(folder, mutant)
+            seconds = time.monotonic() - began
+            line = mutant.old.strip().splitlines()[0]
+            print(f"{verdict:9} {seconds:5.1f} s  {mutant.file}: {line}", flush=True)
+            if verdict != "caught":
+                missed.append(mutant)
+    return missed
+
+
+def main() -> None:
+    """Try all breakages, or those of some files."""
+    parser = argparse.ArgumentParser(prog="bench.mutants", description=__doc__)
+    parser.add_argument("files", nargs="*", help="modules; default all")
+    options = parser.parse_args()
+    chosen = [m for m in MUTANTS if not options.files or m.file in options.files]
+    missed = run(chosen)
+    print(f"{len(chosen) - len(missed)} of {len(chosen)} caught")
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == "__main__":
+    main()
