Refuse keyed requests at a node that cannot get records others have read

Cause: a withdrawal was pushed once. A node whose links were silent at that moment and whose log went down right after kept serving the key for good, because gossip alone counted as news. Change: a node that knows of a higher log position and cannot reach it for 1.5 s serves no keyed request, and without the log it asks the node that is ahead.

--- a/src/carawaywheel/follower.py
+++ b/src/carawaywheel/follower.py
@@ -7,6 +7,7 @@
 
 import hashlib
 import json
+import math
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -101,6 +102,7 @@
         position: Offset of the next record to read.
         cache: Records for other nodes.
         log_down: Whether the last direct read failed.
+        ahead: Returns the peer address of a node that has read further, or None.
     """
 
     def __init__(
@@ -133,6 +135,7 @@
         self.position = 0
         self.cache = StreamCache()
         self.log_down = False
+        self.ahead: Callable[[], str | None] = lambda: None
         self.changed = curio.Event()
 
     @property
@@ -153,7 +156,12 @@
             for address in readers:
                 if await self.poll_peer(address, wait):
                     return True
-        return await self.poll_log(wait)
+        if await self.poll_log(wait):
+            return True
+        # Without the log, old records of a node that has read further still count:
+        # a withdrawal may be among them.
+        ahead = self.ahead()
+        return ahead is not None and await self.poll_peer(ahead, 0.0, math.inf)
 
     async def poll_log(self, wait: float) -> bool:
         """Read from the log itself."""
@@ -175,7 +183,9 @@
             logger.info("log service answers again for {}", self.stream)
         self.log_down = down
 
-    async def poll_peer(self, address: str, wait: float) -> bool:
+    async def poll_peer(
+        self, address: str, wait: float, max_age: float = FRESH_SECONDS
+    ) -> bool:
         """Read from a node that reads the log."""
         target = f"/streams/{self.stream}?from={self.position}&wait={wait:g}"
         headers = self.signer.control_headers("GET", target, b"", address)
@@ -192,14 +202,16 @@
             )
             if answer.status != 200:
                 return False
-            return await self.take_relayed(json.loads(content), address)
+            return await self.take_relayed(json.loads(content), address, max_age)
         except (PeerError, LogError, curio.TaskTimeout, ValueError):
             return False
 
-    async def take_relayed(self, answer: dict[str, object], address: str) -> bool:
+    async def take_relayed(
+        self, answer: dict[str, object], address: str, max_age: float
+    ) -> bool:
         """Take records from a peer unless its news is older than allowed."""
         age = answer.get("age")
-        if not isinstance(age, int | float) or age > FRESH_SECONDS:
+        if not isinstance(age, int | float) or age > max_age:
             return False
         await self.take(parse_batch(answer, address), self.clock.now() - age)
         return True
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -162,6 +162,7 @@
         self.followers = {
             CONFIGURATION_STREAM: self.make_follower(CONFIGURATION_STREAM, self.state)
         }
+        self.followers[CONFIGURATION_STREAM].ahead = self.address_ahead
         self.changes = ChangeService(
             self.state,
             self.followers[CONFIGURATION_STREAM],
@@ -190,6 +191,14 @@
         addresses = {member.node_id: member.peer_address for member in members}
         return [addresses[node_id] for node_id in chosen]
 
+    def address_ahead(self) -> str | None:
+        """Return the address of the node that has read furthest, if not this one."""
+        newest, node_id = self.membership.newest_position
+        if newest <= self.followers[CONFIGURATION_STREAM].position:
+            return None
+        member = self.membership.table.get(node_id)
+        return member.peer_address if member is not None else None
+
     def build_shares(self) -> None:
         """Build what charges client accounts."""
         settings = self.settings
@@ -374,6 +383,7 @@
                 self.update_retries()
             position = self.followers[CONFIGURATION_STREAM].position
             self.membership.set_position(position)
+            self.state.compare(position, self.membership.newest_position[0], now)
 
     def update_peers(self) -> None:
         """Tell the parts which nodes are live."""
--- a/src/carawaywheel/state.py
+++ b/src/carawaywheel/state.py
@@ -13,6 +13,7 @@
 
 FREEZE_GAP_SECONDS = 2.0
 ISOLATION_SECONDS = 5.0
+BEHIND_SECONDS = 1.5
 
 
 class NodeState(RecordSink):
@@ -27,6 +28,8 @@
         heard_at: Time of the last news from the log or a peer, in seconds.
         has_peers: Whether other nodes are known.
         max_age: Seconds after which the log's news is too old; 0 for no limit.
+        behind_since: Time since which another node is known to have read further,
+            in seconds, or None.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         self.read_at = float("-inf")
         self.frozen_at: float | None = None
         self.has_peers = False
+        self.behind_since: float | None = None
         self.results: dict[str, object] = {}
 
     def view(self) -> View:
@@ -97,6 +101,19 @@
         if self.frozen_at is not None and at >= self.frozen_at:
             self.frozen_at = None
 
+    def compare(self, position: int, newest: int, now: float) -> None:
+        """Compare the own position in the stream with the highest one heard of.
+
+        Args:
+            position: Offset that this node reads next.
+            newest: Highest such offset of any node.
+            now: Time in seconds.
+        """
+        if position >= newest:
+            self.behind_since = None
+        elif self.behind_since is None:
+            self.behind_since = now
+
     def tick(self, now: float) -> bool:
         """Note that the loop runs; return whether it had stood still.
 
@@ -118,6 +135,9 @@
             self.tick(now)
         if self.frozen_at is not None:
             return False
+        behind = self.behind_since
+        if behind is not None and now - behind > BEHIND_SECONDS:
+            return False
         if self.max_age and now - self.read_at > self.max_age:
             return False
         return not self.has_peers or now - self.heard_at <= ISOLATION_SECONDS
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import os
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 
 SLOW = [HealthCheck.too_slow, HealthCheck.data_too_large]
 
@@ -12,6 +12,14 @@
 settings.register_profile(
     "search", max_examples=5000, deadline=None, suppress_health_check=SLOW
 )
+# Enough to tell that a case fails, without the search for the smallest one.
+settings.register_profile(
+    "unshrunk",
+    derandomize=True,
+    deadline=None,
+    phases=[Phase.explicit, Phase.generate],
+    suppress_health_check=SLOW,
+)
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "fixed"))
 
 
