Choose the peer port of a node by TCP

Cause: with port 0 the system chose a UDP port whose TCP port may be taken; n1 did not start with EADDRINUSE in two runs of tests/test_faults.py. Change: the port is chosen by TCP, of which most ports in use are. A breakage counts as caught only if a test failed, not if its mesh did not start.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -20,6 +20,8 @@
 TOTAL_SECONDS = 300.0
 FAULTS = "tests/test_faults.py::test_"
 FAILED_STATUS = 1
+SETUP_FAILED = -1
+TRIES = 2
 
 
 class Mutant(NamedTuple):
@@ -297,7 +299,8 @@
     """Run tests in the scratch folder.
 
     Returns:
-        The exit status of pytest; None if it took too long.
+        The exit status of pytest; None if it took too long, and `SETUP_FAILED` if
+        no test failed but its mesh did not start.
     """
     arguments = ["-m", "pytest", "-x", "-p", "no:cacheprovider", *tests]
     environment = os.environ | {"PYTHONPATH": str(folder / "src")}
@@ -307,15 +310,18 @@
         [sys.executable, *arguments],
         cwd=folder,
         env=environment,
-        stdout=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
         stderr=subprocess.DEVNULL,
+        text=True,
     )
     try:
-        return process.wait(TEST_TIMEOUT_SECONDS)
+        output, _ = process.communicate(timeout=TEST_TIMEOUT_SECONDS)
+        setup_failed = process.returncode == FAILED_STATUS and " failed" not in output
+        return SETUP_FAILED if setup_failed else process.returncode
     except subprocess.TimeoutExpired:
         # SIGINT lets the fixtures end the processes that they started.
         process.send_signal(2)
-        process.wait(TEST_TIMEOUT_SECONDS)
+        process.communicate(timeout=TEST_TIMEOUT_SECONDS)
         return None
 
 
@@ -327,11 +333,16 @@
         return f"stale: the text stands there {source.count(mutant.old)} times"
     path.write_text(source.replace(mutant.old, mutant.new))
     try:
-        status = run_tests(folder, mutant.tests)
+        for _ in range(TRIES):
+            status = run_tests(folder, mutant.tests)
+            if status != SETUP_FAILED:
+                break
     finally:
         path.write_text(source)
     if status is None or status == FAILED_STATUS:
         return "caught"
+    if status == SETUP_FAILED:
+        return "not run: the setup of the test failed"
     return "survived" if status == 0 else f"not run: pytest ended with {status}"
 
 
--- a/src/carawaywheel/datagrams.py
+++ b/src/carawaywheel/datagrams.py
@@ -1,5 +1,6 @@
 """The UDP socket over which nodes exchange short messages."""
 
+import socket as plain_socket
 from abc import ABC, abstractmethod
 from typing import Any
 
@@ -21,6 +22,17 @@
         """Take the content of a datagram whose tag was right."""
 
 
+def free_port(host: str) -> int:
+    """Return a port that is free for TCP, and most likely for UDP as well.
+
+    Outgoing TCP connections hold most of the ports that the system hands out, so a
+    port that was chosen for UDP alone may be taken for TCP.
+    """
+    with plain_socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
 class DatagramSocket:
     """Sends and receives sealed datagrams, told apart by their first byte.
 
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -16,7 +16,7 @@
 from .claiming import ClaimingService
 from .clock import SystemClock
 from .configuration import Configuration
-from .datagrams import DatagramSocket
+from .datagrams import DatagramSocket, free_port
 from .entry import EntryHandler
 from .errors import LogError, RecordError
 from .events import EventBuffer, EventKind
@@ -115,7 +115,7 @@
     def build_network(self) -> None:
         """Open the gossip socket; the peer listener uses the same port number."""
         host, port = split_address(self.settings.peer_listen)
-        self.sock = DatagramSocket(host, port, self.signer)
+        self.sock = DatagramSocket(host, port or free_port(host), self.signer)
         self.peer_address = self.settings.peer_advertise or self.sock.address
         self.watch = HangupWatch()
 
