--- a/src/carawaywheel/follower.py
+++ b/src/carawaywheel/follower.py
@@ -173,8 +173,9 @@
 
     async def poll_neighbour(self) -> bool:
         """Learn from a neighbour what it has, while the log does not answer."""
-        for address in self.sources.neighbour():
-            await self.poll_peer(address, NO_HINT)
+        hint = self.sources.hint() if self.hinted else NO_HINT
+        for address in self.first_choice(hint):
+            await self.poll_peer(address, hint)
         return False
 
     def is_due(self, hint: Hint) -> bool:
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -109,12 +109,13 @@
         host, port = split_address(self.settings.peer_listen)
         tries = 1 if port else PORT_TRIES
         self.peer_socket, self.sock = open_pair(host, port, self.signer, tries)
+        self.peer_address = self.settings.peer_advertise or self.sock.address
         self.watch = HangupWatch()
 
     def build_membership(self) -> None:
         """Build routing and membership."""
         settings = self.settings
-        address = self.sock.address
+        address = self.peer_address
         own = Member(
             settings.node_id,
             self.incarnation,
@@ -197,7 +198,7 @@
         own = SlotMember(
             node_id,
             start_incarnation(self.incarnation),
-            self.sock.address,
+            self.peer_address,
             settings.domain,
         )
         self.slots = SlotService(
@@ -384,6 +385,7 @@
                 self.update_retries()
             position = self.followers[CONFIGURATION_STREAM].position
             self.membership.set_position(position)
+            self.state.compare(position, self.membership.newest_position[0], now)
 
     async def catch_up(self, now: float) -> None:
         """After a freeze, learn the withdrawals that another node knows."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -259,6 +259,7 @@
         assert node.table.get("n1").state is MemberState.SUSPECT
 
 
+@pytest.mark.proves("I10", "node: stop", "message delayed")
 def test_member_that_left_stays_gone_and_may_return():
     """Guards against old news that brings a departed member back."""
     fleet = make_fleet(5)
@@ -395,6 +396,10 @@
 
 
 TestFaults = Faults.TestCase
+TestFaults.pytestmark = [
+    pytest.mark.proves("I10", "node: stop", "message delayed"),
+    pytest.mark.proves("I10", "node: stop", "duplicated or reordered"),
+]
 TestFaults.settings = settings(
     derandomize=True, max_examples=40, stateful_step_count=25, deadline=None
 )
