Prove that only an answer to a later question ends a freeze

Cause: the breakage of state.py (frozen_at) survived, since a resumed process finds the news in its socket buffers.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -282,7 +282,23 @@
         "state.py",
         "if self.frozen_at is not None:\n            return False",
         "if False:\n            return False",
-        (FAULTS + "a_withdrawn_key_stops_at_a_node_that_was_frozen",),
+        (
+            "tests/test_state.py::test_a_freeze_ends_only_by_an_answer_to_a_later_question",
+        ),
+    ),
+    Mutant(
+        "state.py",
+        "if self.frozen_at is not None and asked_at >= self.frozen_at:",
+        "if self.frozen_at is not None:",
+        (
+            "tests/test_state.py::test_a_freeze_ends_only_by_an_answer_to_a_later_question",
+        ),
+    ),
+    Mutant(
+        "slothistory.py",
+        "elif self.exact:",
+        "elif True:",
+        ("tests/test_slothistory.py",),
     ),
 )
 
