Let a node start without the log; state capacity and measurements

Cause: a host that was replaced during an outage of the log knew no other node and answered 404 until the log was back. Change: seeds in the settings, from which it learns members and configuration.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 CASES ?=
 
-.PHONY: test demo binary bench faults mutants format check clean
+.PHONY: test demo binary bench faults mutants search format check clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -50,3 +50,16 @@
 # Breaks the source in small ways and checks that the tests notice.
 mutants: $(STAMP)
 	$(BIN)/python -m bench.mutants
+
+# All measurements, as tables and a plot in out/. Takes about six minutes; figures of
+# time and processor use need a machine that is otherwise idle.
+bench: $(STAMP)
+	mkdir -p out
+	$(BIN)/python -m bench.overload --seed 7 --mesh silt-sable
+	$(BIN)/python -m bench.overload --seed 7 --mesh okonkwo
+	$(BIN)/python -m bench.rates --seed 7
+	$(BIN)/python -m bench.routing --seed 7
+	$(BIN)/python -m bench.membership --seed 7
+	$(BIN)/python -m bench.capacity
+	$(BIN)/python -m bench.connections
+	$(BIN)/python -m bench.latency --plot out/latency.svg
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -196,12 +196,32 @@
         print(line + f"{cpu:>18}")
 
 
+def plot_samples(samples: list[Sample], path: str) -> None:
+    """Draw which share of the calls took at most how long."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(7, 4))
+    for sample in samples:
+        shares = [(place + 1) / len(sample.times) for place in range(len(sample.times))]
+        axes.plot([time * 1000 for time in sample.times], shares, label=sample.name)
+    axes.set_xscale("log")
+    axes.set_xlabel("time of a call, ms")
+    axes.set_ylabel("share of calls")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+
+
 def main() -> None:
     """Run the measurement from the command line."""
     parser = argparse.ArgumentParser(prog="bench.latency", description=__doc__)
     parser.add_argument("--client", nargs=4, help=argparse.SUPPRESS)
     parser.add_argument("--seconds", type=float, default=6.0, help="for each series")
     parser.add_argument("--rate", type=float, default=RATE, help="calls/s in all")
+    parser.add_argument("--plot", help="SVG or PNG file for the distributions")
     options = parser.parse_args()
     if options.client:
         address, path, rate, seconds = options.client
@@ -223,6 +243,8 @@
         ]
         print(f"bench.latency at {options.rate:g} calls/s, {CONNECTIONS} connections")
         print_samples(samples)
+        if options.plot:
+            plot_samples(samples, options.plot)
         memory = resident_bytes(mesh.programs["n1"].process.pid)
         print(f"resident memory of a node: {memory / 1e6:.0f} MB")
 
--- a/src/carawaywheel/gossip.py
+++ b/src/carawaywheel/gossip.py
@@ -52,7 +52,9 @@
         signer: Signer,
         recorder: Recorder,
         clock: Clock,
+        seeds: tuple[str, ...],
     ) -> None:
+        self.seeds = seeds
         self.membership = membership
         self.router = router
         self.sock = sock
@@ -136,8 +138,18 @@
                 self.join_at = now + REJOIN_SECONDS
             await self.read_contacts()
         except LogError:
-            return
-        await self.exchange_state()
+            # Members may be known from before, or from the settings.
+            pass
+        for address in self.exchange_addresses():
+            if await self.exchange_state(address):
+                return
+
+    def exchange_addresses(self) -> list[str]:
+        """Return whom to exchange the full state with, until that was done once."""
+        peer = self.membership.exchange_peer()
+        if peer is not None:
+            return [peer.peer_address]
+        return [] if self.membership.merged else list(self.seeds)
 
     async def append_join(self) -> None:
         """Append this node's join record."""
@@ -169,20 +181,15 @@
         contacts.pop(self.membership.own.node_id, None)
         self.membership.seed(contacts.values(), self.clock.now())
 
-    async def exchange_state(self) -> None:
-        """Exchange the full state with one member, once after the start."""
-        peer = self.membership.exchange_peer()
-        if peer is None:
-            return
+    async def exchange_state(self, address: str) -> bool:
+        """Exchange the full state with one node; return whether it worked."""
         body = members_encoder.encode(self.membership.full_state(self.clock.now()))
-        headers = self.signer.control_headers(
-            "POST", "/members", body, peer.peer_address
-        )
+        headers = self.signer.control_headers("POST", "/members", body, address)
         try:
             answer, content = await curio.timeout_after(
                 EXCHANGE_TIMEOUT_SECONDS,
                 self.pool.request,
-                peer.peer_address,
+                address,
                 "POST",
                 "/members",
                 headers,
@@ -191,9 +198,11 @@
             )
             state = members_decoder.decode(content)
         except (PeerError, curio.TaskTimeout, msgspec.DecodeError):
-            return
-        if answer.status == 200:
-            self.membership.merge(state, self.clock.now())
+            return False
+        if answer.status != 200:
+            return False
+        self.membership.merge(state, self.clock.now())
+        return True
 
     async def leave(self) -> None:
         """Tell the other nodes that this one leaves."""
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -143,6 +143,7 @@
             self.signer,
             self.recorder,
             self.clock,
+            settings.seeds,
         )
 
     def build_configuration(self) -> None:
--- a/src/carawaywheel/options.py
+++ b/src/carawaywheel/options.py
@@ -113,6 +113,7 @@
     "peer_listen": "127.0.0.1:0",
     "admin_listen": "127.0.0.1:0",
     "peer_advertise": "",
+    "seeds": "",
     "log": "",
     "log_timeout": 2.0,
     "log_retention": 86_400.0,
@@ -211,7 +212,7 @@
     for flag in FLAGS:
         values[flag.name] = check_flag(flag, texts[flag.name], faults)
     secret = read_secret(values["fleet_secret_file"], environment, faults)
-    domains = tuple(sorted(filter(None, values["domains"].split(","))))
+    domains = tuple(sorted(split_list(values["domains"])))
     check_domains(values["domain"], domains, faults)
     if faults:
         raise SettingsError("\n".join(faults), "check settings")
@@ -222,6 +223,7 @@
         for group, settings in GROUPS.items()
     }
     own = {name: values[name] for name in DEFAULTS if name != "fleet_secret_file"}
+    own["seeds"] = split_list(values["seeds"])
     own |= {"domains": domains, "fleet_secret": secret}
     return NodeSettings(**own, **groups)
 
@@ -258,6 +260,10 @@
         return check_address(value, False)
     if name == "log" or (name in ("statsd", "peer_advertise") and value):
         return check_address(value, True)
+    if name == "seeds":
+        return next(
+            filter(None, (check_address(a, True) for a in split_list(value))), ""
+        )
     if name in ("node_id", "domain") and not NAME.fullmatch(value):
         return "1 to 63 letters, digits, dots, dashes and underscores"
     if name == "log_format" and value not in ("human", "json"):
@@ -281,6 +287,11 @@
     )
 
 
+def split_list(text: str) -> tuple[str, ...]:
+    """Return the parts of a list that is split by commas."""
+    return tuple(filter(None, text.split(",")))
+
+
 def check_address(value: str, needs_port: bool) -> str:
     """Return what is allowed if an address is malformed."""
     lowest = 1 if needs_port else 0
--- a/src/carawaywheel/settings.py
+++ b/src/carawaywheel/settings.py
@@ -205,6 +205,8 @@
         listen: Address for callers and the local target's own calls, ``ip:port``.
         peer_listen: Address for other nodes; also that of the gossip socket.
         admin_listen: Address for the target's announcements and operators.
+        seeds: Peer addresses of some other nodes, split by commas; only needed to
+            start while the log is down.
         log: Address of the platform's log.
         log_timeout: Seconds to wait for an answer of the log.
         log_retention: Seconds that the log keeps a record.
@@ -239,6 +241,7 @@
     listen: str
     peer_listen: str
     admin_listen: str
+    seeds: tuple[str, ...]
     log: str
     log_timeout: float
     log_retention: float
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -227,3 +227,14 @@
     assert done.returncode == 2
     for part in ("--listen", "'localhost'", "--log", "99999", "--share-drift", "'x'"):
         assert part in done.stderr
+
+
+@pytest.mark.proves("I12", "node: start", "log down")
+def test_a_node_that_starts_while_the_log_is_down_learns_from_a_seed(mesh):
+    """Guards against a replaced host that knows no route for hours."""
+    mesh.control(mesh.log, {"down": True})
+    try:
+        mesh.start_node("n4", "east", {"seeds": mesh.programs["n2"].ready["peers"]})
+        mesh.wait_for(lambda: call(mesh, "n4", "/maps").status == 200, "served", 10.0)
+    finally:
+        mesh.control(mesh.log, {"down": False})
