Say one thing once: control requests and request events

Change: ControlClient and two methods of Recorder; malformed answers of another node cannot end a part of this one.

--- a/src/carawaywheel/administration.py
+++ b/src/carawaywheel/administration.py
@@ -8,10 +8,10 @@
 from .changes import Applied, Conflict
 from .clock import Clock
 from .configuration import Configuration
-from .errors import LogError, PeerError
+from .control import ControlClient
+from .errors import LogError
 from .follower import StreamFollower
 from .logs import LogService
-from .pool import Pool
 from .records import KeyWithdrawn, Record, encode
 from .refusals import Ran, Reason, Refusal
 from .signing import Signer
@@ -60,7 +60,7 @@
         self.log = log
         self.signer = signer
         self.clock = clock
-        self.pool = Pool()
+        self.control = ControlClient(signer)
 
     @property
     def configuration(self) -> Configuration:
@@ -139,31 +139,16 @@
 
         async def push_to(node_id: str, address: str) -> None:
             async with slots:
-                taken = await self.post(address, "/withdrawals", body)
-            (reached if taken else missed).append(node_id)
+                taken = await self.control.ask(
+                    address, "POST", "/withdrawals", PUSH_TIMEOUT_SECONDS, body
+                )
+            (missed if taken is None else reached).append(node_id)
 
         async with curio.TaskGroup() as group:
             for node_id, address in peers:
                 await group.spawn(push_to, node_id, address)
         return sorted(reached), sorted(missed)
 
-    async def post(self, address: str, path: str, body: bytes) -> bool:
-        """Send a control message; return whether the node took it."""
-        headers = self.signer.control_headers("POST", path, body, address)
-        try:
-            answer, _ = await curio.timeout_after(
-                PUSH_TIMEOUT_SECONDS,
-                self.pool.request,
-                address,
-                "POST",
-                path,
-                headers,
-                body,
-            )
-        except (PeerError, curio.TaskTimeout):
-            return False
-        return answer.status == 200
-
 
 def describe(result: ChangeResult) -> dict[str, Any]:
     """Return the result of a change as plain data for an operator."""
--- a/src/carawaywheel/fleet.py
+++ b/src/carawaywheel/fleet.py
@@ -7,18 +7,17 @@
 import msgspec
 
 from .clock import Clock
-from .errors import LogError, PeerError, RecordError
+from .control import ControlClient
+from .errors import LogError, RecordError
 from .events import Event, decode_events, merge
 from .logs import LogService
 from .membership import Membership
-from .pool import Pool
 from .records import decode
 from .signing import Signer
 from .summaries import Summary
 
 ASK_TIMEOUT_SECONDS = 2.0
 ASK_CONCURRENCY = 32
-MAX_ANSWER_BYTES = 32 * 1024 * 1024
 SUMMARY_STREAM = "summary"
 READ_LIMIT = 1000
 
@@ -45,7 +44,7 @@
         self.log = log
         self.signer = signer
         self.clock = clock
-        self.pool = Pool()
+        self.control = ControlClient(signer)
 
     def peers(self) -> list[tuple[str, str]]:
         """Return the id and the peer address of each live node, this one included."""
@@ -78,21 +77,7 @@
 
     async def get(self, address: str, target: str) -> bytes | None:
         """Send a control request to one node; None if it did not answer."""
-        headers = self.signer.control_headers("GET", target, b"", address)
-        try:
-            answer, content = await curio.timeout_after(
-                ASK_TIMEOUT_SECONDS,
-                self.pool.request,
-                address,
-                "GET",
-                target,
-                headers,
-                b"",
-                MAX_ANSWER_BYTES,
-            )
-        except (PeerError, curio.TaskTimeout):
-            return None
-        return content if answer.status == 200 else None
+        return await self.control.ask(address, "GET", target, ASK_TIMEOUT_SECONDS)
 
     async def status(self) -> dict[str, Any]:
         """Return the status of all nodes."""
--- a/src/carawaywheel/follower.py
+++ b/src/carawaywheel/follower.py
@@ -13,9 +13,9 @@
 from loguru import logger
 
 from .clock import Clock
-from .errors import LogError, PeerError
+from .control import ControlClient
+from .errors import LogError
 from .logs import Batch, LogService, parse_batch
-from .pool import Pool
 from .signing import Signer
 from .sources import NO_HINT, Hint, NewsSources
 
@@ -23,7 +23,6 @@
 READ_LIMIT = 500
 CACHE_RECORDS = 4096
 RELAY_TIMEOUT_SECONDS = 1.0
-MAX_RELAYED_BYTES = 16 * 1024 * 1024
 HEARTBEAT_SECONDS = 10.0
 HINT_POLL_SECONDS = 0.25
 # With older news, the next source is asked.
@@ -135,9 +134,8 @@
         self.sink = sink
         self.log = log
         self.sources = sources
-        self.signer = signer
         self.clock = clock
-        self.pool = Pool()
+        self.control = ControlClient(signer)
         self.position = 0
         self.cache = StreamCache()
         self.log_down = False
@@ -213,32 +211,22 @@
     async def poll_peer(self, address: str, hint: Hint) -> bool:
         """Read from another node; return whether it had news."""
         target = f"/streams/{self.stream}?from={self.position}"
-        headers = self.signer.control_headers("GET", target, b"", address)
+        content = await self.control.ask(address, "GET", target, RELAY_TIMEOUT_SECONDS)
+        if content is None:
+            return False
         try:
-            answer, content = await curio.timeout_after(
-                RELAY_TIMEOUT_SECONDS,
-                self.pool.request,
-                address,
-                "GET",
-                target,
-                headers,
-                b"",
-                MAX_RELAYED_BYTES,
-            )
-            if answer.status != 200:
-                return False
             age = await self.take_relayed(json.loads(content), address)
-            return age <= RELAY_MAX_AGE_SECONDS and self.position >= hint.position
-        except (PeerError, LogError, curio.TaskTimeout, ValueError):
+        except (LogError, ValueError):
             return False
+        return age <= RELAY_MAX_AGE_SECONDS and self.position >= hint.position
 
-    async def take_relayed(self, answer: dict[str, object], address: str) -> float:
+    async def take_relayed(self, answer: object, address: str) -> float:
         """Take records from a peer; return how old its news is, in seconds.
 
         Old news is better than none at a node that starts. It counts with its age, so
         it cannot be taken for fresh, however often it is passed on.
         """
-        age = answer.get("age")
+        age = answer.get("age") if isinstance(answer, dict) else None
         if not isinstance(age, int | float) or not age >= 0:
             return math.inf
         await self.take(parse_batch(answer, address), self.clock.now() - age)
--- a/src/carawaywheel/gossip.py
+++ b/src/carawaywheel/gossip.py
@@ -5,14 +5,14 @@
 from loguru import logger
 
 from .clock import Clock
+from .control import ControlClient
 from .datagrams import Address, DatagramHandler, DatagramSocket, format_address
-from .errors import LogError, PeerError, ProtocolError, RecordError
+from .errors import LogError, ProtocolError, RecordError
 from .events import EventKind
 from .incarnations import NODES_STREAM
 from .logs import LogService
 from .members import Change, Member, MemberState
 from .membership import Membership
-from .pool import Pool
 from .recorder import Recorder
 from .records import NodeJoined, NodeLeft, decode, encode
 from .routing import Candidate, Router, TargetState
@@ -28,7 +28,6 @@
 ALONE_SECONDS = 1.0
 READ_LIMIT = 1000
 EXCHANGE_TIMEOUT_SECONDS = 2.0
-MAX_EXCHANGE_BYTES = 4 * 1024 * 1024
 
 members_encoder = msgspec.msgpack.Encoder()
 members_decoder = msgspec.msgpack.Decoder(list[Member])
@@ -62,7 +61,7 @@
         self.signer = signer
         self.recorder = recorder
         self.clock = clock
-        self.pool = Pool()
+        self.control = ControlClient(signer)
         self.position = 0
         self.joined = False
         self.join_at = 0.0
@@ -184,22 +183,14 @@
     async def exchange_state(self, address: str) -> bool:
         """Exchange the full state with one node; return whether it worked."""
         body = members_encoder.encode(self.membership.full_state(self.clock.now()))
-        headers = self.signer.control_headers("POST", "/members", body, address)
+        content = await self.control.ask(
+            address, "POST", "/members", EXCHANGE_TIMEOUT_SECONDS, body
+        )
+        if content is None:
+            return False
         try:
-            answer, content = await curio.timeout_after(
-                EXCHANGE_TIMEOUT_SECONDS,
-                self.pool.request,
-                address,
-                "POST",
-                "/members",
-                headers,
-                body,
-                MAX_EXCHANGE_BYTES,
-            )
             state = members_decoder.decode(content)
-        except (PeerError, curio.TaskTimeout, msgspec.DecodeError):
-            return False
-        if answer.status != 200:
+        except msgspec.DecodeError:
             return False
         self.membership.merge(state, self.clock.now())
         return True
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -395,9 +395,16 @@
         for address in self.sources.neighbour():
             content = await self.fleet.get(address, "/withdrawals")
             if content is not None:
-                entries = msgspec.msgpack.decode(content, type=list[Entry])
-                self.state.take_withdrawn(entries, now)
-                return
+                self.take_withdrawals(content, now)
+
+    def take_withdrawals(self, content: bytes, asked_at: float) -> None:
+        """Take over the withdrawals that another node sent."""
+        try:
+            entries = msgspec.msgpack.decode(content, type=list[Entry])
+        except msgspec.DecodeError as error:
+            logger.warning("withdrawals of another node are malformed: {}", error)
+            return
+        self.state.take_withdrawn(entries, asked_at)
 
     def update_peers(self) -> None:
         """Tell the parts which nodes are live."""
--- a/src/carawaywheel/recorder.py
+++ b/src/carawaywheel/recorder.py
@@ -65,13 +65,9 @@
         self.event(kind, detail=detail)
 
     def request_event(
-        self,
-        kind: EventKind,
-        context: RequestContext,
-        reason: Reason | None = None,
-        detail: str = "",
+        self, kind: EventKind, context: RequestContext, **fields: Any
     ) -> None:
-        """Record an event of a request."""
+        """Record an event of a request, with more fields than its context gives."""
         self.event(
             kind,
             request_id=context.root_id,
@@ -79,8 +75,19 @@
             service=context.service,
             key_id=context.key_id,
             importance=context.importance,
-            reason=reason,
-            detail=detail,
+            **fields,
+        )
+
+    def attempt_event(
+        self, kind: EventKind, context: RequestContext, **fields: Any
+    ) -> None:
+        """Record an event of an attempt at the local target's node."""
+        self.request_event(
+            kind,
+            context,
+            attempt_id=context.attempt_id,
+            target=self.buffer.node_id,
+            **fields,
         )
 
     def sent(
@@ -93,47 +100,30 @@
             candidate: Target that was chosen.
             parent_id: Attempt that made the call, empty at the entry.
         """
-        self.event(
+        self.request_event(
             EventKind.SENT,
-            request_id=context.root_id,
+            context,
             attempt_id=context.attempt_id,
             parent_id=parent_id,
-            account=context.account,
-            service=context.service,
             target=candidate.target_id,
-            importance=context.importance,
         )
 
     def received(self, context: RequestContext) -> None:
         """Record that a request came from a peer."""
         self.count("peer.requests")
-        self.event(
-            EventKind.RECEIVED,
-            request_id=context.root_id,
-            attempt_id=context.attempt_id,
-            account=context.account,
-            service=context.service,
-            target=self.buffer.node_id,
-            importance=context.importance,
-        )
+        self.attempt_event(EventKind.RECEIVED, context)
 
     def answered(self, context: RequestContext) -> None:
         """Record that an answer goes back to the node that asked."""
-        self.event(
-            EventKind.ANSWERED,
-            request_id=context.root_id,
-            attempt_id=context.attempt_id,
-            service=context.service,
-            target=self.buffer.node_id,
-        )
+        self.attempt_event(EventKind.ANSWERED, context)
 
-    def completed(self, root_id: str, attempt_id: str, service: str) -> None:
+    def completed(self, context: RequestContext, candidate: Candidate) -> None:
         """Record that an answer came from a peer."""
-        self.event(
+        self.request_event(
             EventKind.COMPLETED,
-            request_id=root_id,
-            attempt_id=attempt_id,
-            service=service,
+            context,
+            attempt_id=context.attempt_id,
+            target=candidate.target_id,
         )
 
     def refused_early(
@@ -187,22 +177,16 @@
         )
         self.summary.record(key, self.wall_time(), self.clock.now(), request_id)
 
-    def refused(self, context: RequestContext, refusal: Refusal, in_rate: bool) -> None:
-        """Record the refusal of a request at the entry."""
-        self.count(f"refused.{refusal.reason.value}")
-        self.event(
-            EventKind.REQUEST_REFUSED,
-            request_id=context.root_id,
-            account=context.account,
-            service=context.service,
-            key_id=context.key_id,
-            importance=context.importance,
-            reason=refusal.reason,
-            ran=refusal.ran,
-            detail=f"{refusal.step} {refusal.peer}",
-        )
+    def count_end(
+        self,
+        place: Place,
+        context: RequestContext,
+        refusal: Refusal | None,
+        in_rate: bool,
+    ) -> None:
+        """Count the end of a request of which the context is known."""
         self.summarize(
-            Place.ENTRY,
+            place,
             context.service,
             context.importance,
             context.account,
@@ -211,17 +195,24 @@
             in_rate,
         )
 
+    def refused(self, context: RequestContext, refusal: Refusal, in_rate: bool) -> None:
+        """Record the refusal of a request at the entry."""
+        self.count(f"refused.{refusal.reason.value}")
+        self.request_event(
+            EventKind.REQUEST_REFUSED,
+            context,
+            reason=refusal.reason,
+            ran=refusal.ran,
+            detail=f"{refusal.step} {refusal.peer}",
+        )
+        self.count_end(Place.ENTRY, context, refusal, in_rate)
+
     def shed(self, context: RequestContext, refusal: Refusal) -> None:
         """Record that the local target's node refused a request."""
         self.count(f"shed.{refusal.reason.value}")
-        self.event(
+        self.attempt_event(
             EventKind.SHED,
-            request_id=context.root_id,
-            attempt_id=context.attempt_id,
-            account=context.account,
-            service=context.service,
-            target=self.buffer.node_id,
-            importance=context.importance,
+            context,
             reason=refusal.reason,
             ran=refusal.ran,
             detail=refusal.step,
@@ -231,24 +222,10 @@
     def finished(self, context: RequestContext, status: int, at_entry: bool) -> None:
         """Record that a whole answer was passed on."""
         self.count("entry.answers" if at_entry else "entry.subcall_answers")
-        self.event(
-            EventKind.REQUEST_FINISHED,
-            request_id=context.root_id,
-            account=context.account,
-            service=context.service,
-            importance=context.importance,
-            detail=f"status {status}",
-        )
+        detail = f"status {status}"
+        self.request_event(EventKind.REQUEST_FINISHED, context, detail=detail)
         if at_entry:
-            self.summarize(
-                Place.ENTRY,
-                context.service,
-                context.importance,
-                context.account,
-                context.root_id,
-                None,
-                bool(context.account),
-            )
+            self.count_end(Place.ENTRY, context, None, bool(context.account))
 
     def admitted(self, context: RequestContext) -> None:
         """Record that the local target takes a request."""
@@ -256,15 +233,7 @@
 
     def ended(self, context: RequestContext, refusal: Refusal | None) -> None:
         """Count the end of an attempt at the local target's node."""
-        self.summarize(
-            Place.TARGET,
-            context.service,
-            context.importance,
-            context.account,
-            context.root_id,
-            refusal,
-            bool(context.account),
-        )
+        self.count_end(Place.TARGET, context, refusal, bool(context.account))
 
     async def run(self) -> None:
         """Send counters to statsd until cancelled."""
--- a/src/carawaywheel/relay.py
+++ b/src/carawaywheel/relay.py
@@ -197,7 +197,7 @@
         """Record that an attempt is repeated."""
         self.recorder.count("retry")
         self.recorder.request_event(
-            EventKind.RETRY, call.context, refusal.reason, refusal.peer
+            EventKind.RETRY, call.context, reason=refusal.reason, detail=refusal.peer
         )
         self.recorder.summary.record_attempt(call.context.service, True)
 
@@ -414,8 +414,7 @@
             return Refusal(
                 Reason.PEER_FAILED, Ran.UNKNOWN, None, "match answer", address
             )
-        service = context.service
-        self.recorder.completed(context.root_id, context.attempt_id, service)
+        self.recorder.completed(context, candidate)
         call.budget.release(info.attempts_unused, taken)
         exchange = Exchange(answer, info, candidate, started)
         if info.refusal is None:
