--- a/src/carawaywheel/reports.py
+++ b/src/carawaywheel/reports.py
@@ -27,7 +27,7 @@
 table { border-collapse: collapse; margin: 1.2em 0; width: 100%; font-size: 12px; }
 caption { text-align: left; font-weight: bold; font-size: 14px; padding: 4px 0; }
 th, td { border-bottom: 1px solid #d0d4d8; padding: 3px 6px; text-align: left;
-  vertical-align: top; overflow-wrap: anywhere; }
+  vertical-align: top; overflow-wrap: break-word; }
 th { background: #eef2f6; overflow-wrap: normal; }
 .number { text-align: right; font-variant-numeric: tabular-nums; }
 .bad { color: #8f1a12; font-weight: bold; }
--- a/src/carawaywheel/state.py
+++ b/src/carawaywheel/state.py
@@ -4,6 +4,7 @@
 
 from loguru import logger
 
+from .changes import Applied, Conflict
 from .clock import Clock
 from .configuration import Configuration
 from .errors import RecordError
@@ -82,9 +83,18 @@
         change_id = getattr(record, "change_id", None)
         if change_id in self.results:
             self.results[change_id] = result
-        self.recorder.state_event(
-            EventKind.CONFIGURATION_APPLIED, f"{type(record).__name__}: {result}"
-        )
+        self.record_result(record, result)
+
+    def record_result(self, record: Record, result: object) -> None:
+        """Record what became of a change, in words."""
+        if isinstance(result, Applied):
+            text = f"{result.path} version {result.version}"
+            if isinstance(record, KeyWithdrawn):
+                text += ", withdrawn"
+            self.recorder.state_event(EventKind.CONFIGURATION_APPLIED, text)
+        elif isinstance(result, Conflict):
+            text = f"{result.path} stays at version {result.version}"
+            self.recorder.state_event(EventKind.CONFIGURATION_CONFLICT, text)
 
     def reached_end(self, asked_at: float) -> None:
         """Note that the stream was read to its end."""
