Know a waiting request before others are woken

Cause: a request was entered in the table of waiting ones only after the requests that its arrival evicted or admitted had been woken; if one of these admitted it in turn, its wake-up was lost and it waited to its deadline with a slot taken. Found by reading. Change: the request is known first. Before / after: the new test timed out / passes (pytest tests/test_serving.py).

--- a/src/carawaywheel/serving.py
+++ b/src/carawaywheel/serving.py
@@ -9,7 +9,7 @@
 
 import curio
 
-from .admission import AdmissionQueue, Admitted, Changes, Ticket
+from .admission import AdmissionQueue, Admitted, Changes, Queued, Ticket
 from .clock import Clock
 from .contexts import Flight, InFlight, RequestContext
 from .errors import PeerError
@@ -54,6 +54,9 @@
             None when it may run, or the refusal.
         """
         offer = self.queue.offer(ticket, self.clock.now())
+        if isinstance(offer.decision, Queued):
+            # Known before others are woken, who may admit this request in turn.
+            self.waiting[ticket.request_id] = curio.Event()
         await self.apply(offer.changes)
         if isinstance(offer.decision, Refusal):
             return offer.decision
@@ -63,10 +66,8 @@
 
     async def wait(self, ticket: Ticket) -> Refusal | None:
         """Wait in the queue; a caller that goes away leaves it."""
-        event = curio.Event()
-        self.waiting[ticket.request_id] = event
         try:
-            await event.wait()
+            await self.waiting[ticket.request_id].wait()
         except curio.CancelledError:
             self.refused.pop(ticket.request_id, None)
             changes = self.queue.cancel(ticket.request_id, self.clock.now())
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,78 @@
+import random
+
+import curio
+
+from carawaywheel.admission import AdmissionQueue, Ticket
+from carawaywheel.clock import ManualClock
+from carawaywheel.limits import FixedLimit
+from carawaywheel.refusals import Importance, Outcome, Reason, Refusal
+from carawaywheel.routing import TargetState
+from carawaywheel.serving import Gate
+from carawaywheel.settings import AdmissionSettings
+from carawaywheel.targets import LocalTarget
+
+TARGET = LocalTarget("t", "s", "127.0.0.1:1", 1, 7, 0.0, TargetState.READY, 0.0)
+
+
+def make_gate(clock, slots=1):
+    queue = AdmissionQueue(
+        AdmissionSettings(), FixedLimit(slots), slots, random.Random(1)
+    )
+    return Gate(TARGET, queue, clock)
+
+
+def ticket(name, deadline=50.0, importance=Importance.NORMAL):
+    return Ticket(name, "account", importance, deadline)
+
+
+def test_a_request_that_is_admitted_before_it_waits_is_not_lost():
+    """Guards against a wake-up that comes while other requests are being woken."""
+    gate = make_gate(ManualClock(0.0))
+    apply = gate.apply
+
+    async def apply_and_let_others_run(changes):
+        await apply(changes)
+        if "b" in gate.queue.waiting:
+            await gate.leave("a", Outcome.OK, 0.01)
+
+    async def run():
+        assert await gate.enter(ticket("a")) is None
+        gate.apply = apply_and_let_others_run
+        return await curio.timeout_after(2.0, gate.enter, ticket("b"))
+
+    assert curio.run(run) is None
+    assert not gate.waiting
+
+
+def test_an_expired_request_in_the_queue_is_refused_as_not_run():
+    """Guards against a request that waits on for a caller that has given up."""
+    clock = ManualClock(0.0)
+    gate = make_gate(clock)
+
+    async def run():
+        await gate.enter(ticket("a"))
+        task = await curio.spawn(gate.enter, ticket("b", deadline=5.0))
+        await curio.sleep(0)
+        clock.advance(6.0)
+        await gate.poll()
+        return await curio.timeout_after(2.0, task.join)
+
+    refusal = curio.run(run)
+    assert isinstance(refusal, Refusal) and refusal.reason is Reason.DEADLINE
+    assert not gate.waiting and not gate.refused
+
+
+def test_a_cancelled_request_leaves_its_place_to_the_next():
+    """Guards against a slot that stays taken by a caller that has gone."""
+    gate = make_gate(ManualClock(0.0))
+
+    async def run():
+        await gate.enter(ticket("a"))
+        waiting = [await curio.spawn(gate.enter, ticket(name)) for name in "bc"]
+        await curio.sleep(0)
+        await waiting[0].cancel()
+        await gate.leave("a", Outcome.OK, 0.01)
+        return await curio.timeout_after(2.0, waiting[1].join)
+
+    assert curio.run(run) is None
+    assert set(gate.queue.running) == {"c"}
