--- a/src/carawaywheel/charging.py
+++ b/src/carawaywheel/charging.py
@@ -23,8 +23,8 @@
 
     Attributes:
         addresses: Gossip address of each node by its id.
-        on_lend: Called with the time before tokens are lent to another node; notices
-            that the process stood still.
+        on_lend: Called with the time before tokens are lent; notices that the process
+            stood still.
     """
 
     def __init__(
@@ -85,7 +85,9 @@
 
     async def lend_to_self(self, request: ShareRequest) -> None:
         """Answer a request of this node without a datagram."""
-        grant = self.lender.handle(request, self.clock.now())
+        now = self.clock.now()
+        self.on_lend(now)
+        grant = self.lender.handle(request, now)
         if grant is not None:
             await self.take_grant(self.node_id, grant)
 
