Tell in a dry run what would be refused

Cause: a dry run showed the difference and not that its base version was out of date. Before / after: tests/test_node.py::test_a_dry_run_tells_what_would_be_refused failed / passes.

--- a/src/carawaywheel/admin.py
+++ b/src/carawaywheel/admin.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .administration import ChangeService, describe
+from .changes import Conflict
 from .clock import Clock
 from .contexts import new_id
 from .errors import PolicyError, ProtocolError
@@ -202,6 +203,8 @@
         base = wanted.get("base_version", self.state.configuration.version(path))
         if wanted.get("dry_run", False):
             plain = {"result": "dry_run", "difference": lines, "base_version": base}
+            conflict = self.state.configuration.may_change(path, base)
+            plain["refused"] = refusal_in_words(conflict)
             await self.reply(connection, plain)
             return
         await self.publish_document(
@@ -480,6 +483,15 @@
         raise ProtocolError(str(error), "read body", peer) from error
 
 
+def refusal_in_words(conflict: Conflict | Refusal | None) -> str:
+    """Return why a change would be refused, empty if it would not."""
+    if conflict is None:
+        return ""
+    if isinstance(conflict, Refusal):
+        return "this node has not read enough to know"
+    return f"version {conflict.version} by {conflict.author} is in force"
+
+
 def policy_fault(error: PolicyError) -> dict[str, Any]:
     """Describe what is wrong with a policy document."""
     return {
--- a/src/carawaywheel/commands.py
+++ b/src/carawaywheel/commands.py
@@ -200,6 +200,8 @@
         )
     elif result == "dry_run":
         lines.append(f"dry run: nothing was changed; base {answer['base_version']}")
+        if answer["refused"]:
+            lines.append(f"it would be refused: {answer['refused']}")
     elif result == "invalid":
         lines.append(f"invalid: {answer['error']} at {answer['path']}")
     else:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -194,6 +194,19 @@
     assert sorted(results) == [(0, "accepted"), (1, "conflict"), (1, "conflict")]
 
 
+def test_a_dry_run_tells_what_would_be_refused(mesh):
+    """Guards against an operator who finds out about a conflict only afterwards."""
+    shown = mesh.json_command("n1", "policy", "show", "--team", "okonkwo")
+    latest = shown["versions"][0]
+    arguments = ["policy", "publish", "-", "--reason", "x", "--dry-run"]
+    text = json.dumps(latest["document"] | {"accounts": []})
+    fine = mesh.json_command("n1", *arguments, text=text)
+    late = mesh.json_command("n1", *arguments, "--base-version", "999", text=text)
+    assert fine["refused"] == ""
+    assert "- accounts[bibb].rate: 500.0" in fine["difference"]
+    assert f"version {latest['version']}" in late["refused"]
+
+
 def test_a_team_token_reaches_its_own_subtree_only(mesh):
     """Guards against one team that changes the policy of another."""
     made = mesh.command("n1", "token", "make", "--json")
