--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -294,6 +294,18 @@
             "tests/test_state.py::test_a_freeze_ends_only_by_an_answer_to_a_later_question",
         ),
     ),
+    Mutant(
+        "attempts.py",
+        "self.states[attempt_id] = AttemptState.FENCED",
+        "pass",
+        ("tests/test_attempts.py",),
+    ),
+    Mutant(
+        "lenders.py",
+        "if loan is not None and request.sequence <= loan.sequence:",
+        "if False:",
+        ("tests/test_shares.py::test_repeated_request_gets_the_same_grant",),
+    ),
     Mutant(
         "slothistory.py",
         "elif self.exact:",
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,6 +1,9 @@
+import pytest
+
 from carawaywheel.attempts import FORGET_SECONDS, AttemptState, AttemptTable
 
 
+@pytest.mark.proves("I8", "request: forward", "message delayed")
 def test_a_fenced_attempt_does_not_run_when_it_arrives_late():
     """Guards against "not run" that becomes untrue afterwards."""
     table = AttemptTable(0.0)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -257,6 +257,7 @@
 ]
 
 
+@pytest.mark.proves("I6", "request: charge", "two together")
 @pytest.mark.parametrize(("name", "rate", "arguments"), SCENARIOS)
 def test_scenario_keeps_the_bound(name, rate, arguments):
     """Guards against faults that random rules reach too seldom."""
@@ -307,6 +308,7 @@
     assert bucket.available(1.0) == 2.0
 
 
+@pytest.mark.proves("I6", "request: charge", "answer lost")
 def test_repeated_request_gets_the_same_grant():
     """Guards against tokens lent twice when an answer was lost."""
     lender = make_lender()
@@ -373,6 +375,7 @@
     assert not isinstance(borrower.take(ACCOUNT, 1.0, waited=True), Taken)
 
 
+@pytest.mark.proves("I6", "request: charge", "clock rate")
 def test_fast_clock_does_not_raise_the_rate():
     """Guards against a lender whose clock runs 1% fast and lends 1% too much."""
     lender = make_lender(rate=10.0, burst=10.0)
