--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -114,6 +114,16 @@
     assert "half" not in counts(mesh, "n2")["runs"]
 
 
+def test_foreign_datagrams_have_no_effect(mesh):
+    """Guards against a datagram without the fleet's tag that stops a node."""
+    host, _, port = mesh.programs["n1"].ready["peers"].rpartition(":")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        for data in (b"", b"m", b"s" * 40, bytes(range(256)) * 16, b"\xc1" * 8000):
+            sock.sendto(data, (host, int(port)))
+    assert call(mesh, "n1", "/maps").status == 200
+    assert len(mesh.status("n1")) == len(HOSTS)
+
+
 def test_forged_internal_headers_have_no_effect(mesh):
     """Guards against a caller or a host that poses as a node of the fleet."""
     headers = {"x-cw-context": "gA==", "x-cw-signature": "0" * 64}
