--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -162,7 +162,7 @@
         "claims.py",
         "if offset < self.position:",
         "if False:",
-        ("tests/test_claims.py::test_records_that_were_read_before_change_nothing",),
+        ("tests/test_claims.py::test_a_claim_that_lost_never_owns_later",),
     ),
     Mutant(
         "claims.py",
@@ -276,7 +276,7 @@
         "membership.py",
         "if log_offset > self.newest_position[0]:",
         "if False:",
-        (FAULTS + "a_withdrawn_key_stops_at_a_node_whose_links_were_silent",),
+        ("tests/test_membership.py::test_log_position_and_cold_time_travel",),
     ),
     Mutant(
         "state.py",
