--- a/src/carawaywheel/admin.py
+++ b/src/carawaywheel/admin.py
@@ -2,12 +2,21 @@
 
 import time
 from collections.abc import Awaitable, Callable
-from typing import Annotated, Any, NotRequired, TypedDict, TypeVar
+from typing import Any
 from urllib.parse import parse_qs
 
 import msgspec
 
 from .administration import ChangeService, describe
+from .bodies import (
+    ForgetRequest,
+    KeyRequest,
+    PolicyRequest,
+    RollbackRequest,
+    TokenRequest,
+    WithdrawRequest,
+    decode_body,
+)
 from .changes import Conflict
 from .clock import Clock
 from .contexts import new_id
@@ -36,69 +45,8 @@
 MAX_BODY_BYTES = 256 * 1024
 LOOPBACK_PREFIX = "127."
 BINARY_HEADER = (b"content-type", b"application/msgpack")
-DIGEST_PATTERN = r"^[0-9a-f]{64}(?![\s\S])"
-KEY_ID_PATTERN = r"^[0-9a-f]{16}(?![\s\S])"
 MISSING_HEADER = b"x-missing-nodes"
 
-Body = TypeVar("Body")
-
-
-class PolicyRequest(TypedDict):
-    """Body of a request to publish a policy; ``base_version`` defaults to none."""
-
-    team: str
-    text: str
-    reason: str
-    source: NotRequired[str]
-    base_version: NotRequired[int]
-    change_id: NotRequired[str]
-    dry_run: NotRequired[bool]
-
-
-class RollbackRequest(TypedDict):
-    """Body of a request to publish an earlier version of a policy again."""
-
-    team: str
-    version: int
-    reason: str
-    change_id: NotRequired[str]
-
-
-class KeyRequest(TypedDict):
-    """Body of a request to issue a key, of which only the digest is sent."""
-
-    team: str
-    key_id: Annotated[str, msgspec.Meta(pattern=KEY_ID_PATTERN)]
-    digest: Annotated[str, msgspec.Meta(pattern=DIGEST_PATTERN)]
-    account: str
-    reason: str
-    change_id: NotRequired[str]
-
-
-class WithdrawRequest(TypedDict):
-    """Body of a request to withdraw a key."""
-
-    team: str
-    key_id: str
-    reason: str
-    change_id: NotRequired[str]
-
-
-class TokenRequest(TypedDict):
-    """Body of a request to set a team's token, of which only the digest is sent."""
-
-    team: str
-    digest: Annotated[str, msgspec.Meta(pattern=DIGEST_PATTERN)]
-    reason: str
-    change_id: NotRequired[str]
-
-
-class ForgetRequest(TypedDict):
-    """Body of a request to declare a node gone."""
-
-    node_id: str
-    reason: str
-
 
 class AdminHandler(RequestHandler):
     """Answers the requests of the admin listener."""
@@ -471,18 +419,6 @@
     return {name: values[0] for name, values in pairs.items()}
 
 
-def decode_body(body: bytes, body_type: type[Body], peer: str) -> Body:
-    """Decode the JSON body of an operator's request.
-
-    Raises:
-        ProtocolError: If it is malformed; the message names the field.
-    """
-    try:
-        return msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise ProtocolError(str(error), "read body", peer) from error
-
-
 def refusal_in_words(conflict: Conflict | Refusal | None) -> str:
     """Return why a change would be refused, empty if it would not."""
     if conflict is None:
--- /dev/null
+++ b/src/carawaywheel/bodies.py
@@ -0,0 +1,81 @@
+"""Bodies of operators' requests to the administration API."""
+
+from typing import Annotated, NotRequired, TypedDict, TypeVar
+
+import msgspec
+
+from .errors import ProtocolError
+
+DIGEST_PATTERN = r"^[0-9a-f]{64}(?![\s\S])"
+KEY_ID_PATTERN = r"^[0-9a-f]{16}(?![\s\S])"
+
+Body = TypeVar("Body")
+
+
+class PolicyRequest(TypedDict):
+    """Body of a request to publish a policy; ``base_version`` defaults to none."""
+
+    team: str
+    text: str
+    reason: str
+    source: NotRequired[str]
+    base_version: NotRequired[int]
+    change_id: NotRequired[str]
+    dry_run: NotRequired[bool]
+
+
+class RollbackRequest(TypedDict):
+    """Body of a request to publish an earlier version of a policy again."""
+
+    team: str
+    version: int
+    reason: str
+    change_id: NotRequired[str]
+
+
+class KeyRequest(TypedDict):
+    """Body of a request to issue a key, of which only the digest is sent."""
+
+    team: str
+    key_id: Annotated[str, msgspec.Meta(pattern=KEY_ID_PATTERN)]
+    digest: Annotated[str, msgspec.Meta(pattern=DIGEST_PATTERN)]
+    account: str
+    reason: str
+    change_id: NotRequired[str]
+
+
+class WithdrawRequest(TypedDict):
+    """Body of a request to withdraw a key."""
+
+    team: str
+    key_id: str
+    reason: str
+    change_id: NotRequired[str]
+
+
+class TokenRequest(TypedDict):
+    """Body of a request to set a team's token, of which only the digest is sent."""
+
+    team: str
+    digest: Annotated[str, msgspec.Meta(pattern=DIGEST_PATTERN)]
+    reason: str
+    change_id: NotRequired[str]
+
+
+class ForgetRequest(TypedDict):
+    """Body of a request to declare a node gone."""
+
+    node_id: str
+    reason: str
+
+
+def decode_body(body: bytes, body_type: type[Body], peer: str) -> Body:
+    """Decode the JSON body of an operator's request.
+
+    Raises:
+        ProtocolError: If it is malformed; the message names the field.
+    """
+    try:
+        return msgspec.json.decode(body, type=body_type)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise ProtocolError(str(error), "read body", peer) from error
