--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -260,6 +260,12 @@
         "return False",
         ("tests/test_node.py::test_no_target_sees_a_key",),
     ),
+    Mutant(
+        "admission.py",
+        "        for queue in self.classes:\n",
+        "        for queue in reversed(self.classes):\n",
+        ("tests/test_admission.py::TestQueueMachine",),
+    ),
     Mutant(
         "entry.py",
         "if parent.key_id and (key is None or key.withdrawn):",
@@ -294,6 +300,12 @@
             "tests/test_state.py::test_a_freeze_ends_only_by_an_answer_to_a_later_question",
         ),
     ),
+    Mutant(
+        "entry.py",
+        "        if not route.open:\n",
+        "        if False:\n",
+        ("tests/test_node.py::test_only_the_account_of_the_key_is_served",),
+    ),
     Mutant(
         "attempts.py",
         "self.states[attempt_id] = AttemptState.FENCED",
