--- a/src/carawaywheel/__main__.py
+++ b/src/carawaywheel/__main__.py
@@ -1,5 +1,25 @@
 """Entry point of ``python -m carawaywheel``."""
 
-from .main import run
+import os
+import sys
 
-run()
+BOOT_VARIABLE = "CARAWAYWHEEL_BOOT"
+
+
+def start() -> None:
+    """Run the command line, or a node of the mesh where the platform starts one.
+
+    The node imports none of the operators' commands, which would take memory.
+    """
+    path = os.environ.get(BOOT_VARIABLE)
+    if path and sys.argv[1:] == ["node"]:
+        from .mesh.start import run_mesh_node
+
+        sys.exit(run_mesh_node(path))
+    from .main import run
+
+    run()
+
+
+if __name__ == "__main__":
+    start()
--- /dev/null
+++ b/src/carawaywheel/mesh/chains.py
@@ -0,0 +1,99 @@
+"""Which services a route leads to, learned from the calls that targets make.
+
+A target's calls do not name the request that they serve. In each short window a node
+knows how many requests of each route its target ran and how many calls of each route
+it made; the calls for each request follow from a regression over these windows.
+"""
+
+from collections import Counter
+
+from .calls import Demand
+
+# Windows are longer than most requests, so that calls fall into that of their request.
+WINDOW_SECONDS = 0.5
+# Step of the regression: a weight is learned within about ten windows.
+STEP = 0.3
+# Calls a request below which a route does not count as leading to a service.
+LEAST_CALLS = 0.03
+MOST_DEMANDS = 16
+
+
+class CallWeights:
+    """Calls that one request of a route causes, at the node of its target.
+
+    Attributes:
+        weights: Calls for each request, by route of the request and of the call.
+    """
+
+    def __init__(self) -> None:
+        self.weights: dict[str, dict[str, float]] = {}
+        self.requests: Counter[str] = Counter()
+        self.calls: Counter[str] = Counter()
+        self.due = 0.0
+
+    def ran(self, route: str) -> None:
+        """Count a request that the target began to run."""
+        self.requests[route] += 1
+
+    def called(self, route: str) -> None:
+        """Count a call of the target."""
+        self.calls[route] += 1
+
+    def tick(self, now: float) -> None:
+        """Learn from the present window once it is over."""
+        if now < self.due:
+            return
+        self.due = now + WINDOW_SECONDS
+        requests, self.requests = self.requests, Counter()
+        calls, self.calls = self.calls, Counter()
+        if requests:
+            self.learn(requests, calls)
+
+    def learn(self, requests: Counter[str], calls: Counter[str]) -> None:
+        """Move the weights towards what one window shows."""
+        norm = sum(count * count for count in requests.values())
+        called = set(calls)
+        for route in requests:
+            called |= set(self.weights.get(route, ()))
+        for name in called:
+            expected = sum(
+                count * self.weights.get(route, {}).get(name, 0.0)
+                for route, count in requests.items()
+            )
+            error = STEP * (calls[name] - expected) / norm
+            for route, count in requests.items():
+                row = self.weights.setdefault(route, {})
+                row[name] = max(0.0, row.get(name, 0.0) + error * count)
+
+    def calls_of(self, route: str) -> dict[str, float]:
+        """Return the calls that one request of a route causes, by route."""
+        return self.weights.get(route, {})
+
+
+class ChainTable:
+    """Services that each route leads to, learned from answers.
+
+    Attributes:
+        demands: Calls to each service for one request, by route.
+    """
+
+    def __init__(self) -> None:
+        self.demands: dict[str, dict[str, float]] = {}
+
+    def learn(self, route: str, demands: list[Demand]) -> None:
+        """Take what an answer says of its route."""
+        if demands:
+            self.demands[route] = {item.service: item.calls for item in demands}
+
+    def below(self, weights: CallWeights, route: str, service: str) -> dict[str, float]:
+        """Return the calls to each service that a request at the local target causes."""
+        total = {service: 1.0}
+        for called, count in weights.calls_of(route).items():
+            if count < LEAST_CALLS:
+                continue
+            for name, calls in self.demands.get(called, {}).items():
+                total[name] = total.get(name, 0.0) + count * calls
+        if len(total) > MOST_DEMANDS:
+            largest = sorted(total, key=lambda name: -total[name])[:MOST_DEMANDS]
+            return {name: total[name] for name in largest}
+        return total
--- /dev/null
+++ b/src/carawaywheel/mesh/entry.py
@@ -0,0 +1,519 @@
+"""Requests of clients and of the local target's calls."""
+
+import math
+import random
+from typing import NamedTuple
+
+import curio
+
+from ..clock import Clock
+from ..errors import PeerError, ProtocolError
+from ..http import JSON_HEADER, Headers, Request, ServerConnection, refusal_body
+from ..listener import RequestHandler
+from ..platform.headers import decode_request
+from ..pool import Answer, ClientConnection, Pool
+from ..refusals import Outcome, Ran, Reason, Refusal
+from ..routing import Candidate, Router
+from .calls import (
+    CALL_HEADER,
+    REPLY_HEADER,
+    Call,
+    CallerClaims,
+    decode_reply,
+    encode,
+)
+from .chains import ChainTable
+from .directory import Directory
+from .document import Account, MeshConfiguration, Repeat, Route
+from .exchange import Opened, Result, Whole, deliver, hold
+from .execution import BODY_METHODS, TargetRunner
+from .journal import Journal
+from .news import News
+from .pressure import LevelTable
+from .quotas import Quotas
+from .settings import HostSettings
+
+STEP = "entry"
+# Refusals that lead to another target and were not run there; a request is passed
+# round at most this often, since each try costs a round trip.
+MOST_REFUSALS = 4
+# Seconds after which a refused request may come back: overload ends within a second
+# or so once the level has fallen, and a caller waits a third of its time at most.
+OVERLOAD_RETRY_SECONDS = 0.5
+RATE_RETRY_SECONDS = 1.0
+NO_TARGET_RETRY_SECONDS = 0.5
+NOT_READY_RETRY_SECONDS = 1.0
+# Seconds before the end of a request's time at which its final answer is made.
+ANSWER_MARGIN_SECONDS = 0.01
+
+OUTCOME_BY_REASON = {
+    Reason.OVERLOAD: Outcome.SHED,
+    Reason.QUEUE_FULL: Outcome.SHED,
+    Reason.DEADLINE: Outcome.SHED,
+    Reason.TARGET_SHED: Outcome.SHED,
+    Reason.RETRIES_SPENT: Outcome.SHED,
+    Reason.CANCELLED: Outcome.CANCELLED,
+}
+# Refusals of one target after which another one may take the request.
+ELSEWHERE = frozenset(
+    {
+        Reason.QUEUE_FULL,
+        Reason.TARGET_SHED,
+        Reason.NO_TARGET,
+        Reason.SHUTTING_DOWN,
+        Reason.PEER_FAILED,
+        Reason.TARGET_FAILED,
+    }
+)
+
+
+class Admission(NamedTuple):
+    """A request that may be sent to a target.
+
+    Attributes:
+        claims: What the caller says.
+        route: Its route.
+        service: Service that is to run it.
+        account: Client account; None on a route that is open to all.
+        from_target: Whether the local target sent it while running another one.
+        deadline: Deadline on the local clock, in seconds.
+    """
+
+    claims: CallerClaims
+    route: Route
+    service: str
+    account: Account | None
+    from_target: bool
+    deadline: float
+
+    @property
+    def priority(self) -> int:
+        """Rank of the request; that of its account goes before its route's."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+
+class Progress:
+    """What has become of a request so far.
+
+    Attributes:
+        runs: Targets on which it may have run.
+        in_doubt: Whether a try is under way.
+        offered: Whether a try was under way at any time.
+        charged: Whether its account was charged.
+    """
+
+    def __init__(self) -> None:
+        self.runs = 0
+        self.in_doubt = False
+        self.offered = False
+        self.charged = False
+
+    @property
+    def ran(self) -> Ran:
+        """What may be said of the request if it ends now."""
+        return Ran.UNKNOWN if self.runs or self.in_doubt else Ran.NOT_RUN
+
+
+class Spreader:
+    """Divides the requests of a route over its services by weight, evenly."""
+
+    def __init__(self) -> None:
+        self.credit: dict[tuple[str, str], float] = {}
+
+    def choose(self, route: Route) -> str:
+        """Return the service of the next request."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        total = sum(share.weight for share in route.shares)
+        best = ("", -math.inf)
+        for share in route.shares:
+            name = (route.name, share.service)
+            self.credit[name] = self.credit.get(name, 0.0) + share.weight / total
+            if self.credit[name] > best[1]:
+                best = (share.service, self.credit[name])
+        self.credit[route.name, best[0]] -= 1.0
+        return best[0]
+
+
+class EntryHandler(RequestHandler):
+    """Admits requests and sends them to the node beside a target.
+
+    Attributes:
+        closing: Whether the node is stopping.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        directory: Directory,
+        router: Router,
+        runner: TargetRunner,
+        quotas: Quotas,
+        chains: ChainTable,
+        levels: LevelTable,
+        news: News,
+        journal: Journal,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.directory = directory
+        self.router = router
+        self.runner = runner
+        self.quotas = quotas
+        self.chains = chains
+        self.levels = levels
+        self.news = news
+        self.journal = journal
+        self.clock = clock
+        self.rng = rng
+        self.pool = Pool()
+        self.spreader = Spreader()
+        self.own_ip = settings.target_address.rpartition(":")[0]
+
+    async def handle(self, connection: ServerConnection, request: Request) -> None:
+        """Answer one request; see the base class."""
+        started = self.clock.now()
+        claims = decode_request(request)
+        progress = Progress()
+        configuration = self.directory.configuration
+        if configuration is None:
+            refusal = Refusal(
+                Reason.STALE_NODE, Ran.NOT_RUN, NOT_READY_RETRY_SECONDS, STEP
+            )
+            await self.refuse(connection, claims, refusal, started)
+            return
+        admission = self.admit(configuration, connection, request, claims, started)
+        if isinstance(admission, Refusal):
+            await self.refuse(connection, claims, admission, started)
+            return
+        try:
+            body = await connection.read_body(configuration.limits.body_bytes)
+            result = await self.send_in_time(admission, request, body, progress)
+        except BaseException:
+            self.note_abandoned(claims, progress, started)
+            raise
+        if isinstance(result, Refusal):
+            if progress.charged and result.ran is Ran.NOT_RUN and admission.account:
+                self.quotas.refund(admission.account, self.clock.now())
+            await self.refuse(connection, claims, result, started)
+            return
+        await deliver(connection, result, [])
+        status = result.status if isinstance(result, Whole) else result.answer.status
+        self.journal.count("answered", str(status // 100))
+        if status >= 300:
+            self.journal.write(
+                "failed_answer",
+                request=claims.attempt_id,
+                status=status,
+                route=admission.route.name,
+                service=admission.service,
+                waited=round(self.clock.now() - started, 3),
+            )
+
+    def admit(
+        self,
+        configuration: MeshConfiguration,
+        connection: ServerConnection,
+        request: Request,
+        claims: CallerClaims,
+        now: float,
+    ) -> Admission | Refusal:
+        """Decide whether a request may be sent to a target."""
+        route = configuration.route(claims.host, request.path)
+        if route is None:
+            return Refusal(Reason.NO_ROUTE, Ran.NOT_RUN, None, STEP, claims.host)
+        account = configuration.keys.get(claims.key) if claims.key else None
+        if account is None and configuration.accounts and not route.open:
+            reason = Reason.KEY_UNKNOWN if claims.key else Reason.KEY_MISSING
+            return Refusal(reason, Ran.NOT_RUN, None, STEP, route.name)
+        local = connection.peer.rpartition(":")[0] == self.own_ip
+        from_target = route.open and not claims.key and local
+        service = self.spreader.choose(route)
+        remaining = min(claims.remaining, route.timeout) - ANSWER_MARGIN_SECONDS
+        admission = Admission(
+            claims,
+            route,
+            service,
+            None if route.open else account,
+            from_target,
+            now + remaining,
+        )
+        if from_target:
+            self.runner.weights.called(route.name)
+            return admission
+        return self.check_pressure(admission, now) or admission
+
+    def check_pressure(self, admission: Admission, now: float) -> Refusal | None:
+        """Refuse a request that leads to a service which does not take its rank."""
+        demands = self.chains.demands.get(admission.route.name)
+        if demands is None:
+            return None
+        admitted, service, level = self.levels.admits(demands, admission.priority, now)
+        if admitted:
+            return None
+        self.journal.write(
+            "shed",
+            request=admission.claims.attempt_id,
+            route=admission.route.name,
+            priority=admission.priority,
+            service=service,
+            level=round(level, 2),
+        )
+        return Refusal(
+            Reason.OVERLOAD, Ran.NOT_RUN, OVERLOAD_RETRY_SECONDS, STEP, service
+        )
+
+    async def send_in_time(
+        self, admission: Admission, request: Request, body: bytes, progress: Progress
+    ) -> Result:
+        """Send a request, repeating it where that is safe, until its deadline."""
+        account = admission.account
+        if account is not None:
+            if not self.quotas.take(account, self.clock.now()):
+                return Refusal(
+                    Reason.RATE_EXCEEDED,
+                    Ran.NOT_RUN,
+                    RATE_RETRY_SECONDS,
+                    STEP,
+                    account.name,
+                )
+            progress.charged = True
+        remaining = admission.deadline - self.clock.now()
+        try:
+            return await curio.timeout_after(
+                max(0.0, remaining), self.send, admission, request, body, progress
+            )
+        except curio.TaskTimeout:
+            reason = Reason.DEADLINE
+            if progress.ran is Ran.NOT_RUN:
+                reason = Reason.NO_TARGET
+            return Refusal(
+                reason,
+                progress.ran,
+                NO_TARGET_RETRY_SECONDS,
+                STEP,
+                admission.service,
+            )
+
+    async def send(
+        self, admission: Admission, request: Request, body: bytes, progress: Progress
+    ) -> Result:
+        """Try targets until one answers or no other may be tried."""
+        tried: list[str] = []
+        refusals = 0
+        while True:
+            result = await self.attempt(admission, request, body, progress, tried)
+            if not isinstance(result, Refusal):
+                return result
+            if result.ran is Ran.UNKNOWN:
+                progress.runs += 1
+            else:
+                refusals += 1
+            if not self.may_repeat(admission, result, progress, refusals):
+                return result._replace(ran=progress.ran)
+            self.journal.write(
+                "repeat",
+                request=admission.claims.attempt_id,
+                reason=result.reason.value,
+                ran=result.ran.value,
+                peer=result.peer,
+                step=result.step,
+            )
+
+    def may_repeat(
+        self,
+        admission: Admission,
+        refusal: Refusal,
+        progress: Progress,
+        refusals: int,
+    ) -> bool:
+        """Return whether another target may be tried."""
+        if refusal.reason not in ELSEWHERE or refusals >= MOST_REFUSALS:
+            return False
+        if refusal.step == "routing":
+            return False
+        if progress.runs and admission.route.repeat is not Repeat.IDEMPOTENT:
+            return False
+        return progress.runs < admission.route.attempts
+
+    async def attempt(
+        self,
+        admission: Admission,
+        request: Request,
+        body: bytes,
+        progress: Progress,
+        tried: list[str],
+    ) -> Result:
+        """Send a request once, to a target that was not tried before if any."""
+        now = self.clock.now()
+        candidate = self.router.choose(admission.service, now, tried)
+        if isinstance(candidate, Refusal):
+            return candidate._replace(retry_after=NO_TARGET_RETRY_SECONDS)
+        tried.append(candidate.target_id)
+        call = self.make_call(admission, progress, now)
+        self.router.start(candidate.target_id, now)
+        outcome, pressure = Outcome.CANCELLED, None
+        progress.in_doubt = True
+        try:
+            result, pressure = await self.exchange(call, candidate, admission, request, body)
+            progress.in_doubt = False
+            outcome = Outcome.OK
+            if isinstance(result, Refusal):
+                outcome = OUTCOME_BY_REASON.get(result.reason, Outcome.FAILED)
+            return result
+        finally:
+            ended = self.clock.now()
+            self.router.finish(
+                candidate.target_id, ended, outcome, ended - now, pressure
+            )
+
+    def make_call(self, admission: Admission, progress: Progress, now: float) -> Call:
+        """Return what the node beside the target is told."""
+        return Call(
+            admission.claims.attempt_id,
+            admission.service,
+            admission.route.name,
+            round(max(0.0, admission.deadline - now), 4),
+            admission.priority,
+            admission.account.name if admission.account else "",
+            self.settings.service,
+            admission.from_target,
+            progress.runs > 0,
+            self.directory.version,
+        )
+
+    async def exchange(
+        self,
+        call: Call,
+        candidate: Candidate,
+        admission: Admission,
+        request: Request,
+        body: bytes,
+    ) -> tuple[Result, float | None]:
+        """Run one try; return its result and the pressure that the answer told."""
+        passed = admission.claims.passed
+        if candidate.address == self.settings.listen.peers:
+            result = await self.runner.run(call, request, passed, body)
+            reply = self.runner.reply(call.route, None)
+        else:
+            try:
+                connection = await self.pool.acquire(candidate.address)
+            except PeerError as error:
+                self.news.unreachable(candidate.address)
+                reason = Reason.PEER_FAILED
+                return (
+                    Refusal(reason, Ran.NOT_RUN, None, error.step, candidate.address),
+                    None,
+                )
+            try:
+                result, reply = await self.exchange_with_peer(
+                    connection, call, request, passed, body
+                )
+            except (PeerError, ProtocolError) as error:
+                await self.pool.discard(connection)
+                reason = Reason.PEER_FAILED
+                return (
+                    Refusal(reason, Ran.UNKNOWN, None, error.step, candidate.address),
+                    None,
+                )
+            except BaseException:
+                await self.pool.discard(connection)
+                raise
+            self.news.heard(candidate.address, reply)
+        now = self.clock.now()
+        self.chains.learn(call.route, reply.demands)
+        self.levels.learn(reply.demands, now)
+        return result, reply.pressure
+
+    async def exchange_with_peer(
+        self,
+        connection: ClientConnection,
+        call: Call,
+        request: Request,
+        passed: Headers,
+        body: bytes,
+    ) -> tuple[Result, "object"]:
+        """Send a call to another node and take its answer.
+
+        Raises:
+            PeerError: If the connection broke or the answer was cut.
+            ProtocolError: If the answer is not one of a node.
+        """
+        headers = [*passed, (CALL_HEADER, encode(call))]
+        if body or request.method in BODY_METHODS:
+            headers.append((b"content-length", str(len(body)).encode()))
+        await connection.send(request.method, request.target, headers, body)
+        answer = await connection.receive_head()
+        reply = decode_reply(answer.header(REPLY_HEADER), connection.address)
+        whole, parts = await hold(answer)
+        if not whole:
+            return self.open_answer(connection, answer, parts), reply
+        await self.pool.release(connection)
+        refusal = reply.refusal(connection.address)
+        if refusal is not None:
+            return refusal, reply
+        return Whole(answer.status, answer.headers, b"".join(parts)), reply
+
+    def open_answer(
+        self, connection: ClientConnection, answer: Answer, parts: list[bytes]
+    ) -> Opened:
+        """Return an answer that is passed on while it arrives."""
+
+        async def close(complete: bool) -> None:
+            if complete:
+                await self.pool.release(connection)
+            else:
+                await self.pool.discard(connection)
+
+        return Opened(answer, parts, close)
+
+    async def refuse(
+        self,
+        connection: ServerConnection,
+        claims: CallerClaims,
+        refusal: Refusal,
+        started: float,
+    ) -> None:
+        """Tell a caller that its request failed or was not run."""
+        status = status_of(refusal)
+        self.journal.count("refused", refusal.reason.value)
+        self.journal.write(
+            "refused",
+            request=claims.attempt_id,
+            status=status,
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+            step=refusal.step,
+            peer=refusal.peer,
+            version=self.directory.version,
+            waited=round(self.clock.now() - started, 3),
+        )
+        headers = [JSON_HEADER]
+        if refusal.retry_after is not None and refusal.ran is Ran.NOT_RUN:
+            wait = refusal.retry_after * self.rng.uniform(0.8, 1.2)
+            headers.append((b"retry-after", f"{wait:.2f}".encode()))
+        connection.close_unless_read()
+        await connection.respond(status, headers, refusal_body(refusal))
+
+    def note_abandoned(
+        self, claims: CallerClaims, progress: Progress, started: float
+    ) -> None:
+        """Record a request whose caller has gone."""
+        self.journal.write(
+            "abandoned",
+            request=claims.attempt_id,
+            ran=progress.ran.value,
+            waited=round(self.clock.now() - started, 3),
+        )
+
+
+def status_of(refusal: Refusal) -> int:
+    """Return the status for a caller; only a request that did not run gets 503."""
+    if refusal.ran is Ran.UNKNOWN:
+        return 504 if refusal.reason is Reason.DEADLINE else 502
+    if refusal.status in (502, 504):
+        return 503
+    return refusal.status
--- /dev/null
+++ b/src/carawaywheel/mesh/exchange.py
@@ -0,0 +1,95 @@
+"""Holding answers: small ones whole, large ones as a stream."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from ..http import Headers, ServerConnection
+from ..pool import Answer
+from ..refusals import Refusal
+from ..streaming import pass_on_rest
+from ..headers import forwarded_answer_headers
+
+# Largest body that is held whole before the first byte is passed on; larger ones are
+# streamed, so that memory stays bounded with any number of slow readers.
+HOLD_BYTES = 256 * 1024
+
+
+class Whole(NamedTuple):
+    """An answer that has arrived completely.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers as they arrived.
+        body: The whole body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class Opened(NamedTuple):
+    """An answer of which the beginning has arrived.
+
+    Attributes:
+        answer: Head and stream of the rest.
+        parts: Body bytes that have arrived.
+        close: Must be awaited with whether the whole answer was passed on.
+    """
+
+    answer: Answer
+    parts: list[bytes]
+    close: Callable[[bool], Awaitable[None]]
+
+
+Result = Whole | Opened | Refusal
+
+
+async def hold(answer: Answer) -> tuple[bool, list[bytes]]:
+    """Read an answer up to the size that is held.
+
+    Returns:
+        Whether the whole body has arrived, and its parts.
+
+    Raises:
+        PeerError: If the body was cut.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while size <= HOLD_BYTES:
+        chunk = await answer.next_chunk()
+        if not chunk:
+            return True, parts
+        parts.append(chunk)
+        size += len(chunk)
+    return False, parts
+
+
+async def deliver(
+    connection: ServerConnection, result: Whole | Opened, extra: Headers
+) -> None:
+    """Pass an answer on to the other side of a connection.
+
+    Raises:
+        ProtocolError: If the other side is gone or the answer was cut.
+    """
+    if isinstance(result, Whole):
+        await connection.respond(
+            result.status, whole_headers(result.headers) + extra, result.body
+        )
+        return
+    whole = False
+    try:
+        await pass_on_rest(result.answer, result.parts, connection, extra)
+        whole = True
+    finally:
+        await result.close(whole)
+
+
+def whole_headers(headers: Headers) -> Headers:
+    """Return the headers of an answer whose length is known by now."""
+    return [
+        (name, value)
+        for name, value in forwarded_answer_headers(0, headers)
+        if name not in (b"content-length", b"transfer-encoding")
+    ]
--- /dev/null
+++ b/src/carawaywheel/mesh/execution.py
@@ -0,0 +1,304 @@
+"""Running calls at the local target."""
+
+import itertools
+import random
+from typing import Any
+
+import curio
+
+from ..admission import AdmissionQueue
+from ..clock import Clock
+from ..errors import PeerError
+from ..fairness import Ticket
+from ..http import Request
+from ..limits import FixedLimit
+from ..platform.headers import decode_reply, encode_target_request
+from ..pool import Answer, ClientConnection, Pool
+from ..refusals import Importance, Outcome, Ran, Reason, Refusal
+from ..retries import ServiceBudget
+from ..serving import Gate
+from ..settings import AdmissionSettings, RetrySettings
+from .calls import Call, Demand, Reply, TargetRequest
+from .chains import CallWeights, ChainTable
+from .exchange import Opened, Result, Whole, hold
+from .journal import Journal
+from .pressure import AdmissionLevel, LevelTable
+from .settings import HostSettings
+from .target import LocalTarget, Phase
+
+BODY_METHODS = ("POST", "PUT", "PATCH")
+SUCCESS = range(200, 300)
+# Targets slow down when nearly all slots are in use.
+USED_SHARE = 0.94
+# Seconds after which a request that was refused as not run may come back.
+RETRY_AFTER_SECONDS = 0.3
+POLL_SECONDS = 0.01
+IDLE_SECONDS = 0.05
+# Part of the fleet's slack for repeats that is used; counts of nodes lag a little.
+SLACK_SHARE = 0.7
+
+
+class TargetRunner:
+    """Admits calls to the local target and runs them.
+
+    Attributes:
+        target: The local target.
+        gate: Admission to its present incarnation; None before it is known.
+        level: Ranks that the target takes.
+        closing: Whether the node takes no more work for its target.
+        running: Calls that wait or run.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        target: LocalTarget,
+        chains: ChainTable,
+        levels: LevelTable,
+        journal: Journal,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.target = target
+        self.chains = chains
+        self.levels = levels
+        self.journal = journal
+        self.clock = clock
+        self.rng = rng
+        self.pool = Pool()
+        self.weights = CallWeights()
+        self.level = AdmissionLevel(1.0)
+        self.gate: Gate | None = None
+        self.incarnation: tuple[str, int] | None = None
+        self.closing = False
+        self.running = 0
+        self.version = 0
+        self.ids = itertools.count()
+        self.set_targets(1)
+
+    def set_targets(self, count: int) -> None:
+        """Use this node's part of the repeats that a service of ``count`` allows."""
+        bounds = self.settings.bounds
+        floor = int(SLACK_SHARE * bounds.retry_slack / max(1, count))
+        settings = RetrySettings(
+            service_share=bounds.retry_ratio,
+            service_window=bounds.retry_window,
+            service_floor=floor,
+        )
+        known = getattr(self, "budget", None)
+        if known is None:
+            self.budget = ServiceBudget(settings)
+        else:
+            known.settings = settings
+
+    def open_gate(self) -> Gate | None:
+        """Return the gate of the present target, if it takes new work."""
+        heartbeat = self.target.heartbeat
+        if heartbeat is None or heartbeat.phase is not Phase.READY or self.closing:
+            return None
+        present = (heartbeat.target_id, heartbeat.incarnation)
+        if self.gate is None or self.incarnation != present:
+            self.incarnation = present
+            limit = FixedLimit(max(1, int(heartbeat.slots * USED_SHARE)))
+            queue = AdmissionQueue(
+                AdmissionSettings(), limit, heartbeat.slots, self.rng
+            )
+            self.gate = Gate(self.target, queue, self.clock)  # type: ignore[arg-type]
+        return self.gate
+
+    async def run(self, call: Call, request: Request, passed: Any, body: bytes) -> Result:
+        """Run a call, or refuse it.
+
+        Args:
+            call: The call.
+            request: Method and path.
+            passed: Headers that go on to the target.
+            body: The whole body.
+        """
+        refusal = self.check(call)
+        if refusal is not None:
+            return refusal
+        gate = self.open_gate()
+        assert gate is not None
+        deadline = self.clock.now() + call.remaining
+        importance = Importance(min(call.priority, Importance.SHEDDABLE))
+        if call.from_target:
+            importance = Importance.CRITICAL
+        ticket = Ticket(str(next(self.ids)), call.account, importance, deadline)
+        self.running += 1
+        try:
+            refusal = await gate.enter(ticket)
+            if refusal is not None:
+                return refusal
+            return await self.run_admitted(call, gate, ticket, request, passed, body)
+        finally:
+            self.running -= 1
+
+    def check(self, call: Call) -> Refusal | None:
+        """Refuse a call that this node's target does not take."""
+        if call.service != self.settings.service or self.open_gate() is None:
+            reason = Reason.SHUTTING_DOWN if self.closing else Reason.NO_TARGET
+            return Refusal(reason, Ran.NOT_RUN, RETRY_AFTER_SECONDS, "target")
+        now = self.clock.now()
+        if not call.from_target:
+            self.budget.record_first(now)
+        if call.repeat and not self.budget.try_retry(now):
+            return Refusal(Reason.RETRIES_SPENT, Ran.NOT_RUN, None, "target")
+        return None
+
+    async def run_admitted(
+        self,
+        call: Call,
+        gate: Gate,
+        ticket: Ticket,
+        request: Request,
+        passed: Any,
+        body: bytes,
+    ) -> Result:
+        """Run a call that holds a slot; the slot is given back at its end."""
+        started = self.clock.now()
+        outcome = Outcome.CANCELLED
+        opened = False
+
+        async def leave(whole: bool) -> None:
+            ended = Outcome.OK if whole else Outcome.FAILED
+            await gate.leave(ticket.request_id, ended, self.clock.now() - started)
+
+        try:
+            result = await self.exchange(call, ticket, request, passed, body, leave)
+            opened = isinstance(result, Opened)
+            outcome = Outcome.OK
+            if isinstance(result, Refusal):
+                shed = result.reason is Reason.TARGET_SHED
+                outcome = Outcome.SHED if shed else Outcome.FAILED
+            return result
+        finally:
+            if not opened:
+                latency = self.clock.now() - started
+                await gate.leave(ticket.request_id, outcome, latency)
+
+    async def exchange(
+        self,
+        call: Call,
+        ticket: Ticket,
+        request: Request,
+        passed: Any,
+        body: bytes,
+        leave: Any,
+    ) -> Result:
+        """Send a call to the target and take its answer."""
+        peer = self.target.address
+        heartbeat = self.target.heartbeat
+        assert heartbeat is not None
+        try:
+            connection = await self.pool.acquire(peer)
+        except PeerError as error:
+            return Refusal(Reason.TARGET_FAILED, Ran.NOT_RUN, None, error.step, peer)
+        length = len(body) if body or request.method in BODY_METHODS else None
+        remaining = max(0.0, ticket.deadline - self.clock.now())
+        headers = encode_target_request(
+            TargetRequest(
+                passed,
+                remaining,
+                heartbeat.target_id,
+                call.origin,
+                call.account,
+                length,
+            )
+        )
+        self.weights.ran(call.route)
+        try:
+            await connection.send(request.method, request.target, headers, body)
+            answer = await connection.receive_head(unframed=True)
+            return await self.take_answer(call, connection, answer, leave)
+        except PeerError as error:
+            await self.pool.discard(connection)
+            return Refusal(Reason.TARGET_FAILED, Ran.UNKNOWN, None, error.step, peer)
+        except BaseException:
+            await self.pool.discard(connection)
+            raise
+
+    async def take_answer(
+        self, call: Call, connection: ClientConnection, answer: Answer, leave: Any
+    ) -> Result:
+        """Check an answer and hold it, or open it if it is large.
+
+        Raises:
+            PeerError: If the answer is cut or belongs to another request.
+        """
+        reply = decode_reply(answer.status, answer.headers)
+        if reply.wrong_target:
+            self.target.heartbeat = None
+        if reply.refused:
+            await self.finish(connection, answer)
+            peer = connection.address
+            return Refusal(
+                Reason.TARGET_SHED, Ran.NOT_RUN, RETRY_AFTER_SECONDS, "target", peer
+            )
+        if reply.attempt_id and reply.attempt_id != call.attempt_id:
+            raise connection.failure("the answer is for another request", "read head")
+        if answer.status in SUCCESS and not reply.has_digest:
+            raise connection.failure("the answer has no digest", "read head")
+        whole, parts = await hold(answer)
+        if whole:
+            await self.pool.release(connection)
+            return Whole(answer.status, answer.headers, b"".join(parts))
+
+        async def close(complete: bool) -> None:
+            if complete:
+                await self.pool.release(connection)
+            else:
+                await self.pool.discard(connection)
+            await leave(complete)
+
+        return Opened(answer, parts, close)
+
+    async def finish(self, connection: ClientConnection, answer: Answer) -> None:
+        """Read the rest of a short answer, so that the connection can be kept."""
+        await hold(answer)
+        await self.pool.release(connection)
+
+    def reply(self, route: str, refusal: Refusal | None) -> Reply:
+        """Describe an answer to the node that asked."""
+        now = self.clock.now()
+        below = self.chains.below(self.weights, route, self.settings.service)
+        demands = [
+            Demand(service, round(calls, 3), round(self.level_of(service, now), 3))
+            for service, calls in below.items()
+        ]
+        return Reply(
+            refusal.reason.value if refusal else "",
+            refusal.ran.value if refusal else "",
+            refusal.retry_after if refusal else None,
+            round(self.occupancy, 3),
+            self.open_gate() is not None,
+            self.version,
+            demands,
+        )
+
+    def level_of(self, service: str, now: float) -> float:
+        """Return the level of a service, exactly for that of the local target."""
+        if service == self.settings.service:
+            return self.level.level
+        return min(self.levels.level(service, now), self.level.top)
+
+    @property
+    def occupancy(self) -> float:
+        """Share of the target's limit that is in use or waited for."""
+        if self.gate is None:
+            return 0.0
+        queue = self.gate.queue
+        return (queue.in_flight + queue.queued) / queue.limit.limit(0.0)
+
+    async def run_polls(self) -> None:
+        """Move the level and refuse what waited too long, until cancelled."""
+        while True:
+            gate = self.gate
+            busy = gate is not None and gate.queue.queued
+            await curio.sleep(POLL_SECONDS if busy else IDLE_SECONDS)
+            now = self.clock.now()
+            if gate is not None:
+                await gate.poll()
+                self.level.update(self.occupancy, now)
+            self.weights.tick(now)
--- /dev/null
+++ b/src/carawaywheel/mesh/local.py
@@ -0,0 +1,82 @@
+"""Requests of the platform and of the local target: readiness, heartbeats, metrics."""
+
+from collections.abc import Awaitable, Callable
+
+from ..clock import Clock
+from ..errors import ProtocolError
+from ..http import JSON_HEADER, Request, ServerConnection
+from ..listener import RequestHandler
+from ..platform.heartbeats import (
+    ACKNOWLEDGEMENT,
+    READY_PATH,
+    decode_heartbeat,
+    target_id,
+)
+from .journal import Journal
+from .target import LocalTarget
+
+HEARTBEAT_BYTES = 64 * 1024
+
+
+class ReadyHandler(RequestHandler):
+    """Tells the platform whether clients may be sent to this node."""
+
+    def __init__(self, ready: Callable[[], bool]) -> None:
+        self.ready = ready
+
+    async def handle(self, connection: ServerConnection, request: Request) -> None:
+        """Answer one request; see the base class."""
+        status = 404
+        if request.path == READY_PATH:
+            status = 200 if self.ready() else 503
+        await connection.respond(status, [JSON_HEADER], b"{}")
+
+
+class HeartbeatHandler(RequestHandler):
+    """Takes the heartbeats of the local target."""
+
+    def __init__(
+        self,
+        target: LocalTarget,
+        on_change: Callable[[], Awaitable[None]],
+        journal: Journal,
+        clock: Clock,
+    ) -> None:
+        self.target = target
+        self.on_change = on_change
+        self.journal = journal
+        self.clock = clock
+
+    async def handle(self, connection: ServerConnection, request: Request) -> None:
+        """Answer one request; see the base class."""
+        body = await connection.read_body(HEARTBEAT_BYTES)
+        before = self.described()
+        now = self.clock.now()
+        if request.method == "DELETE" and target_id(request.path):
+            self.target.leave(target_id(request.path), now)
+        elif request.method == "PUT":
+            self.receive(request.path, body, now)
+        else:
+            await connection.respond(404, [JSON_HEADER], b"{}")
+            return
+        await connection.respond(200, [JSON_HEADER], ACKNOWLEDGEMENT)
+        if self.described() != before:
+            self.journal.write("target", target=str(self.target.heartbeat))
+            await self.on_change()
+
+    def receive(self, path: str, body: bytes, now: float) -> None:
+        """Take a heartbeat; one that cannot be read changes nothing."""
+        try:
+            heartbeat = decode_heartbeat(path, body)
+        except ProtocolError as error:
+            self.journal.write("heartbeat_invalid", error=str(error))
+            return
+        if not self.target.receive(heartbeat, now):
+            self.journal.write("heartbeat_late", target=str(heartbeat))
+
+    def described(self) -> tuple[object, ...]:
+        """Return what others need to know of the target."""
+        heartbeat = self.target.heartbeat
+        if heartbeat is None:
+            return ()
+        return heartbeat.target_id, heartbeat.incarnation, heartbeat.phase, heartbeat.slots
--- /dev/null
+++ b/src/carawaywheel/mesh/node.py
@@ -0,0 +1,310 @@
+"""One node of the mesh: its parts with the sockets and timers around them."""
+
+import gc
+import os
+import random
+import secrets
+import time
+from typing import Any
+
+import curio
+
+from ..clock import SystemClock
+from ..datagrams import DatagramSocket
+from ..errors import SettingsError
+from ..http import BodyBudget
+from ..listener import HangupWatch, Listener
+from ..platform.boot import read_boot
+from ..platform.configuration import CONFIGURATION_KEY
+from ..platform.provider import CONFIGURATION_TABLE, HOST_TABLE, ProviderStore
+from ..routing import Router
+from ..settings import RoutingSettings
+from ..signals import StopSignal
+from ..signing import Signer
+from ..sockets import open_socket, split_address
+from .chains import ChainTable
+from .directory import Directory, HostRecord
+from .document import MeshConfiguration
+from .entry import EntryHandler
+from .execution import TargetRunner
+from .follower import StoreSync
+from .inbound import PeerHandler
+from .journal import Journal
+from .local import HeartbeatHandler, ReadyHandler
+from .metrics import MetricsHandler
+from .news import News
+from .pressure import LevelTable
+from .quotas import Quotas
+from .rates import RateService
+from .settings import HostSettings
+from .target import LocalTarget, Phase
+
+FLUSH_SECONDS = 0.1
+SETTINGS_SECONDS = 1.0
+STOP_POLL_SECONDS = 0.05
+# Time after the request to stop in which clients and nodes learn of it: two missed
+# readiness checks, one a second, and a little more.
+LEAVE_SECONDS = 2.6
+# Time before the end of the grace period at which the process ends in any case.
+STOP_MARGIN_SECONDS = 0.3
+STORE_TIMEOUT_SECONDS = 1.5
+# Connections that a listener accepts at most.
+MAX_CONNECTIONS = 2500
+# Part of the process's memory that buffered request bodies may take.
+BODY_SHARE = 0.25
+# Keeps datagrams of other programs apart; the platform has no secret to share.
+DATAGRAM_SECRET = b"carawaywheel mesh 1"
+
+
+class MeshNode:
+    """A node beside one target host.
+
+    Attributes:
+        settings: Settings of the node.
+        stopping: Whether a graceful stop has begun.
+        failed: Whether a part ended with an error.
+    """
+
+    def __init__(self, settings: HostSettings, path: str) -> None:
+        """Open the sockets and build the parts.
+
+        Args:
+            settings: Settings of the node.
+            path: The file that they were read from.
+        """
+        self.settings = settings
+        self.path = path
+        self.modified = file_state(path)
+        self.clock = SystemClock()
+        self.rng = random.Random(secrets.randbits(64))
+        self.journal = Journal(settings.node_id)
+        self.journal.attach()
+        self.signal = StopSignal()
+        self.stopping = False
+        self.failed = False
+        self.watch = HangupWatch()
+        self.bodies = BodyBudget(int(settings.memory_bytes * BODY_SHARE))
+        self.build_state()
+        self.build_requests()
+        self.build_listeners()
+
+    def build_state(self) -> None:
+        """Build what the node knows and how it learns it."""
+        settings = self.settings
+        self.directory = Directory()
+        self.router = Router(RoutingSettings(), settings.domain, self.rng)
+        own = settings.listen.peers
+        self.news = News(own, self.directory, self.router, self.journal, self.clock)
+        self.news.on_configuration = self.use_configuration
+        self.target = LocalTarget(settings.service, settings.target_address)
+        record = HostRecord(
+            settings.node_id,
+            own,
+            settings.domain,
+            settings.service,
+            int(time.time() * 1000),
+            0,
+            int(Phase.GONE),
+            0,
+        )
+        self.directory.add(record)
+        self.sync = StoreSync(
+            ProviderStore(settings.store.address, STORE_TIMEOUT_SECONDS),
+            (CONFIGURATION_TABLE, HOST_TABLE),
+            CONFIGURATION_KEY,
+            self.directory,
+            self.news,
+            record,
+            self.journal,
+            self.clock,
+            self.rng,
+        )
+        self.quotas = Quotas(own)
+        host, port = split_address(settings.listen.datagrams)
+        self.sock = DatagramSocket(host, port, Signer(DATAGRAM_SECRET))
+        self.rates = RateService(self.quotas, self.sock, self.news, self.clock)
+
+    def build_requests(self) -> None:
+        """Build the path of a request."""
+        chains = ChainTable()
+        levels = LevelTable(self.rng)
+        self.runner = TargetRunner(
+            self.settings,
+            self.target,
+            chains,
+            levels,
+            self.journal,
+            self.clock,
+            self.rng,
+        )
+        self.news.serving = lambda: self.runner.open_gate() is not None
+        self.entry = EntryHandler(
+            self.settings,
+            self.directory,
+            self.router,
+            self.runner,
+            self.quotas,
+            chains,
+            levels,
+            self.news,
+            self.journal,
+            self.clock,
+            self.rng,
+        )
+
+    def build_listeners(self) -> None:
+        """Open the listeners."""
+        listen = self.settings.listen
+        handlers: dict[str, tuple[str, Any]] = {
+            "callers": (listen.callers, self.entry),
+            "peers": (listen.peers, PeerHandler(self.runner, self.news, self.journal)),
+            "ready": (listen.ready, ReadyHandler(self.ready)),
+            "heartbeats": (
+                listen.heartbeats,
+                HeartbeatHandler(
+                    self.target, self.note_target, self.journal, self.clock
+                ),
+            ),
+        }
+        if listen.metrics:
+            handlers["metrics"] = (listen.metrics, MetricsHandler(self.journal))
+        self.listeners = {
+            name: self.listen(name, address, handler)
+            for name, (address, handler) in handlers.items()
+        }
+
+    def listen(self, name: str, address: str, handler: Any) -> Listener:
+        """Serve one listening socket."""
+        sock = open_socket(*split_address(address))
+        listener = Listener(
+            name, sock, handler, self.watch, MAX_CONNECTIONS, self.bodies
+        )
+        listener.on_protocol_error = lambda name: self.journal.count("bad_input", name)
+        return listener
+
+    def ready(self) -> bool:
+        """Whether clients may be sent to this node."""
+        return not self.stopping and self.directory.configuration is not None
+
+    def use_configuration(self, configuration: MeshConfiguration) -> None:
+        """Give the parts a new configuration."""
+        now = self.clock.now()
+        self.runner.version = configuration.version
+        self.runner.level.set_top(configuration.lowest_priority + 1.0)
+        self.quotas.configure(configuration.accounts, now)
+        self.runner.set_targets(self.directory.targets(self.settings.service))
+
+    async def note_target(self) -> None:
+        """Tell the others of a change of the local target."""
+        phase = self.target.phase
+        heartbeat = self.target.heartbeat
+        stopped = self.stopping or phase is None
+        await self.sync.update(
+            int(Phase.GONE) if stopped or phase is None else int(phase),
+            heartbeat.slots if heartbeat else 0,
+        )
+        self.runner.set_targets(self.directory.targets(self.settings.service))
+
+    async def run(self) -> None:
+        """Run until a graceful stop is complete."""
+        self.journal.write("start", settings=str(self.settings))
+        # Long pauses of the collector come from objects that live as long as the node.
+        gc.collect()
+        gc.freeze()
+        tasks = [
+            self.watch.run,
+            self.sock.run,
+            self.rates.run,
+            self.news.run,
+            self.sync.configuration.run,
+            self.sync.hosts.run,
+            self.sync.run_writes,
+            self.sync.run_refreshes,
+            self.runner.run_polls,
+            self.run_flushes,
+            self.run_settings,
+        ]
+        tasks += [listener.run for listener in self.listeners.values()]
+        async with curio.TaskGroup(wait=any) as group:
+            for task in tasks:
+                await group.spawn(self.guard, task)
+            await group.spawn(self.wait_for_stop)
+        self.journal.flush()
+
+    async def guard(self, task: Any) -> None:
+        """Run a part; an error that nothing expected stops the node with its name."""
+        try:
+            await task()
+        except curio.CancelledError:
+            raise
+        except Exception as error:
+            self.journal.write(
+                "part_failed", part=task.__qualname__, error=repr(error)
+            )
+            self.failed = True
+
+    async def run_flushes(self) -> None:
+        """Write the log until cancelled."""
+        while True:
+            await curio.sleep(FLUSH_SECONDS)
+            self.journal.flush()
+
+    async def run_settings(self) -> None:
+        """Notice changes of the settings file until cancelled."""
+        while True:
+            await curio.sleep(SETTINGS_SECONDS)
+            state = file_state(self.path)
+            if state != self.modified:
+                self.modified = state
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the settings again; those of sockets need a restart."""
+        try:
+            settings = read_boot(self.path)
+        except SettingsError as error:
+            self.journal.write("reload_failed", error=str(error))
+            return
+        self.journal.write("reload", changed=settings != self.settings)
+        self.settings = settings._replace(listen=self.settings.listen)
+        self.runner.settings = self.entry.settings = self.settings
+
+    async def wait_for_stop(self) -> None:
+        """Reload on a hangup signal; stop gracefully on the others."""
+        while await self.signal.wait():
+            self.reload()
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop without cutting off a request.
+
+        Clients and nodes learn of it first, and what they send meanwhile is served.
+        """
+        started = self.clock.now()
+        self.stopping = True
+        self.journal.write("stop", running=len(self.watch.busy))
+        self.runner.closing = True
+        for name in ("callers", "peers"):
+            self.listeners[name].begin_close()
+        await self.note_target()
+        await curio.sleep(LEAVE_SECONDS)
+        left = self.settings.bounds.grace - STOP_MARGIN_SECONDS
+        left -= self.clock.now() - started
+        await curio.ignore_after(max(0.0, left), self.wait_until_idle)
+        self.journal.write("stopped", running=len(self.watch.busy))
+
+    async def wait_until_idle(self) -> None:
+        """Wait until no request is in flight."""
+        while self.watch.busy:
+            await curio.sleep(STOP_POLL_SECONDS)
+        for listener in self.listeners.values():
+            listener.close_idle()
+
+
+def file_state(path: str) -> tuple[int, int]:
+    """Return what changes when a file is replaced; zeros if there is none."""
+    try:
+        found = os.stat(path)
+    except OSError:
+        return 0, 0
+    return found.st_mtime_ns, found.st_ino
--- /dev/null
+++ b/src/carawaywheel/mesh/pressure.py
@@ -0,0 +1,131 @@
+"""Admission levels: the ranks that a service takes, and refusal where chains begin.
+
+A level is a number of ranks: at 2.4 a service takes ranks 0 and 1 and four tenths of
+rank 2. The node beside a target moves its level so that the target stays just below
+full; answers carry the levels back to the nodes at which requests enter.
+"""
+
+import random
+
+from .calls import Demand
+
+# Share of the limit that is to be in use; the rest absorbs the variance of arrivals.
+OCCUPANCY_AIM = 0.88
+# Time constant of the mean occupancy, in seconds: a few service times.
+OCCUPANCY_SECONDS = 0.25
+# Ranks a second that the level falls for each unit of occupancy above the aim, and
+# rises for each unit below it.
+FALL = 1.6
+RISE = 0.7
+# Occupancy above the aim that counts, so that one long queue does not shut a service.
+EXCESS_MAX = 1.0
+# Level below which no answer can lower it: most of rank 0 is always let through.
+LEVEL_MIN = 0.4
+# Share of an answer's level in the mean at a node.
+SMOOTHING = 0.25
+# Seconds after which a level that nothing renews begins to rise.
+FRESH_SECONDS = 1.0
+# Calls for each request below which a service's level does not count.
+LEAST_CALLS = 0.1
+
+
+class AdmissionLevel:
+    """Level of one target, moved by how full it is.
+
+    Attributes:
+        level: Ranks that are taken.
+        top: Level at which every rank is taken.
+        occupancy: Smoothed share of the limit that is in use or waited for.
+    """
+
+    def __init__(self, top: float) -> None:
+        self.top = top
+        self.level = top
+        self.occupancy = 0.0
+        self.updated_at: float | None = None
+
+    def set_top(self, top: float) -> None:
+        """Change the number of ranks."""
+        if top != self.top:
+            at_top = self.level >= self.top
+            self.top = top
+            self.level = top if at_top else min(self.level, top)
+
+    def update(self, occupancy: float, now: float) -> None:
+        """Move the level by the occupancy at ``now``, in seconds."""
+        if self.updated_at is None:
+            self.updated_at = now
+        elapsed = min(now - self.updated_at, OCCUPANCY_SECONDS)
+        self.updated_at = now
+        gain = min(1.0, elapsed / OCCUPANCY_SECONDS)
+        self.occupancy += gain * (occupancy - self.occupancy)
+        excess = min(self.occupancy - OCCUPANCY_AIM, EXCESS_MAX)
+        step = FALL if excess > 0 else RISE
+        self.level -= step * excess * elapsed
+        self.level = min(max(self.level, LEVEL_MIN), self.top)
+
+
+class Heard:
+    """Level of a service that answers told.
+
+    Attributes:
+        level: Smoothed level.
+        heard_at: Time of the newest answer, in seconds.
+    """
+
+    __slots__ = ("level", "heard_at")
+
+    def __init__(self, level: float, heard_at: float) -> None:
+        self.level = level
+        self.heard_at = heard_at
+
+
+class LevelTable:
+    """Levels of all services that a node has heard of."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.heard: dict[str, Heard] = {}
+        self.rng = rng
+
+    def learn(self, demands: list[Demand], now: float) -> None:
+        """Take the levels that an answer carries."""
+        for item in demands:
+            heard = self.heard.get(item.service)
+            if heard is None:
+                self.heard[item.service] = Heard(item.level, now)
+                continue
+            known = self.level(item.service, now)
+            heard.level = known + SMOOTHING * (item.level - known)
+            heard.heard_at = now
+
+    def level(self, service: str, now: float) -> float:
+        """Return the level of a service; infinite if nothing was heard of it."""
+        heard = self.heard.get(service)
+        if heard is None:
+            return float("inf")
+        age = now - heard.heard_at - FRESH_SECONDS
+        return heard.level + RISE * age if age > 0 else heard.level
+
+    def admits(
+        self, demands: dict[str, float], priority: int, now: float
+    ) -> tuple[bool, str, float]:
+        """Decide whether a request may enter.
+
+        Args:
+            demands: Calls to each service that it leads to.
+            priority: Its rank.
+            now: Time in seconds.
+
+        Returns:
+            Whether it may enter, the service that decided, and its level.
+        """
+        lowest = float("inf")
+        tightest = ""
+        for service, calls in demands.items():
+            if calls < LEAST_CALLS:
+                continue
+            level = self.level(service, now)
+            if level < lowest:
+                lowest, tightest = level, service
+        share = lowest - priority
+        return share >= 1.0 or self.rng.random() < share, tightest, lowest
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -427,7 +427,8 @@
 
     async def wait_for_stop(self) -> None:
         """Wait for SIGTERM or SIGINT, then stop gracefully."""
-        await self.stop_signal.wait()
+        while await self.stop_signal.wait():
+            logger.info("settings come from flags; a reload needs a restart")
         await self.stop()
 
     async def stop(self) -> None:
--- /dev/null
+++ b/src/carawaywheel/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; nothing here decides."""
--- /dev/null
+++ b/src/carawaywheel/platform/boot.py
@@ -0,0 +1,104 @@
+"""The settings file that the platform places on each machine."""
+
+import tomllib
+
+import msgspec
+
+from ..errors import SettingsError
+from ..mesh.settings import Bounds, HostSettings, Listeners, StoreSettings
+
+FILE_VARIABLE = "CARAWAYWHEEL_BOOT"
+METRICS_PORT = 7000
+MEGABYTE = 1 << 20
+
+
+class WireListen(msgspec.Struct):
+    """Addresses that the platform reserves for the node."""
+
+    inbound: str
+    outbound: str
+    ready: str
+    control: str
+
+
+class WireLimits(msgspec.Struct):
+    """Limits of a process."""
+
+    memory_mb: float = 256.0
+
+
+class WireBounds(msgspec.Struct):
+    """Figures of the rules; ``budget_*`` are about repeats."""
+
+    grace_s: float = Bounds().grace
+    drain_s: float = Bounds().drain
+    retry_budget_ratio: float = Bounds().retry_ratio
+    budget_window_s: float = Bounds().retry_window
+    budget_slack: float = Bounds().retry_slack
+
+
+class WireProvider(msgspec.Struct):
+    """The platform's store."""
+
+    address: str
+
+
+class WireBoot(msgspec.Struct):
+    """The whole file; fields that are not named here are ignored."""
+
+    node_name: str
+    ip: str
+    zone: str
+    listen: WireListen
+    provider: WireProvider
+    port_range: list[int]
+    service: str = ""
+    app_addr: str = ""
+    heartbeat_s: float = 1.5
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+
+
+def read_boot(path: str) -> HostSettings:
+    """Read the settings file.
+
+    Raises:
+        SettingsError: If it cannot be read; ``peer`` names the file.
+    """
+    try:
+        with open(path, "rb") as file:
+            document = tomllib.load(file)
+        return decode_boot(msgspec.convert(document, WireBoot))
+    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise SettingsError(str(error), "read settings", path) from error
+
+
+def decode_boot(wire: WireBoot) -> HostSettings:
+    """Translate the file's fields."""
+    bounds = wire.bounds
+    ports = wire.port_range
+    has_metrics = len(ports) == 2 and ports[0] <= METRICS_PORT <= ports[1]
+    return HostSettings(
+        node_id=wire.node_name,
+        domain=wire.zone,
+        service=wire.service,
+        target_address=wire.app_addr,
+        listen=Listeners(
+            callers=wire.listen.outbound,
+            peers=wire.listen.inbound,
+            ready=wire.listen.ready,
+            heartbeats=wire.listen.control,
+            metrics=f"{wire.ip}:{METRICS_PORT}" if has_metrics else "",
+            datagrams=f"{wire.ip}:{ports[-1]}",
+        ),
+        store=StoreSettings(wire.provider.address),
+        heartbeat=wire.heartbeat_s,
+        bounds=Bounds(
+            bounds.grace_s,
+            bounds.drain_s,
+            bounds.retry_budget_ratio,
+            bounds.budget_window_s,
+            bounds.budget_slack,
+        ),
+        memory_bytes=int(wire.limits.memory_mb * MEGABYTE),
+    )
--- /dev/null
+++ b/src/carawaywheel/platform/configuration.py
@@ -0,0 +1,179 @@
+"""Decoding of the configuration that the operator stores."""
+
+from typing import Annotated
+
+import msgspec
+
+from ..errors import PolicyError
+from ..mesh.document import (
+    Account,
+    InputLimits,
+    MeshConfiguration,
+    Repeat,
+    Route,
+    Service,
+    Share,
+)
+
+CONFIGURATION_KEY = "config"
+VERSION_PREFIX = "r"
+REPEATS = {
+    "idempotent": Repeat.IDEMPOTENT,
+    "non_idempotent": Repeat.ONCE,
+    "upload": Repeat.UPLOAD,
+}
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class WireShare(msgspec.Struct):
+    """Part of a route's requests."""
+
+    service: str
+    weight: Annotated[float, msgspec.Meta(ge=0)]
+
+
+class WireRoute(msgspec.Struct):
+    """A route; it names either one service or weighted ones."""
+
+    name: str
+    path_prefix: str
+    kind: str
+    timeout_s: Positive
+    target_latency_s: Positive = 1.0
+    priority: int = 0
+    service: str | None = None
+    weighted_backends: list[WireShare] = []
+    attempts: Annotated[int, msgspec.Meta(ge=1)] = 1
+    allow_anonymous: bool = False
+
+
+class WireHost(msgspec.Struct):
+    """A virtual host; ``paths`` holds its routes."""
+
+    hostname: str
+    paths: list[WireRoute] = []
+
+
+class WireService(msgspec.Struct):
+    """A service."""
+
+    name: str
+    health_path: str = "/"
+    max_connections: int = 0
+
+
+class WireLimits(msgspec.Struct):
+    """Limits of what clients send."""
+
+    max_header_bytes: int = InputLimits().head_bytes
+    max_body_bytes: int = InputLimits().body_bytes
+    header_timeout_s: Positive = InputLimits().head_timeout
+    idle_timeout_s: Positive = InputLimits().idle_timeout
+
+
+class WireTenant(msgspec.Struct):
+    """A client account."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class WireDocument(msgspec.Struct):
+    """The whole document."""
+
+    version: str
+    virtual_hosts: list[WireHost] = []
+    services: list[WireService] = []
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    tenants: list[WireTenant] = []
+
+
+decoder = msgspec.json.Decoder(WireDocument)
+
+
+def decode_configuration(source: bytes) -> MeshConfiguration:
+    """Decode a configuration document.
+
+    Raises:
+        PolicyError: If the document cannot be read; ``peer`` names the place.
+    """
+    try:
+        wire = decoder.decode(source)
+        version = decode_version(wire.version)
+        routes = {
+            host.hostname: tuple(sorted(map(decode_route, host.paths), key=by_prefix))
+            for host in wire.virtual_hosts
+        }
+    except (msgspec.DecodeError, ValueError) as error:
+        raise PolicyError(str(error), "decode configuration", "op/config") from error
+    accounts = {
+        tenant.name: Account(
+            tenant.name, tenant.priority, tenant.rate_per_s, tenant.burst
+        )
+        for tenant in wire.tenants
+    }
+    keys = {
+        key: accounts[tenant.name] for tenant in wire.tenants for key in tenant.api_keys
+    }
+    services = {
+        item.name: Service(item.name, item.health_path, item.max_connections)
+        for item in wire.services
+    }
+    limits = InputLimits(
+        wire.limits.max_header_bytes,
+        wire.limits.max_body_bytes,
+        wire.limits.header_timeout_s,
+        wire.limits.idle_timeout_s,
+    )
+    return MeshConfiguration(version, routes, services, keys, accounts, limits, source)
+
+
+def decode_version(text: str) -> int:
+    """Return the number of a version such as ``r12``.
+
+    Raises:
+        ValueError: If the text is not a version.
+    """
+    digits = text.removeprefix(VERSION_PREFIX)
+    if digits == text or not (digits.isascii() and digits.isdigit()):
+        raise ValueError(f"{text!r} is not a version - at `$.version`")
+    return int(digits)
+
+
+def decode_route(wire: WireRoute) -> Route:
+    """Decode one route.
+
+    Raises:
+        ValueError: If its kind is unknown, its prefix does not begin and end with a
+            slash or it leads to no service.
+    """
+    place = f"route {wire.name!r}"
+    if wire.kind not in REPEATS:
+        raise ValueError(f"kind {wire.kind!r} is unknown - at {place}")
+    if not (wire.path_prefix.startswith("/") and wire.path_prefix.endswith("/")):
+        raise ValueError(f"prefix {wire.path_prefix!r} lacks a slash - at {place}")
+    shares = [Share(item.service, item.weight) for item in wire.weighted_backends]
+    if wire.service is not None:
+        shares = [Share(wire.service, 1.0)]
+    if not any(share.weight > 0 for share in shares):
+        raise ValueError(f"the route leads to no service - at {place}")
+    return Route(
+        wire.name,
+        wire.path_prefix,
+        REPEATS[wire.kind],
+        wire.timeout_s,
+        wire.target_latency_s,
+        wire.priority,
+        tuple(shares),
+        wire.attempts,
+        wire.allow_anonymous,
+    )
+
+
+def by_prefix(route: Route) -> int:
+    """Sort key that puts the longest prefix first."""
+    return -len(route.prefix)
--- a/src/carawaywheel/pool.py
+++ b/src/carawaywheel/pool.py
@@ -114,9 +114,12 @@
         except OSError as error:
             raise self.failure(str(error), "send") from error
 
-    async def receive_head(self) -> Answer:
+    async def receive_head(self, unframed: bool = False) -> Answer:
         """Wait for the head of the answer.
 
+        Args:
+            unframed: Whether a body may end with its connection.
+
         Raises:
             PeerError: If the connection broke or the answer is malformed.
         """
@@ -126,7 +129,7 @@
         if not isinstance(event, h11.Response):
             raise self.failure("the connection closed without an answer", "read head")
         answer = Answer(event.status_code, list(event.headers), self)
-        if not self.has_known_end(event):
+        if not unframed and not self.has_known_end(event):
             # Without a length or chunks, a cut body looks like a whole one.
             raise self.failure(
                 "the answer has neither a length nor chunks", "read head"
--- a/src/carawaywheel/signals.py
+++ b/src/carawaywheel/signals.py
@@ -5,6 +5,7 @@
 from curio import socket
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNAL = signal.SIGHUP
 
 
 class StopSignal:
@@ -18,10 +19,11 @@
         """Install the handlers; must run in the main thread."""
         self.reader, self.writer = socket.socketpair()
         self.writer.setblocking(False)
-        for number in STOP_SIGNALS:
+        for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
             signal.signal(number, lambda *_: None)
         signal.set_wakeup_fd(self.writer.fileno(), warn_on_full_buffer=False)
 
-    async def wait(self) -> None:
-        """Return when a stop signal has arrived."""
-        await self.reader.recv(1)
+    async def wait(self) -> bool:
+        """Wait for a signal; return whether it only asks to reload the settings."""
+        number = await self.reader.recv(1)
+        return number == bytes([RELOAD_SIGNAL])
--- a/src/carawaywheel/streaming.py
+++ b/src/carawaywheel/streaming.py
@@ -28,8 +28,28 @@
             the cut reaches the caller as a broken answer.
         ProtocolError: If the other side is gone.
     """
+    await pass_on_rest(answer, [], connection, extra)
+
+
+async def pass_on_rest(
+    answer: Answer, parts: list[bytes], connection: ServerConnection, extra: Headers
+) -> None:
+    """Pass on an answer of which some of the body was read already.
+
+    Args:
+        answer: The answer, of which the head has arrived.
+        parts: The part of the body that was read.
+        connection: Connection of the caller or of the node that asked.
+        extra: Headers to add.
+
+    Raises:
+        CutAnswer: If the answer was cut.
+        ProtocolError: If the other side is gone.
+    """
     headers = forwarded_answer_headers(answer.status, answer.headers) + extra
     pending = connection.encode_head(answer.status, headers)
+    for part in parts:
+        pending += connection.encode_data(part)
     try:
         while chunk := await next_chunk(answer):
             pending += connection.encode_data(chunk)
