Divide the rates by slots that every node reports to

Cause: a home counted only nodes that had asked for an account, so an account used at 3 of 15 hosts got a fifth of its rate. Change: every node reports to each slot's home.

--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -273,6 +273,7 @@
         account = admission.account
         if account is not None:
             if not self.quotas.take(account, self.clock.now()):
+                self.note_over_rate(admission, account)
                 return Refusal(
                     Reason.RATE_EXCEEDED,
                     Ran.NOT_RUN,
@@ -298,6 +299,22 @@
                 admission.service,
             )
 
+    def note_over_rate(self, admission: Admission, account: Account) -> None:
+        """Record what decided that an account is over its rate."""
+        now = self.clock.now()
+        part = self.quotas.part(account, now)
+        self.journal.write(
+            "over_rate",
+            request=admission.claims.attempt_id,
+            account=account.name,
+            rate=account.rate,
+            share=round(part.share, 4),
+            lease=round(part.lease_until - now, 2),
+            burst=round(part.bucket.burst, 1),
+            demand=round(part.demand, 1),
+            nodes=len(self.quotas.nodes),
+        )
+
     async def send(
         self, admission: Admission, request: Request, body: bytes, progress: Progress
     ) -> Result:
--- a/src/carawaywheel/mesh/quotas.py
+++ b/src/carawaywheel/mesh/quotas.py
@@ -1,10 +1,10 @@
 """Rates of client accounts, kept over all nodes together.
 
-Each account has a home node, chosen by rendezvous hashing. Nodes report what they are
-asked for; the home divides the rate by these reports and answers with each node's
-part, which is valid for a short lease. A node without a lease uses an equal part,
-which the home keeps aside for every node that does not report. The parts never add up
-to more than the rate.
+Accounts are hashed to a few slots, and each slot has a home node, chosen by rendezvous
+hashing. Every node reports to each home what it is asked for; the home divides the
+rates by these reports and answers with each node's part, which is valid for a short
+lease. A node without a lease uses an equal part, which the home keeps aside for every
+node that does not report. The parts never add up to more than the rate.
 """
 
 import hashlib
@@ -16,8 +16,8 @@
 from ..buckets import TokenBucket
 from .document import Account
 
-# Accounts share this many homes, so that a node reports to few of them.
-HOMES = 8
+# A node sends as many reports as there are slots; more of them spread the work.
+SLOTS = 4
 REPORT_SECONDS = 0.25
 # Longer than three reports, so that a lost datagram or two change nothing.
 LEASE_SECONDS = 1.0
@@ -32,16 +32,18 @@
 
 
 class Report(NamedTuple):
-    """Demand of the accounts of one home at a node.
+    """Demand of the accounts of one slot at a node.
 
     Attributes:
         sender: Address of the node.
         sequence: Number of the report.
+        slot: The slot.
         demand: Requests a second, by account.
     """
 
     sender: str
     sequence: int
+    slot: int
     demand: dict[str, float]
 
 
@@ -51,11 +53,13 @@
     Attributes:
         home: Address of the home.
         sequence: Number of the report that it answers.
+        slot: The slot of the accounts.
         shares: Part of the rate, between 0 and 1, by account.
     """
 
     home: str
     sequence: int
+    slot: int
     shares: dict[str, float]
 
 
@@ -68,6 +72,7 @@
     kind: str
     address: str
     sequence: int
+    slot: int
     figures: dict[str, float]
 
 
@@ -86,13 +91,17 @@
         wire = decoder.decode(data)
     except msgspec.DecodeError:
         return None
-    fields = (wire.address, wire.sequence, wire.figures)
+    fields = (wire.address, wire.sequence, wire.slot, wire.figures)
     return Report(*fields) if wire.kind == "r" else Grant(*fields)
 
 
-def home_of(account: str, nodes: Iterable[str]) -> str:
-    """Return the node at which an account is divided; empty without nodes."""
-    slot = int.from_bytes(hashlib.blake2b(account.encode()).digest()[:4]) % HOMES
+def slot_of(account: str) -> int:
+    """Return the slot of an account."""
+    return int.from_bytes(hashlib.blake2b(account.encode()).digest()[:4]) % SLOTS
+
+
+def home_of(slot: int, nodes: Iterable[str]) -> str:
+    """Return the node at which a slot is divided; empty without nodes."""
     return max(nodes, key=lambda node: score(slot, node), default="")
 
 
@@ -102,34 +111,49 @@
 
 
 class Home:
-    """Divides the rate of one account.
+    """Divides the rates of the accounts of one slot.
 
     Attributes:
-        demand: Demand and time of the newest report of each node.
+        heard: Time of the newest report of each node, in seconds.
+        demand: Demand of each account by node.
     """
 
     def __init__(self) -> None:
-        self.demand: dict[str, tuple[float, float]] = {}
-
-    def share(self, sender: str, demand: float, nodes: int, rate: float, now: float) -> float:
-        """Take a report and return the part of the rate for its sender."""
-        self.demand[sender] = (demand, now)
-        live = {
-            name: value
-            for name, (value, heard_at) in self.demand.items()
-            if now - heard_at <= LEASE_SECONDS
-        }
-        self.demand = {name: self.demand[name] for name in live}
-        nodes = max(nodes, len(live))
-        pooled = len(live) / nodes
-        total = sum(live.values())
-        available = rate * pooled
+        self.heard: dict[str, float] = {}
+        self.demand: dict[str, dict[str, float]] = {}
+
+    def receive(self, report: Report, now: float) -> None:
+        """Take a report and forget the nodes that have not sent one for a lease."""
+        self.heard[report.sender] = now
+        for name, demand in report.demand.items():
+            self.demand.setdefault(name, {})[report.sender] = demand
+        lapsed = [
+            sender
+            for sender, heard_at in self.heard.items()
+            if now - heard_at > LEASE_SECONDS
+        ]
+        for sender in lapsed:
+            del self.heard[sender]
+            for demands in self.demand.values():
+                demands.pop(sender, None)
+
+    def share(self, account: Account, sender: str, nodes: int) -> float:
+        """Return the part of an account's rate for a node that reported on it.
+
+        Args:
+            account: The account.
+            sender: The node.
+            nodes: Number of nodes that may use the account.
+        """
+        demands = self.demand[account.name]
+        available = account.rate * len(self.heard) / max(nodes, len(self.heard))
+        total = sum(demands.values())
         if total <= available:
             # What nobody asks for is divided equally.
-            spare = (available - total) / len(live)
-            return (demand + spare) / rate
-        fair = fair_share(sorted(live.values()), available)
-        return min(demand, fair) / rate
+            spare = (available - total) / len(demands)
+            return (demands[sender] + spare) / account.rate
+        fair = fair_share(sorted(demands.values()), available)
+        return min(demands[sender], fair) / account.rate
 
 
 def fair_share(demands: list[float], available: float) -> float:
@@ -148,6 +172,7 @@
 
     Attributes:
         account: The account.
+        slot: Its slot.
         bucket: Tokens at this node.
         share: Part of the rate.
         lease_until: Time until which the share is valid, in seconds.
@@ -157,6 +182,7 @@
 
     def __init__(self, account: Account, share: float, now: float) -> None:
         self.account = account
+        self.slot = slot_of(account.name)
         self.share = share
         self.lease_until = 0.0
         self.demand = 0.0
@@ -190,15 +216,13 @@
         self.nodes: list[str] = [address]
         self.live: list[str] = [address]
         self.parts: dict[str, Part] = {}
-        self.homes: dict[str, Home] = {}
-        self.home_of: dict[str, str] = {}
+        self.homes: dict[int, Home] = {}
         self.accounts: dict[str, Account] = {}
         self.sequence = 0
 
     def configure(self, accounts: dict[str, Account], now: float) -> None:
         """Use the rates of a new configuration."""
         self.accounts = accounts
-        self.home_of.clear()
         for name in list(self.parts):
             account = accounts.get(name)
             if account is None or account.rate <= 0:
@@ -210,9 +234,7 @@
 
     def set_nodes(self, nodes: list[str], live: list[str]) -> None:
         """Replace the nodes that are known and those that can be reached."""
-        if nodes != self.nodes or live != self.live:
-            self.nodes, self.live = nodes, live
-            self.home_of.clear()
+        self.nodes, self.live = nodes, live
 
     def take(self, account: Account, now: float) -> bool:
         """Charge one request; return False if the account is over its rate."""
@@ -241,16 +263,16 @@
     def reports(self, now: float) -> list[tuple[str, Report]]:
         """Return the reports that are due, with the homes that they go to."""
         self.sequence += 1
-        by_home: dict[str, dict[str, float]] = {}
+        demand: list[dict[str, float]] = [{} for _ in range(SLOTS)]
         for name, part in self.parts.items():
             self.measure(part, now)
-            home = self.home_of.get(name)
-            if home is None:
-                home = self.home_of[name] = home_of(name, self.live)
-            by_home.setdefault(home, {})[name] = round(part.demand, 2)
+            demand[part.slot][name] = round(part.demand, 2)
         return [
-            (home, Report(self.address, self.sequence, demand))
-            for home, demand in by_home.items()
+            (
+                home_of(slot, self.live),
+                Report(self.address, self.sequence, slot, demand[slot]),
+            )
+            for slot in range(SLOTS)
         ]
 
     def measure(self, part: Part, now: float) -> None:
@@ -265,16 +287,14 @@
 
     def receive_report(self, report: Report, now: float) -> Grant:
         """Divide the rates of the accounts that a node reports on."""
+        home = self.homes.setdefault(report.slot, Home())
+        home.receive(report, now)
         shares = {}
-        for name, demand in report.demand.items():
+        for name in report.demand:
             account = self.accounts.get(name)
-            if account is None or account.rate <= 0:
-                continue
-            home = self.homes.setdefault(name, Home())
-            shares[name] = home.share(
-                report.sender, demand, len(self.nodes), account.rate, now
-            )
-        return Grant(self.address, report.sequence, shares)
+            if account is not None and account.rate > 0:
+                shares[name] = home.share(account, report.sender, len(self.nodes))
+        return Grant(self.address, report.sequence, report.slot, shares)
 
     def receive_grant(self, grant: Grant, now: float) -> None:
         """Use the parts that a home gave, unless the grant is late."""
@@ -283,6 +303,6 @@
             return
         for name, share in grant.shares.items():
             part = self.parts.get(name)
-            if part is not None and self.home_of.get(name) == grant.home:
+            if part is not None:
                 part.lease_until = now + LEASE_SECONDS - age
                 part.resize(share, now)
