Ask the home of an account for each token

Cause: parts of 2 to 9 requests a second at a node refuse clumps that the whole rate takes (over_rate lines: share 0.06, demand above rate * share, lease valid). Ruled out: lost reports, late grants, wrong homes. Change: the home holds one bucket an account; a node asks it when it has no token.

--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -30,7 +30,7 @@
 from .journal import Journal
 from .news import News
 from .pressure import LevelTable
-from .quotas import Quotas
+from .rates import RateService
 from .settings import HostSettings
 
 STEP = "entry"
@@ -150,7 +150,7 @@
         directory: Directory,
         router: Router,
         runner: TargetRunner,
-        quotas: Quotas,
+        rates: RateService,
         chains: ChainTable,
         levels: LevelTable,
         news: News,
@@ -162,7 +162,7 @@
         self.directory = directory
         self.router = router
         self.runner = runner
-        self.quotas = quotas
+        self.rates = rates
         self.chains = chains
         self.levels = levels
         self.news = news
@@ -197,7 +197,7 @@
             raise
         if isinstance(result, Refusal):
             if progress.charged and result.ran is Ran.NOT_RUN and admission.account:
-                self.quotas.refund(admission.account, self.clock.now())
+                self.rates.quotas.refund(admission.account, self.clock.now())
             await self.refuse(connection, claims, result, started)
             return
         await deliver(connection, result, [])
@@ -272,7 +272,7 @@
         """Send a request, repeating it where that is safe, until its deadline."""
         account = admission.account
         if account is not None:
-            if not self.quotas.take(account, self.clock.now()):
+            if not await self.rates.charge(account):
                 self.note_over_rate(admission, account)
                 return Refusal(
                     Reason.RATE_EXCEEDED,
@@ -302,17 +302,17 @@
     def note_over_rate(self, admission: Admission, account: Account) -> None:
         """Record what decided that an account is over its rate."""
         now = self.clock.now()
-        part = self.quotas.part(account, now)
+        stock = self.rates.quotas.stock(account, now)
         self.journal.write(
             "over_rate",
             request=admission.claims.attempt_id,
             account=account.name,
             rate=account.rate,
-            share=round(part.share, 4),
-            lease=round(part.lease_until - now, 2),
-            burst=round(part.bucket.burst, 1),
-            demand=round(part.demand, 1),
-            nodes=len(self.quotas.nodes),
+            burst=account.burst,
+            blocked=round(stock.blocked_until - now, 3),
+            demand=round(stock.demand, 1),
+            home=self.rates.quotas.home_address(stock.slot),
+            nodes=len(self.rates.quotas.nodes),
         )
 
     async def send(
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -122,7 +122,9 @@
         self.quotas = Quotas(own)
         host, port = split_address(settings.listen.datagrams)
         self.sock = DatagramSocket(host, port, Signer(DATAGRAM_SECRET))
-        self.rates = RateService(self.quotas, self.sock, self.news, self.clock)
+        self.rates = RateService(
+            self.quotas, self.sock, self.news, self.journal, self.clock
+        )
 
     def build_requests(self) -> None:
         """Build the path of a request."""
@@ -143,7 +145,7 @@
             self.directory,
             self.router,
             self.runner,
-            self.quotas,
+            self.rates,
             chains,
             levels,
             self.news,
@@ -188,10 +190,9 @@
 
     def use_configuration(self, configuration: MeshConfiguration) -> None:
         """Give the parts a new configuration."""
-        now = self.clock.now()
         self.runner.version = configuration.version
         self.runner.level.set_top(configuration.lowest_priority + 1.0)
-        self.quotas.configure(configuration.accounts, now)
+        self.quotas.configure(configuration.accounts)
         self.runner.set_targets(self.directory.targets(self.settings.service))
 
     async def note_target(self) -> None:
--- a/src/carawaywheel/mesh/quotas.py
+++ b/src/carawaywheel/mesh/quotas.py
@@ -1,10 +1,11 @@
 """Rates of client accounts, kept over all nodes together.
 
 Accounts are hashed to a few slots, and each slot has a home node, chosen by rendezvous
-hashing. Every node reports to each home what it is asked for; the home divides the
-rates by these reports and answers with each node's part, which is valid for a short
-lease. A node without a lease uses an equal part, which the home keeps aside for every
-node that does not report. The parts never add up to more than the rate.
+hashing. The home holds the token bucket of each account; other nodes ask it for tokens
+when a request needs one. Every node also reports to each home now and then, which
+lends the home the node's equal part of the rates. A node that cannot reach a home uses
+its own part, and the home keeps aside the parts of nodes that do not report, so that
+all together never use more than the rate.
 """
 
 import hashlib
@@ -18,81 +19,101 @@
 
 # A node sends as many reports as there are slots; more of them spread the work.
 SLOTS = 4
-REPORT_SECONDS = 0.25
+REPORT_SECONDS = 0.3
 # Longer than three reports, so that a lost datagram or two change nothing.
 LEASE_SECONDS = 1.0
+# Tokens that a node holds ahead of demand, in seconds of its demand.
+AHEAD_SECONDS = 0.03
+# Seconds for which tokens ahead of demand may be used.
+STOCK_SECONDS = 0.5
 # Time constant of the demand of an account at a node, in seconds.
-DEMAND_SECONDS = 0.7
-# Part of the burst that is given out; the rest covers nodes that change leases.
-BURST_SHARE = 0.7
-# Part of its burst that a bucket holds at first, as an earlier one may have been spent.
+DEMAND_SECONDS = 0.5
+# Part of its burst that a bucket holds at first, as another home may have given the
+# rest: well below the overage of a tenth that the shortest window allows.
 FIRST_LEVEL = 0.4
-# Tokens that the bucket of a small part holds at least, for one clump of requests.
+# Tokens that a node's own part holds at least, for one request.
 LEAST_BURST = 1.0
+# Part of a node's equal share that it uses while it cannot reach a home.
+APART_SHARE = 0.8
+# Shortest and longest time in seconds for which a home turns an account away.
+BLOCK_SECONDS = 0.03
+BLOCK_SECONDS_MAX = 0.25
 
 
-class Report(NamedTuple):
-    """Demand of the accounts of one slot at a node.
+class Ask(NamedTuple):
+    """Question of a node to the home of a slot; without wants, a report.
 
     Attributes:
         sender: Address of the node.
-        sequence: Number of the report.
+        sequence: Number of the question.
         slot: The slot.
-        demand: Requests a second, by account.
+        wants: Tokens wanted, by account.
     """
 
     sender: str
     sequence: int
     slot: int
-    demand: dict[str, float]
+    wants: dict[str, int]
+
+
+class Lent(NamedTuple):
+    """What a home gives of one account.
+
+    Attributes:
+        tokens: Tokens.
+        pause: Seconds for which the account has no more; 0 if it was given all.
+    """
+
+    tokens: int
+    pause: float
 
 
 class Grant(NamedTuple):
-    """Parts of the rates that a home gives to a node.
+    """Answer of a home.
 
     Attributes:
-        home: Address of the home.
-        sequence: Number of the report that it answers.
-        slot: The slot of the accounts.
-        shares: Part of the rate, between 0 and 1, by account.
+        sequence: Number of the question.
+        slot: The slot.
+        lent: What is given, by account.
     """
 
-    home: str
     sequence: int
     slot: int
-    shares: dict[str, float]
-
+    lent: dict[str, Lent]
 
-Message = Report | Grant
 
+class WireMessage(msgspec.Struct, array_like=True, omit_defaults=True):
+    """Form of both messages on the wire; an answer has no sender."""
 
-class WireMessage(msgspec.Struct, array_like=True):
-    """Form of both messages on the wire."""
-
-    kind: str
-    address: str
     sequence: int
     slot: int
-    figures: dict[str, float]
+    sender: str = ""
+    wants: dict[str, int] = {}
+    lent: dict[str, Lent] = {}
 
 
 decoder = msgspec.msgpack.Decoder(WireMessage)
 
 
-def encode_message(message: Message) -> bytes:
-    """Encode a report or a grant."""
-    kind = "r" if isinstance(message, Report) else "g"
-    return msgspec.msgpack.encode(WireMessage(kind, *message))
+def encode_message(message: Ask | Grant) -> bytes:
+    """Encode a question or an answer."""
+    wire = WireMessage(message.sequence, message.slot)
+    if isinstance(message, Ask):
+        wire.sender, wire.wants = message.sender, message.wants
+    else:
+        wire.lent = message.lent
+    return msgspec.msgpack.encode(wire)
 
 
-def decode_message(data: bytes) -> Message | None:
-    """Decode a report or a grant; None if it is neither."""
+def decode_message(data: bytes) -> Ask | Grant | None:
+    """Decode a question or an answer; None if it is neither."""
     try:
         wire = decoder.decode(data)
     except msgspec.DecodeError:
         return None
-    fields = (wire.address, wire.sequence, wire.slot, wire.figures)
-    return Report(*fields) if wire.kind == "r" else Grant(*fields)
+    if wire.sender:
+        return Ask(wire.sender, wire.sequence, wire.slot, wire.wants)
+    return Grant(wire.sequence, wire.slot, wire.lent)
 
 
 def slot_of(account: str) -> int:
@@ -101,7 +122,7 @@
 
 
 def home_of(slot: int, nodes: Iterable[str]) -> str:
-    """Return the node at which a slot is divided; empty without nodes."""
+    """Return the home of a slot; empty without nodes."""
     return max(nodes, key=lambda node: score(slot, node), default="")
 
 
@@ -111,95 +132,89 @@
 
 
 class Home:
-    """Divides the rates of the accounts of one slot.
+    """Token buckets of the accounts of one slot.
 
     Attributes:
-        heard: Time of the newest report of each node, in seconds.
-        demand: Demand of each account by node.
+        heard: Time of the newest question of each node, in seconds.
+        buckets: Bucket of each account.
     """
 
     def __init__(self) -> None:
         self.heard: dict[str, float] = {}
-        self.demand: dict[str, dict[str, float]] = {}
-
-    def receive(self, report: Report, now: float) -> None:
-        """Take a report and forget the nodes that have not sent one for a lease."""
-        self.heard[report.sender] = now
-        for name, demand in report.demand.items():
-            self.demand.setdefault(name, {})[report.sender] = demand
-        lapsed = [
-            sender
-            for sender, heard_at in self.heard.items()
-            if now - heard_at > LEASE_SECONDS
-        ]
-        for sender in lapsed:
-            del self.heard[sender]
-            for demands in self.demand.values():
-                demands.pop(sender, None)
-
-    def share(self, account: Account, sender: str, nodes: int) -> float:
-        """Return the part of an account's rate for a node that reported on it.
+        self.buckets: dict[str, TokenBucket] = {}
+
+    def hear(self, sender: str, now: float) -> None:
+        """Note that a node lends its part, and forget those whose lease is over."""
+        self.heard[sender] = now
+        if any(now - heard_at > LEASE_SECONDS for heard_at in self.heard.values()):
+            self.heard = {
+                name: heard_at
+                for name, heard_at in self.heard.items()
+                if now - heard_at <= LEASE_SECONDS
+            }
+
+    def lend(self, account: Account, wanted: int, nodes: int, now: float) -> Lent:
+        """Give tokens of an account.
 
         Args:
             account: The account.
-            sender: The node.
+            wanted: Tokens wanted.
             nodes: Number of nodes that may use the account.
+            now: Time in seconds.
         """
-        demands = self.demand[account.name]
-        available = account.rate * len(self.heard) / max(nodes, len(self.heard))
-        total = sum(demands.values())
-        if total <= available:
-            # What nobody asks for is divided equally.
-            spare = (available - total) / len(demands)
-            return (demands[sender] + spare) / account.rate
-        fair = fair_share(sorted(demands.values()), available)
-        return min(demands[sender], fair) / account.rate
-
-
-def fair_share(demands: list[float], available: float) -> float:
-    """Return the largest part such that parts of at most this size fit."""
-    left = available
-    for index, demand in enumerate(demands):
-        part = left / (len(demands) - index)
-        if demand > part:
-            return part
-        left -= demand
-    return demands[-1] if demands else available
-
-
-class Part:
-    """What a node may use of one account's rate.
+        share = len(self.heard) / max(nodes, len(self.heard))
+        rate = account.rate * share
+        burst = max(LEAST_BURST, account.burst * share)
+        bucket = self.buckets.get(account.name)
+        if bucket is None:
+            level = max(LEAST_BURST, burst * FIRST_LEVEL)
+            bucket = self.buckets[account.name] = TokenBucket(rate, burst, now, level)
+        elif bucket.rate != rate or bucket.burst != burst:
+            bucket.reconfigure(rate, burst, now)
+        tokens = min(wanted, int(bucket.available(now)))
+        if tokens:
+            bucket.take(tokens, now)
+        if tokens == wanted:
+            return Lent(tokens, 0.0)
+        pause = (1.0 - bucket.level) / rate
+        return Lent(tokens, min(max(pause, BLOCK_SECONDS), BLOCK_SECONDS_MAX))
+
+
+class Stock:
+    """Tokens of one account at a node.
 
     Attributes:
         account: The account.
         slot: Its slot.
-        bucket: Tokens at this node.
-        share: Part of the rate.
-        lease_until: Time until which the share is valid, in seconds.
+        tokens: Tokens that its home gave.
+        tokens_until: Time until which they may be used, in seconds.
+        blocked_until: Time until which the home has no more, in seconds.
+        apart: Bucket of the node's own part, for when the home cannot be reached.
         demand: Smoothed requests a second.
-        asked: Requests since the last report.
     """
 
-    def __init__(self, account: Account, share: float, now: float) -> None:
+    def __init__(self, account: Account, nodes: int, now: float) -> None:
         self.account = account
         self.slot = slot_of(account.name)
-        self.share = share
-        self.lease_until = 0.0
+        self.tokens = 0
+        self.tokens_until = 0.0
+        self.blocked_until = 0.0
         self.demand = 0.0
-        self.asked = 0
         self.asked_at = now
-        rate, burst = self.size()
-        self.bucket = TokenBucket(rate, burst, now, max(1.0, burst * FIRST_LEVEL))
-
-    def size(self) -> tuple[float, float]:
-        """Return rate and burst of the part."""
-        burst = self.account.burst * BURST_SHARE * self.share
-        return self.account.rate * self.share, max(LEAST_BURST, burst)
-
-    def resize(self, share: float, now: float) -> None:
-        """Change the part of the rate."""
-        self.share = share
-        self.bucket.reconfigure(*self.size(), now)
+        rate, burst = self.part(nodes)
+        self.apart = TokenBucket(rate, burst, now, LEAST_BURST)
+
+    def part(self, nodes: int) -> tuple[float, float]:
+        """Return rate and burst of the node's own part."""
+        share = APART_SHARE / nodes
+        return self.account.rate * share, max(LEAST_BURST, self.account.burst * share)
+
+    def note_demand(self, now: float) -> None:
+        """Count a request in the demand."""
+        gain = 1.0 / DEMAND_SECONDS
+        elapsed = now - self.asked_at
+        self.demand = self.demand * max(0.0, 1.0 - elapsed * gain) + gain
+        self.asked_at = now
 
 
 class Quotas:
@@ -209,100 +224,92 @@
         address: Address of this node.
         nodes: Addresses of the nodes that are known, this one included.
         live: Those of them that can be reached.
+        accounts: Accounts of the configuration.
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.nodes: list[str] = [address]
         self.live: list[str] = [address]
-        self.parts: dict[str, Part] = {}
-        self.homes: dict[int, Home] = {}
+        self.home: dict[int, str] = {}
+        self.stocks: dict[str, Stock] = {}
+        self.homes = [Home() for _ in range(SLOTS)]
         self.accounts: dict[str, Account] = {}
-        self.sequence = 0
 
-    def configure(self, accounts: dict[str, Account], now: float) -> None:
+    def configure(self, accounts: dict[str, Account]) -> None:
         """Use the rates of a new configuration."""
         self.accounts = accounts
-        for name in list(self.parts):
+        for name in list(self.stocks):
             account = accounts.get(name)
-            if account is None or account.rate <= 0:
-                del self.parts[name]
-                continue
-            part = self.parts[name]
-            part.account = account
-            part.resize(part.share, now)
+            if account is None:
+                del self.stocks[name]
+            elif account != self.stocks[name].account:
+                self.stocks[name].account = account
+                self.stocks[name].tokens = 0
 
     def set_nodes(self, nodes: list[str], live: list[str]) -> None:
         """Replace the nodes that are known and those that can be reached."""
-        self.nodes, self.live = nodes, live
-
-    def take(self, account: Account, now: float) -> bool:
-        """Charge one request; return False if the account is over its rate."""
-        if account.rate <= 0:
+        if nodes != self.nodes or live != self.live:
+            self.nodes, self.live = nodes, live
+            self.home.clear()
+
+    def home_address(self, slot: int) -> str:
+        """Return the home of a slot."""
+        home = self.home.get(slot)
+        if home is None:
+            home = self.home[slot] = home_of(slot, self.live)
+        return home
+
+    def stock(self, account: Account, now: float) -> Stock:
+        """Return this node's tokens of an account."""
+        stock = self.stocks.get(account.name)
+        if stock is None:
+            stock = self.stocks[account.name] = Stock(account, len(self.nodes), now)
+        return stock
+
+    def take(self, stock: Stock, now: float) -> bool | None:
+        """Take a token.
+
+        Returns:
+            Whether the request is within the rate; None if the home must be asked.
+        """
+        if stock.tokens and now <= stock.tokens_until:
+            stock.tokens -= 1
             return True
-        part = self.part(account, now)
-        part.asked += 1
-        if now > part.lease_until:
-            part.resize(1.0 / len(self.nodes), now)
-        return part.bucket.take(1.0, now)
+        stock.tokens = 0
+        return False if now < stock.blocked_until else None
+
+    def take_apart(self, stock: Stock, now: float) -> bool:
+        """Take a token of the node's own part, when the home does not answer."""
+        stock.apart.reconfigure(*stock.part(len(self.nodes)), now)
+        return stock.apart.take(1.0, now)
 
     def refund(self, account: Account, now: float) -> None:
-        """Give back the charge of a request that did not run."""
-        part = self.parts.get(account.name)
-        if part is not None:
-            part.bucket.refund(1.0, now)
-
-    def part(self, account: Account, now: float) -> Part:
-        """Return this node's part of an account."""
-        part = self.parts.get(account.name)
-        if part is None:
-            part = Part(account, 1.0 / len(self.nodes), now)
-            self.parts[account.name] = part
-        return part
-
-    def reports(self, now: float) -> list[tuple[str, Report]]:
-        """Return the reports that are due, with the homes that they go to."""
-        self.sequence += 1
-        demand: list[dict[str, float]] = [{} for _ in range(SLOTS)]
-        for name, part in self.parts.items():
-            self.measure(part, now)
-            demand[part.slot][name] = round(part.demand, 2)
-        return [
-            (
-                home_of(slot, self.live),
-                Report(self.address, self.sequence, slot, demand[slot]),
-            )
-            for slot in range(SLOTS)
-        ]
-
-    def measure(self, part: Part, now: float) -> None:
-        """Bring the demand of a part up to date."""
-        elapsed = now - part.asked_at
-        if elapsed <= 0:
-            return
-        gain = min(1.0, elapsed / DEMAND_SECONDS)
-        part.demand += gain * (part.asked / elapsed - part.demand)
-        part.asked = 0
-        part.asked_at = now
-
-    def receive_report(self, report: Report, now: float) -> Grant:
-        """Divide the rates of the accounts that a node reports on."""
-        home = self.homes.setdefault(report.slot, Home())
-        home.receive(report, now)
-        shares = {}
-        for name in report.demand:
+        """Give back the token of a request that did not run."""
+        stock = self.stocks.get(account.name)
+        if stock is not None:
+            stock.tokens += 1
+            stock.tokens_until = max(stock.tokens_until, now + AHEAD_SECONDS)
+
+    def lend(self, ask: Ask, now: float) -> Grant:
+        """Answer a node as the home of a slot."""
+        home = self.homes[ask.slot % SLOTS]
+        home.hear(ask.sender, now)
+        lent = {}
+        for name, wanted in ask.wants.items():
             account = self.accounts.get(name)
-            if account is not None and account.rate > 0:
-                shares[name] = home.share(account, report.sender, len(self.nodes))
-        return Grant(self.address, report.sequence, report.slot, shares)
-
-    def receive_grant(self, grant: Grant, now: float) -> None:
-        """Use the parts that a home gave, unless the grant is late."""
-        age = (self.sequence - grant.sequence) * REPORT_SECONDS
-        if age > LEASE_SECONDS / 2:
-            return
-        for name, share in grant.shares.items():
-            part = self.parts.get(name)
-            if part is not None:
-                part.lease_until = now + LEASE_SECONDS - age
-                part.resize(share, now)
+            if account is not None and account.rate > 0 and wanted > 0:
+                lent[name] = home.lend(account, wanted, len(self.nodes), now)
+        return Grant(ask.sequence, ask.slot, lent)
+
+    def receive(self, grant: Grant, now: float) -> None:
+        """Take the tokens that a home gave."""
+        for name, lent in grant.lent.items():
+            stock = self.stocks.get(name)
+            if stock is None:
+                continue
+            if now > stock.tokens_until:
+                stock.tokens = 0
+            stock.tokens += lent.tokens
+            stock.tokens_until = now + STOCK_SECONDS
+            stock.blocked_until = now + lent.pause
--- a/src/carawaywheel/mesh/rates.py
+++ b/src/carawaywheel/mesh/rates.py
@@ -1,58 +1,130 @@
-"""Datagrams between nodes that keep the rates of client accounts."""
+"""Charging client accounts: datagrams between nodes and the homes of accounts."""
+
+from collections import Counter
 
 import curio
 
 from ..clock import Clock
 from ..datagrams import Address, DatagramHandler, DatagramSocket, format_address
+from .document import Account
+from .journal import Journal
 from .news import News
 from .quotas import (
+    AHEAD_SECONDS,
     REPORT_SECONDS,
+    SLOTS,
+    Ask,
     Grant,
     Quotas,
-    Report,
+    Stock,
     decode_message,
     encode_message,
 )
 
 KIND = b"q"
+# Several round trips between failure domains; a lost datagram is sent once more.
+ANSWER_SECONDS = 0.04
+TRIES = 2
 
 
 class RateService(DatagramHandler):
-    """Sends reports, answers those of others and takes grants."""
+    """Charges accounts, and answers other nodes as a home.
+
+    Attributes:
+        waiting: Requests that wait for an answer, by account.
+        answered: Set when an answer arrives, by account.
+    """
 
     def __init__(
-        self, quotas: Quotas, sock: DatagramSocket, news: News, clock: Clock
+        self,
+        quotas: Quotas,
+        sock: DatagramSocket,
+        news: News,
+        journal: Journal,
+        clock: Clock,
     ) -> None:
         self.quotas = quotas
         self.sock = sock
         self.news = news
+        self.journal = journal
         self.clock = clock
         self.port = int(sock.address.rpartition(":")[2])
+        self.sequence = 0
+        self.waiting: Counter[str] = Counter()
+        self.answered: dict[str, curio.Event] = {}
         sock.handlers[KIND] = self
 
+    async def charge(self, account: Account) -> bool:
+        """Charge one request; return False if its account is over the rate."""
+        if account.rate <= 0:
+            return True
+        now = self.clock.now()
+        stock = self.quotas.stock(account, now)
+        stock.note_demand(now)
+        for _ in range(TRIES):
+            taken = self.quotas.take(stock, self.clock.now())
+            if taken is None:
+                await self.ask(stock)
+                taken = self.quotas.take(stock, self.clock.now())
+            if taken is not None:
+                return taken
+        self.journal.count("rate_apart", account.name)
+        return self.quotas.take_apart(stock, self.clock.now())
+
+    async def ask(self, stock: Stock) -> None:
+        """Ask the home of an account for tokens and wait for its answer."""
+        name = stock.account.name
+        self.waiting[name] += 1
+        try:
+            event = self.answered.get(name)
+            if event is None:
+                event = self.answered[name] = curio.Event()
+                ahead = int(stock.demand * AHEAD_SECONDS)
+                await self.send(stock.slot, {name: 1 + ahead})
+            elif self.waiting[name] > 1:
+                await self.send(stock.slot, {name: 1})
+            if not event.is_set():
+                await curio.ignore_after(ANSWER_SECONDS, event.wait)
+            if self.answered.get(name) is event:
+                del self.answered[name]
+        finally:
+            self.waiting[name] -= 1
+
+    async def send(self, slot: int, wants: dict[str, int]) -> None:
+        """Send a question to the home of a slot, which may be this node."""
+        self.sequence += 1
+        quotas = self.quotas
+        ask = Ask(quotas.address, self.sequence, slot, wants)
+        home = quotas.home_address(slot)
+        now = self.clock.now()
+        if home == quotas.address:
+            await self.receive_grant(quotas.lend(ask, now), now)
+        elif home:
+            address = f"{home.rpartition(':')[0]}:{self.port}"
+            await self.sock.send(KIND, encode_message(ask), address)
+
     async def receive(self, data: bytes, sender: Address) -> None:
         """Take a datagram; see the base class."""
         message = decode_message(data)
         now = self.clock.now()
-        if isinstance(message, Report):
-            grant = self.quotas.receive_report(message, now)
-            await self.sock.send(
-                KIND, encode_message(grant), format_address(sender)
-            )
+        if isinstance(message, Ask):
+            grant = self.quotas.lend(message, now)
+            await self.sock.send(KIND, encode_message(grant), format_address(sender))
         elif isinstance(message, Grant):
-            self.quotas.receive_grant(message, now)
+            await self.receive_grant(message, now)
+
+    async def receive_grant(self, grant: Grant, now: float) -> None:
+        """Take an answer and wake the requests that wait for it."""
+        self.quotas.receive(grant, now)
+        for name in grant.lent:
+            event = self.answered.pop(name, None)
+            if event is not None:
+                await event.set()
 
     async def run(self) -> None:
-        """Report at intervals until cancelled."""
+        """Report to all homes at intervals until cancelled."""
         while True:
             await curio.sleep(REPORT_SECONDS)
-            now = self.clock.now()
             self.quotas.set_nodes(sorted(self.news.directory.hosts), self.news.live())
-            for home, report in self.quotas.reports(now):
-                if home == self.quotas.address:
-                    self.quotas.receive_grant(
-                        self.quotas.receive_report(report, now), now
-                    )
-                elif home:
-                    address = f"{home.rpartition(':')[0]}:{self.port}"
-                    await self.sock.send(KIND, encode_message(report), address)
+            for slot in range(SLOTS):
+                await self.send(slot, {})
