Prove the mesh node as a real process between stand-ins

Calls that a repeated request causes were not counted as repeats. Change: the last refusal of a target is kept; late answers are waited out for 1 s where a repeat is allowed; nodes mark as many calls as repeats as the learned weights say. The body of a request is read within its time limit.

--- a/src/carawaywheel/http.py
+++ b/src/carawaywheel/http.py
@@ -25,7 +25,6 @@
 Headers = list[tuple[bytes, bytes]]
 
 
-
 class SilenceLimits(NamedTuple):
     """When a connection that delivers nothing any more is given up.
 
--- a/src/carawaywheel/mesh/calls.py
+++ b/src/carawaywheel/mesh/calls.py
@@ -79,6 +79,8 @@
         origin: Service of the host where it began.
         from_target: Whether a target sent it while running another request.
         repeat: Whether an earlier try may have run.
+        echo: Whether it counts as repeated because a request that caused it was.
+        repeatable: Whether it may run more than once.
         version: Version of the configuration at the sending node.
     """
 
@@ -91,6 +93,8 @@
     origin: str
     from_target: bool
     repeat: bool
+    echo: bool
+    repeatable: bool
     version: int
 
 
--- a/src/carawaywheel/mesh/chains.py
+++ b/src/carawaywheel/mesh/chains.py
@@ -23,21 +23,38 @@
 
     Attributes:
         weights: Calls for each request, by route of the request and of the call.
+        owed: Calls by route that repeated requests cause and that are still to come.
     """
 
     def __init__(self) -> None:
         self.weights: dict[str, dict[str, float]] = {}
         self.requests: Counter[str] = Counter()
         self.calls: Counter[str] = Counter()
+        self.owed: dict[str, float] = {}
         self.due = 0.0
 
-    def ran(self, route: str) -> None:
-        """Count a request that the target began to run."""
+    def ran(self, route: str, repeat: bool = False) -> None:
+        """Count a request that the target began to run.
+
+        Args:
+            route: Its route.
+            repeat: Whether it may have run before.
+        """
         self.requests[route] += 1
+        if repeat:
+            for called, count in self.calls_of(route).items():
+                self.owed[called] = self.owed.get(called, 0.0) + count
+
+    def called(self, route: str) -> bool:
+        """Count a call of the target; return whether it counts as repeated.
 
-    def called(self, route: str) -> None:
-        """Count a call of the target."""
+        Which call belongs to a repeated request is not known, but how many do is.
+        """
         self.calls[route] += 1
+        if self.owed.get(route, 0.0) < 1.0:
+            return False
+        self.owed[route] -= 1.0
+        return True
 
     def tick(self, now: float) -> None:
         """Learn from the present window once it is over."""
--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -19,6 +19,7 @@
     REPLY_HEADER,
     Call,
     CallerClaims,
+    Reply,
     decode_reply,
     encode,
 )
@@ -76,6 +77,7 @@
         service: Service that is to run it.
         account: Client account; None on a route that is open to all.
         from_target: Whether the local target sent it while running another one.
+        echo: Whether it counts as repeated, as a call of a repeated request.
         deadline: Deadline on the local clock, in seconds.
     """
 
@@ -84,6 +86,7 @@
     service: str
     account: Account | None
     from_target: bool
+    echo: bool
     deadline: float
 
     @property
@@ -190,8 +193,10 @@
             await self.refuse(connection, claims, admission, started)
             return
         try:
-            body = await connection.read_body(configuration.limits.body_bytes)
-            result = await self.send_in_time(admission, request, body, progress)
+            limit = configuration.limits.body_bytes
+            result = await self.send_in_time(
+                connection, admission, request, limit, progress
+            )
         except BaseException:
             self.note_abandoned(claims, progress, started)
             raise
@@ -239,10 +244,10 @@
             service,
             None if route.open else account,
             from_target,
+            from_target and self.runner.weights.called(route.name),
             now + remaining,
         )
         if from_target:
-            self.runner.weights.called(route.name)
             return admission
         return self.check_pressure(admission, now) or admission
 
@@ -267,25 +272,32 @@
         )
 
     async def send_in_time(
-        self, admission: Admission, request: Request, body: bytes, progress: Progress
+        self,
+        connection: ServerConnection,
+        admission: Admission,
+        request: Request,
+        limit: int,
+        progress: Progress,
     ) -> Result:
-        """Send a request, repeating it where that is safe, until its deadline."""
-        account = admission.account
-        if account is not None:
-            if not await self.rates.charge(account):
-                self.note_over_rate(admission, account)
-                return Refusal(
-                    Reason.RATE_EXCEEDED,
-                    Ran.NOT_RUN,
-                    RATE_RETRY_SECONDS,
-                    STEP,
-                    account.name,
-                )
-            progress.charged = True
+        """Read and send a request, repeating it where that is safe, until its deadline.
+
+        Args:
+            connection: Connection of the caller.
+            admission: The request.
+            request: Its head.
+            limit: Largest body in bytes.
+            progress: What becomes of it.
+        """
         remaining = admission.deadline - self.clock.now()
         try:
             return await curio.timeout_after(
-                max(0.0, remaining), self.send, admission, request, body, progress
+                max(0.0, remaining),
+                self.read_and_send,
+                connection,
+                admission,
+                request,
+                limit,
+                progress,
             )
         except curio.TaskTimeout:
             reason = Reason.DEADLINE
@@ -299,6 +311,30 @@
                 admission.service,
             )
 
+    async def read_and_send(
+        self,
+        connection: ServerConnection,
+        admission: Admission,
+        request: Request,
+        limit: int,
+        progress: Progress,
+    ) -> Result:
+        """Read the body of a request, charge its account and send it."""
+        body = await connection.read_body(limit)
+        account = admission.account
+        if account is not None:
+            if not await self.rates.charge(account):
+                self.note_over_rate(admission, account)
+                return Refusal(
+                    Reason.RATE_EXCEEDED,
+                    Ran.NOT_RUN,
+                    RATE_RETRY_SECONDS,
+                    STEP,
+                    account.name,
+                )
+            progress.charged = True
+        return await self.send(admission, request, body, progress)
+
     def note_over_rate(self, admission: Admission, account: Account) -> None:
         """Record what decided that an account is over its rate."""
         now = self.clock.now()
@@ -321,10 +357,14 @@
         """Try targets until one answers or no other may be tried."""
         tried: list[str] = []
         refusals = 0
+        last: Refusal | None = None
         while True:
             result = await self.attempt(admission, request, body, progress, tried)
             if not isinstance(result, Refusal):
                 return result
+            if last is not None and result.step == "routing":
+                return last._replace(ran=progress.ran)
+            last = result
             if result.ran is Ran.UNKNOWN:
                 progress.runs += 1
             else:
@@ -367,6 +407,9 @@
         """Send a request once, to a target that was not tried before if any."""
         now = self.clock.now()
         candidate = self.router.choose(admission.service, now, tried)
+        if isinstance(candidate, Refusal) and progress.runs:
+            # The answer was lost, which says little of the target.
+            candidate = self.router.choose(admission.service, now)
         if isinstance(candidate, Refusal):
             return candidate._replace(retry_after=NO_TARGET_RETRY_SECONDS)
         tried.append(candidate.target_id)
@@ -375,7 +418,9 @@
         outcome, pressure = Outcome.CANCELLED, None
         progress.in_doubt = True
         try:
-            result, pressure = await self.exchange(call, candidate, admission, request, body)
+            result, pressure = await self.exchange(
+                call, candidate, admission, request, body
+            )
             progress.in_doubt = False
             outcome = Outcome.OK
             if isinstance(result, Refusal):
@@ -399,6 +444,8 @@
             self.settings.service,
             admission.from_target,
             progress.runs > 0,
+            admission.echo,
+            admission.route.repeat is Repeat.IDEMPOTENT,
             self.directory.version,
         )
 
@@ -453,7 +500,7 @@
         request: Request,
         passed: Headers,
         body: bytes,
-    ) -> tuple[Result, "object"]:
+    ) -> tuple[Result, Reply]:
         """Send a call to another node and take its answer.
 
         Raises:
--- a/src/carawaywheel/mesh/exchange.py
+++ b/src/carawaywheel/mesh/exchange.py
@@ -3,11 +3,11 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from ..headers import forwarded_answer_headers
 from ..http import Headers, ServerConnection
 from ..pool import Answer
 from ..refusals import Refusal
 from ..streaming import pass_on_rest
-from ..headers import forwarded_answer_headers
 
 # Largest body that is held whole before the first byte is passed on; larger ones are
 # streamed, so that memory stays bounded with any number of slow readers.
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -36,6 +36,9 @@
 IDLE_SECONDS = 0.05
 # Answers to earlier requests that are skipped on one connection.
 LATE_ANSWERS_MAX = 3
+# Time to wait after such an answer for that to a request that may be repeated: several
+# times the usual service time.
+LATE_ANSWER_SECONDS = 1.0
 # Part of the fleet's slack for repeats that is used; counts of nodes lag a little.
 SLACK_SHARE = 0.7
 
@@ -109,7 +112,9 @@
             self.gate = Gate(self.target, queue, self.clock)  # type: ignore[arg-type]
         return self.gate
 
-    async def run(self, call: Call, request: Request, passed: Any, body: bytes) -> Result:
+    async def run(
+        self, call: Call, request: Request, passed: Any, body: bytes
+    ) -> Result:
         """Run a call, or refuse it.
 
         Args:
@@ -145,6 +150,8 @@
         now = self.clock.now()
         if not call.from_target:
             self.budget.record_first(now)
+        if call.echo:
+            self.budget.record_retry(now)
         if call.repeat and not self.budget.try_retry(now):
             return Refusal(Reason.RETRIES_SPENT, Ran.NOT_RUN, None, "target")
         return None
@@ -209,7 +216,7 @@
                 length,
             )
         )
-        self.weights.ran(call.route)
+        self.weights.ran(call.route, call.repeat or call.echo)
         try:
             await connection.send(request.method, request.target, headers, body)
             answer = await self.receive(call, connection)
@@ -228,20 +235,35 @@
         Raises:
             PeerError: If the connection broke or only brings late answers.
         """
-        for _ in range(LATE_ANSWERS_MAX):
-            answer = await connection.receive_head(unframed=True)
+        for skipped in range(LATE_ANSWERS_MAX):
+            answer = await self.receive_head(connection, skipped and call.repeatable)
             echoed = decode_reply(answer.status, answer.headers).attempt_id
             if not echoed or echoed == call.attempt_id:
                 return answer
-            self.journal.write(
-                "late_answer", request=call.attempt_id, answered=echoed
-            )
+            self.journal.write("late_answer", request=call.attempt_id, answered=echoed)
             whole, _ = await hold(answer)
             if not whole:
                 break
             connection.expect_another()
         raise connection.failure("the answer is for another request", "read head")
 
+    async def receive_head(
+        self, connection: ClientConnection, bounded: bool | int
+    ) -> Answer:
+        """Wait for the head of an answer, for a bounded time or as long as it takes.
+
+        Raises:
+            PeerError: If the connection broke or nothing came in time.
+        """
+        if not bounded:
+            return await connection.receive_head(unframed=True)
+        try:
+            return await curio.timeout_after(
+                LATE_ANSWER_SECONDS, connection.receive_head, True
+            )
+        except curio.TaskTimeout as error:
+            raise connection.failure("only late answers came", "read head") from error
+
     async def take_answer(
         self, call: Call, connection: ClientConnection, answer: Answer, leave: Any
     ) -> Result:
--- a/src/carawaywheel/mesh/inbound.py
+++ b/src/carawaywheel/mesh/inbound.py
@@ -1,9 +1,9 @@
 """Requests of other nodes for the local target."""
 
 from ..errors import ProtocolError
+from ..headers import HOP_BY_HOP, INTERNAL_PREFIX
 from ..http import Headers, Request, ServerConnection
 from ..listener import RequestHandler
-from ..headers import INTERNAL_PREFIX, HOP_BY_HOP
 from ..refusals import Refusal
 from .calls import CALL_HEADER, REPLY_HEADER, decode_call, encode
 from .exchange import deliver
--- a/src/carawaywheel/mesh/local.py
+++ b/src/carawaywheel/mesh/local.py
@@ -79,4 +79,9 @@
         heartbeat = self.target.heartbeat
         if heartbeat is None:
             return ()
-        return heartbeat.target_id, heartbeat.incarnation, heartbeat.phase, heartbeat.slots
+        return (
+            heartbeat.target_id,
+            heartbeat.incarnation,
+            heartbeat.phase,
+            heartbeat.slots,
+        )
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -239,9 +239,7 @@
         except curio.CancelledError:
             raise
         except Exception as error:
-            self.journal.write(
-                "part_failed", part=task.__qualname__, error=repr(error)
-            )
+            self.journal.write("part_failed", part=task.__qualname__, error=repr(error))
             self.failed = True
 
     async def run_flushes(self) -> None:
--- a/src/carawaywheel/retries.py
+++ b/src/carawaywheel/retries.py
@@ -99,6 +99,11 @@
         self.retries[self.newest % self.size] += 1
         return True
 
+    def record_retry(self, now: float) -> None:
+        """Count a retry that another node decided on, at ``now``, in seconds."""
+        self._advance(now)
+        self.retries[self.newest % self.size] += 1
+
     def _share(self, firsts: int) -> int:
         return int(firsts * self.settings.service_share)
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -96,7 +96,9 @@
         body: bytes,
     ) -> None:
         """Send the request and read its answer."""
-        fields = [("host", address), ("connection", "close"), *headers]
+        fields = [("connection", "close"), *headers]
+        if not any(name == "host" for name, _ in headers):
+            fields.append(("host", address))
         if body or method in ("POST", "PUT", "PATCH"):
             fields.append(("content-length", str(len(body))))
         head = h11.Request(method=method, target=path, headers=fields)
--- /dev/null
+++ b/tests/platforms.py
@@ -0,0 +1,217 @@
+"""The platform on loopback: its store, hosts with a node and a target, and callers."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import threading
+import time
+from concurrent.futures import Future
+
+import curio
+
+from standins.caller import request
+from standins.mesh import Mesh
+
+HOST = "mesh.example"
+KEY = "key-of-the-mill"
+PORTS = {"outbound": 0, "inbound": 1, "ready": 2, "control": 3, "app": 4}
+METRICS_OFFSET, DATAGRAM = 5, 6
+ROUTES = (
+    ("read", "idempotent", "desk", 1),
+    ("order", "non_idempotent", "yard", 0),
+    ("bundle", "upload", "yard", 1),
+    ("inner", "idempotent", "yard", 2),
+)
+
+
+def route(name, kind, service, priority, **changes):
+    """Return a route of the configuration."""
+    document = {
+        "name": f"r-{name}",
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_s": 5.0,
+        "target_latency_s": 1.0,
+        "priority": priority,
+        "service": service,
+        "attempts": 2,
+        "allow_anonymous": name == "inner",
+    }
+    return {**document, **changes}
+
+
+def configuration(version, routes=None, **changes):
+    """Return a configuration document."""
+    document = {
+        "version": f"r{version}",
+        "services": [
+            {"name": name, "health_path": "/h", "max_connections": 90}
+            for name in ("desk", "yard")
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 26},
+        "tenants": [{"name": "mill", "api_keys": [KEY], "rate_per_s": 0, "burst": 0}],
+        "virtual_hosts": [
+            {
+                "hostname": HOST,
+                "paths": routes or [route(*fields) for fields in ROUTES],
+            }
+        ],
+    }
+    return {**document, **changes}
+
+
+def free_base():
+    """Return a port after which some more are most likely free."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    return port if port < 60000 else port - 5000
+
+
+class Platform(Mesh):
+    """Store, hosts and callers; use it as a context manager."""
+
+    def __init__(self):
+        super().__init__()
+        self.base = free_base()
+        self.hosts = {}
+        self.start("store", ["-m", "standins.provider"])
+        self.store = self.programs["store"].ready["address"]
+
+    def ip(self, name):
+        """Return the address of a host; ports are the same on all of them."""
+        index = self.hosts.setdefault(name, len(self.hosts) + 1)
+        return f"127.0.{index}.1"
+
+    def address(self, name, listener):
+        """Return the address of one listener of a host."""
+        return f"{self.ip(name)}:{self.base + PORTS[listener]}"
+
+    def publish(self, document):
+        """Store a configuration as the operator does."""
+        order = {"topic": "keyed.op", "key": "config", "put": document}
+        self.control(self.store, order)
+
+    def boot(self, name, service, store=""):
+        """Write the settings file of a host and return its path."""
+        lines = [
+            f'node_name = "{name}"',
+            f'ip = "{self.ip(name)}"',
+            'zone = "a"',
+            f"port_range = [{self.base + METRICS_OFFSET}, {self.base + DATAGRAM}]",
+            f'service = "{service}"',
+            f'app_addr = "{self.address(name, "app")}"',
+            "heartbeat_s = 0.3",
+            "[listen]",
+            *(
+                f'{listener} = "{self.address(name, listener)}"'
+                for listener in ("inbound", "outbound", "ready", "control")
+            ),
+            "[limits]",
+            "memory_mb = 300",
+            "[bounds]",
+            "grace_s = 6",
+            "drain_s = 2",
+            "[provider]",
+            f'address = "{store or self.store}"',
+        ]
+        path = self.path / f"{name}.toml"
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    def start_node(self, name, service, store=""):
+        """Start the node of a host; its log goes to a file."""
+        path = self.boot(name, service, store)
+        with (self.path / f"{name}.log").open("a") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "carawaywheel", "node"],
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"CARAWAYWHEEL_BOOT": str(path)},
+                text=True,
+            )
+        program = self.track(name, process)
+        return program
+
+    def track(self, name, process):
+        """Remember a process, which is stopped at the end."""
+        from standins.mesh import Program
+
+        program = Program(name, process, {}, self.path / f"{name}.log")
+        self.programs[name] = program
+        return program
+
+    def start_host(self, name, service, *arguments):
+        """Start a node and the target beside it."""
+        self.start_node(name, service)
+        self.start_endpoint(name, service, *arguments)
+
+    def start_endpoint(self, name, service, *arguments, identity=""):
+        """Start the target of a host."""
+        command = ["-m", "standins.endpoint", "--id", identity or f"i-{name}"]
+        command += ["--service", service, "--address", self.address(name, "app")]
+        command += ["--control", self.address(name, "control")]
+        command += ["--outbound", self.address(name, "outbound")]
+        return self.start(f"target-{name}", [*command, *arguments])
+
+    def is_ready(self, name):
+        """Return whether a node says that clients may be sent to it."""
+        address = self.address(name, "ready")
+        return curio.run(request, address, "GET", "/api/ready", [], b"", 2.0).status
+
+    def send(
+        self, name, path, method="GET", body=b"", key=KEY, headers=(), timeout=8.0
+    ):
+        """Send a request of a client to a node."""
+        fields = [("host", HOST), ("x-attempt-id", os.urandom(8).hex()), *headers]
+        fields += [("x-deadline-ms", "4000")]
+        if key:
+            fields.append(("authorization", f"Token {key}"))
+        address = self.address(name, "outbound")
+        return curio.run(request, address, method, path, fields, body, timeout)
+
+    def send_later(self, *arguments, **options):
+        """Send a request from a thread of its own; return its future answer."""
+        future = Future()
+
+        def run():
+            try:
+                future.set_result(self.send(*arguments, **options))
+            except Exception as error:
+                future.set_exception(error)
+
+        threading.Thread(target=run, daemon=True).start()
+        return future
+
+    def runs(self, name, prefix=""):
+        """Return what the target of a host ran."""
+        answer = curio.run(
+            request, self.address(name, "app"), "GET", "/runs", [], b"", 5
+        )
+        runs = json.loads(answer.body)["runs"]
+        return [run for run in runs if run["path"].startswith(prefix)]
+
+    def order(self, name, **settings):
+        """Change the behaviour of a target."""
+        self.control(self.address(name, "app"), settings)
+
+    def log(self, name, event=""):
+        """Return the lines that a node logged."""
+        text = (self.path / f"{name}.log").read_text()
+        lines = [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
+        return [line for line in lines if not event or line["event"] == event]
+
+    def wait_served(self, name, path, seconds=15.0):
+        """Wait until a request is served; return its answer."""
+        return self.wait_for(
+            lambda: (answer := self.send(name, path)).status == 200 and answer,
+            f"{path} is served at {name}",
+            seconds,
+        )
+
+
+def wait(seconds):
+    """Let time pass that the test is about, such as that of a lease."""
+    time.sleep(seconds)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -43,7 +43,9 @@
         if home != name and {home, name} & self.cut:
             return
         question = decode_message(encode_message(ask))
-        grant = decode_message(encode_message(self.nodes[home].lend(question, self.now)))
+        grant = decode_message(
+            encode_message(self.nodes[home].lend(question, self.now))
+        )
         quotas.receive(grant, self.now)
 
     def charge(self, name):
