--- a/src/carawaywheel/mesh/chains.py
+++ b/src/carawaywheel/mesh/chains.py
@@ -103,7 +103,7 @@
             self.demands[route] = {item.service: item.calls for item in demands}
 
     def below(self, weights: CallWeights, route: str, service: str) -> dict[str, float]:
-        """Return the calls to each service that a request at the local target causes."""
+        """Return the calls to each service that a local request causes."""
         total = {service: 1.0}
         for called, count in weights.calls_of(route).items():
             if count < LEAST_CALLS:
