Carry calls between nodes on shared links, and count rejections as repeats

Ruled out: polling loops, logging and metrics (under 2% of the profile together). Change: nodes exchange msgpack frames on two shared connections; large bodies and answers stay on HTTP. Rejected tries count as arrivals; the slack is divided by the targets that are known now.

--- a/src/carawaywheel/mesh/calls.py
+++ b/src/carawaywheel/mesh/calls.py
@@ -78,7 +78,7 @@
         account: Client account, or empty.
         origin: Service of the host where it began.
         from_target: Whether a target sent it while running another request.
-        repeat: Whether an earlier try may have run.
+        repeat: Whether an earlier try may have arrived at a target.
         echo: Whether it counts as repeated because a request that caused it was.
         repeatable: Whether it may run more than once.
         version: Version of the configuration at the sending node.
--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -8,31 +8,24 @@
 
 from ..clock import Clock
 from ..errors import PeerError, ProtocolError
-from ..http import JSON_HEADER, Headers, Request, ServerConnection, refusal_body
+from ..http import JSON_HEADER, Request, ServerConnection, refusal_body
 from ..listener import RequestHandler
 from ..platform.headers import decode_request
-from ..pool import Answer, ClientConnection, Pool
 from ..refusals import Outcome, Ran, Reason, Refusal
 from ..routing import Candidate, Router
-from .calls import (
-    CALL_HEADER,
-    REPLY_HEADER,
-    Call,
-    CallerClaims,
-    Reply,
-    decode_reply,
-    encode,
-)
+from ..sockets import split_address
+from .calls import Call, CallerClaims
 from .chains import ChainTable
 from .directory import Directory
 from .document import Account, MeshConfiguration, Repeat, Route
-from .exchange import Opened, Result, Whole, deliver, hold
-from .execution import BODY_METHODS, TargetRunner
+from .exchange import Result, Whole, deliver
+from .execution import TargetRunner
 from .journal import Journal
 from .news import News
+from .peers import PeerCalls
 from .pressure import LevelTable
 from .rates import RateService
-from .settings import CONNECT_SECONDS, HostSettings
+from .settings import HostSettings
 
 STEP = "entry"
 # Refusals that lead to another target and were not run there; a request is passed
@@ -102,6 +95,7 @@
 
     Attributes:
         runs: Targets on which it may have run.
+        arrivals: Targets at which it may have arrived, those that rejected it included.
         in_doubt: Whether a try is under way.
         offered: Whether a try was under way at any time.
         charged: Whether its account was charged.
@@ -109,6 +103,7 @@
 
     def __init__(self) -> None:
         self.runs = 0
+        self.arrivals = 0
         self.in_doubt = False
         self.offered = False
         self.charged = False
@@ -172,7 +167,8 @@
         self.journal = journal
         self.clock = clock
         self.rng = rng
-        self.pool = Pool(CONNECT_SECONDS)
+        port = split_address(settings.listen.links)[1]
+        self.peers = PeerCalls(port)
         self.spreader = Spreader()
         self.own_ip = settings.target_address.rpartition(":")[0]
 
@@ -367,8 +363,10 @@
             last = result
             if result.ran is Ran.UNKNOWN:
                 progress.runs += 1
+                progress.arrivals += 1
             else:
                 refusals += 1
+                progress.arrivals += result.reason is Reason.TARGET_SHED
             if not self.may_repeat(admission, result, progress, refusals):
                 return result._replace(ran=progress.ran)
             self.journal.write(
@@ -426,6 +424,9 @@
             if isinstance(result, Refusal):
                 outcome = OUTCOME_BY_REASON.get(result.reason, Outcome.FAILED)
             return result
+        except (curio.TaskTimeout, curio.TimeoutCancellationError):
+            outcome = Outcome.TIMEOUT
+            raise
         finally:
             ended = self.clock.now()
             self.router.finish(
@@ -443,7 +444,7 @@
             admission.account.name if admission.account else "",
             self.settings.service,
             admission.from_target,
-            progress.runs > 0,
+            progress.arrivals > 0,
             admission.echo,
             admission.route.repeat is Repeat.IDEMPOTENT,
             self.directory.version,
@@ -464,76 +465,28 @@
             reply = self.runner.reply(call.route, None)
         else:
             try:
-                connection = await self.pool.acquire(candidate.address)
-            except PeerError as error:
-                self.news.unreachable(candidate.address)
-                reason = Reason.PEER_FAILED
-                return (
-                    Refusal(reason, Ran.NOT_RUN, None, error.step, candidate.address),
-                    None,
-                )
-            try:
-                result, reply = await self.exchange_with_peer(
-                    connection, call, request, passed, body
+                result, reply = await self.peers.call(
+                    candidate.address, call, request, passed, body
                 )
             except (PeerError, ProtocolError) as error:
-                await self.pool.discard(connection)
-                await self.pool.drop(candidate.address)
-                reason = Reason.PEER_FAILED
-                return (
-                    Refusal(reason, Ran.UNKNOWN, None, error.step, candidate.address),
-                    None,
-                )
-            except BaseException:
-                await self.pool.discard(connection)
-                raise
+                return await self.note_lost(candidate, error), None
             self.news.heard(candidate.address, reply)
         now = self.clock.now()
         self.chains.learn(call.route, reply.demands)
         self.levels.learn(reply.demands, now)
         return result, reply.pressure
 
-    async def exchange_with_peer(
-        self,
-        connection: ClientConnection,
-        call: Call,
-        request: Request,
-        passed: Headers,
-        body: bytes,
-    ) -> tuple[Result, Reply]:
-        """Send a call to another node and take its answer.
-
-        Raises:
-            PeerError: If the connection broke or the answer was cut.
-            ProtocolError: If the answer is not one of a node.
-        """
-        headers = [*passed, (CALL_HEADER, encode(call))]
-        if body or request.method in BODY_METHODS:
-            headers.append((b"content-length", str(len(body)).encode()))
-        await connection.send(request.method, request.target, headers, body)
-        answer = await connection.receive_head()
-        reply = decode_reply(answer.header(REPLY_HEADER), connection.address)
-        whole, parts = await hold(answer)
-        if not whole:
-            return self.open_answer(connection, answer, parts), reply
-        await self.pool.release(connection)
-        refusal = reply.refusal(connection.address)
-        if refusal is not None:
-            return refusal, reply
-        return Whole(answer.status, answer.headers, b"".join(parts)), reply
-
-    def open_answer(
-        self, connection: ClientConnection, answer: Answer, parts: list[bytes]
-    ) -> Opened:
-        """Return an answer that is passed on while it arrives."""
-
-        async def close(complete: bool) -> None:
-            if complete:
-                await self.pool.release(connection)
-            else:
-                await self.pool.discard(connection)
-
-        return Opened(answer, parts, close)
+    async def note_lost(
+        self, candidate: Candidate, error: PeerError | ProtocolError
+    ) -> Refusal:
+        """Return the refusal for a call whose link or connection failed."""
+        ran = Ran.UNKNOWN
+        if isinstance(error, PeerError):
+            await self.peers.lost(candidate.address, error)
+            if not error.sent:
+                ran = Ran.NOT_RUN
+                self.news.unreachable(candidate.address)
+        return Refusal(Reason.PEER_FAILED, ran, None, error.step, candidate.address)
 
     async def refuse(
         self,
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -302,6 +302,20 @@
         await hold(answer)
         await self.pool.release(connection)
 
+    def note_turned_away(self, call: Call, refusal: Refusal) -> None:
+        """Record a call of another node that was refused here."""
+        self.journal.count("turned_away", refusal.reason.value)
+        self.journal.write(
+            "turned_away",
+            request=call.attempt_id,
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+            step=refusal.step,
+            repeat=call.repeat,
+            occupancy=round(self.occupancy, 2),
+            phase=str(self.target.phase),
+        )
+
     def reply(self, route: str, refusal: Refusal | None) -> Reply:
         """Describe an answer to the node that asked."""
         now = self.clock.now()
--- a/src/carawaywheel/mesh/inbound.py
+++ b/src/carawaywheel/mesh/inbound.py
@@ -1,12 +1,14 @@
-"""Requests of other nodes for the local target."""
+"""HTTP requests of other nodes: checks, large bodies and large answers."""
+
+import curio
 
 from ..errors import ProtocolError
 from ..headers import HOP_BY_HOP, INTERNAL_PREFIX
 from ..http import Headers, Request, ServerConnection
 from ..listener import RequestHandler
-from ..refusals import Refusal
+from ..refusals import Ran, Reason, Refusal
 from .calls import CALL_HEADER, REPLY_HEADER, decode_call, encode
-from .exchange import deliver
+from .exchange import Opened, deliver
 from .execution import TargetRunner
 from .journal import Journal
 from .news import News
@@ -14,40 +16,44 @@
 BODY_LIMIT = 64 * 1024 * 1024
 REFUSED_STATUS = 503
 NOT_PASSED = HOP_BY_HOP | {b"content-length"}
+REST_PREFIX = "/-/rest/"
+# Several round trips between failure domains.
+REST_SECONDS = 1.0
 
 
 class PeerHandler(RequestHandler):
-    """Runs the calls of other nodes at the local target."""
+    """Answers the HTTP requests of other nodes.
+
+    Attributes:
+        rests: Answers that are too large for a frame and wait to be fetched.
+    """
 
     def __init__(self, runner: TargetRunner, news: News, journal: Journal) -> None:
         self.runner = runner
         self.news = news
         self.journal = journal
+        self.rests: dict[str, Opened] = {}
+        self.names = 0
 
     async def handle(self, connection: ServerConnection, request: Request) -> None:
         """Answer one request; see the base class."""
-        if not request.header(CALL_HEADER):
+        if request.path.startswith(REST_PREFIX):
+            await self.send_rest(connection, request.path.removeprefix(REST_PREFIX))
+        elif request.header(CALL_HEADER):
+            await self.answer_call(connection, request)
+        else:
             await self.news.answer(connection, request)
-            return
+
+    async def answer_call(self, connection: ServerConnection, request: Request) -> None:
+        """Run a call of another node at the local target."""
         call = decode_call(request.header(CALL_HEADER), connection.peer)
         self.news.heard_version(call.version)
         body = await connection.read_body(BODY_LIMIT)
         result = await self.runner.run(call, request, passed(request), body)
         refusal = result if isinstance(result, Refusal) else None
-        reply = encode(self.runner.reply(call.route, refusal))
-        extra = [(REPLY_HEADER, reply)]
+        extra = [(REPLY_HEADER, encode(self.runner.reply(call.route, refusal)))]
         if isinstance(result, Refusal):
-            self.journal.count("turned_away", result.reason.value)
-            self.journal.write(
-                "turned_away",
-                request=call.attempt_id,
-                reason=result.reason.value,
-                ran=result.ran.value,
-                step=result.step,
-                repeat=call.repeat,
-                occupancy=round(self.runner.occupancy, 2),
-                phase=str(self.runner.target.phase),
-            )
+            self.runner.note_turned_away(call, result)
             await connection.respond(REFUSED_STATUS, extra, b"")
             return
         try:
@@ -56,6 +62,33 @@
             self.journal.count("answer_not_taken")
             raise
 
+    async def hold_rest(self, result: Opened) -> str:
+        """Keep an answer until it is fetched; return its name."""
+        self.names += 1
+        name = str(self.names)
+        self.rests[name] = result
+        await curio.spawn(self.expire_rest, name, daemon=True)
+        return name
+
+    async def expire_rest(self, name: str) -> None:
+        """Close an answer that nobody fetched."""
+        await curio.sleep(REST_SECONDS)
+        result = self.rests.pop(name, None)
+        if result is not None:
+            self.journal.count("rest_not_fetched")
+            await result.close(False)
+
+    async def send_rest(self, connection: ServerConnection, name: str) -> None:
+        """Send an answer that was kept."""
+        await connection.read_body(0)
+        result = self.rests.pop(name, None)
+        if result is None:
+            refusal = Refusal(Reason.PEER_FAILED, Ran.UNKNOWN, None, "fetch rest")
+            extra = [(REPLY_HEADER, encode(self.runner.reply("", refusal)))]
+            await connection.respond(REFUSED_STATUS, extra, b"")
+            return
+        await deliver(connection, result, [])
+
 
 def passed(request: Request) -> Headers:
     """Return the headers that go on to the target."""
--- /dev/null
+++ b/src/carawaywheel/mesh/links.py
@@ -0,0 +1,372 @@
+"""Links between nodes: many calls share one connection.
+
+A link carries calls one way. When it breaks, the calls on it may have run, and their
+callers are told so. Answers that are too large for a frame are fetched over HTTP.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from ..errors import PeerError, ProtocolError
+from ..http import (
+    READ_BYTES,
+    SERVER_SILENCE,
+    Headers,
+    Request,
+    send_some,
+    tune_socket,
+)
+from ..listener import ACCEPT_RETRY_SECONDS
+from ..refusals import Refusal
+from ..sockets import split_address
+from .calls import Call, Reply
+from .exchange import Opened, Whole
+from .execution import TargetRunner
+from .frames import (
+    AnswerFrame,
+    CallFrame,
+    CancelFrame,
+    Frame,
+    FrameBuffer,
+    encode_frame,
+)
+from .journal import Journal
+from .news import News
+from .settings import CONNECT_SECONDS
+
+# Links to one node; a lost packet holds up only the calls on its own.
+LINKS_PER_HOST = 2
+REFUSED_STATUS = 503
+
+
+class Channel:
+    """Connection that frames are written to, by any task and without waiting.
+
+    Attributes:
+        peer: Address of the other node.
+        unsent: Bytes that the socket did not take yet.
+        broken: Whether the connection has failed.
+    """
+
+    def __init__(self, sock: Any, peer: str) -> None:
+        self.sock = sock
+        self.peer = peer
+        self.unsent = bytearray()
+        self.writable = curio.Event()
+        self.broken = False
+
+    async def write(self, frame: Frame) -> None:
+        """Send a frame, or queue what the socket does not take.
+
+        Raises:
+            PeerError: If the connection is broken.
+        """
+        data = encode_frame(frame)
+        if self.broken:
+            raise PeerError("the link is broken", "send", self.peer, sent=False)
+        if self.unsent:
+            self.unsent += data
+            return
+        try:
+            sent = send_some(self.sock, data)
+        except OSError as error:
+            self.broken = True
+            raise PeerError(str(error), "send", self.peer, sent=True) from error
+        if sent < len(data):
+            self.unsent += data[sent:]
+            await self.writable.set()
+
+    async def run_writes(self) -> None:
+        """Send what is queued until cancelled or broken."""
+        while not self.broken:
+            await self.writable.wait()
+            self.writable.clear()
+            while self.unsent:
+                data, self.unsent = self.unsent, bytearray()
+                try:
+                    await self.sock.sendall(data)
+                except OSError:
+                    self.broken = True
+                    return
+
+    async def read(self, buffer: FrameBuffer) -> list[Frame] | None:
+        """Return frames that arrived; None at the end of the connection.
+
+        Raises:
+            ProtocolError: If what arrived is no frame.
+        """
+        try:
+            data = await self.sock.recv(READ_BYTES)
+        except OSError:
+            return None
+        return buffer.feed(data) if data else None
+
+
+class Pending:
+    """A call that waits for its answer.
+
+    Attributes:
+        answer: The answer; None if the link broke.
+        done: Set when the answer arrived or the link broke.
+    """
+
+    def __init__(self) -> None:
+        self.answer: AnswerFrame | None = None
+        self.done = curio.Event()
+
+
+class Link:
+    """Calling side of one connection to another node.
+
+    Attributes:
+        pending: Calls that wait for an answer, by number.
+    """
+
+    def __init__(self, sock: Any, address: str) -> None:
+        self.channel = Channel(sock, address)
+        self.pending: dict[int, Pending] = {}
+        self.number = 0
+
+    async def call(
+        self, call: Call, request: Request, headers: Headers, body: bytes
+    ) -> AnswerFrame:
+        """Send a call and wait for its answer; a cancelled one is cancelled there.
+
+        Raises:
+            PeerError: If the link broke.
+        """
+        self.number += 1
+        number = self.number
+        pending = self.pending[number] = Pending()
+        frame = CallFrame(number, call, request.method, request.target, headers, body)
+        try:
+            await self.channel.write(frame)
+            await pending.done.wait()
+        except curio.CancelledError:
+            await self.cancel(number)
+            raise
+        finally:
+            self.pending.pop(number, None)
+        if pending.answer is None:
+            peer = self.channel.peer
+            raise PeerError("the link broke", "wait for answer", peer, sent=True)
+        return pending.answer
+
+    async def cancel(self, number: int) -> None:
+        """Tell the other node that nobody waits for a call."""
+        try:
+            await self.channel.write(CancelFrame(number))
+        except PeerError:
+            # The other node sees the connection close and cancels all its calls.
+            return
+
+    async def run(self) -> None:
+        """Take answers until the connection ends."""
+        buffer = FrameBuffer(self.channel.peer)
+        writer = await curio.spawn(self.channel.run_writes, daemon=True)
+        try:
+            while (frames := await self.channel.read(buffer)) is not None:
+                for frame in frames:
+                    if isinstance(frame, AnswerFrame):
+                        await self.take(frame)
+        except ProtocolError:
+            # The calls are told that the link broke; the next one opens another.
+            pass
+        finally:
+            self.channel.broken = True
+            await writer.cancel()
+            for pending in list(self.pending.values()):
+                await pending.done.set()
+            await self.channel.sock.close()
+
+    async def take(self, frame: AnswerFrame) -> None:
+        """Wake the call that an answer belongs to."""
+        pending = self.pending.get(frame.number)
+        if pending is not None:
+            pending.answer = frame
+            await pending.done.set()
+
+
+class LinkPool:
+    """Links to all nodes.
+
+    Attributes:
+        port: Port of the links, the same on every host.
+    """
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.links: dict[str, list[Link]] = {}
+        self.opening: dict[str, Any] = {}
+
+    async def link(self, address: str) -> Link:
+        """Return the link to a node that has the fewest calls, or a new one.
+
+        Raises:
+            PeerError: If none could be opened; nothing was sent.
+        """
+        links = [
+            link for link in self.links.get(address, ()) if not link.channel.broken
+        ]
+        self.links[address] = links
+        if len(links) < LINKS_PER_HOST and address not in self.opening:
+            return await self.open(address)
+        if not links:
+            return await self.wait(address)
+        return min(links, key=lambda link: len(link.pending))
+
+    async def wait(self, address: str) -> Link:
+        """Return the link that another task is opening.
+
+        Raises:
+            PeerError: If it could not be opened.
+        """
+        await self.opening[address].wait()
+        links = self.links.get(address)
+        if not links:
+            raise PeerError("cannot be reached", "connect", address, sent=False)
+        return links[-1]
+
+    async def open(self, address: str) -> Link:
+        """Open a link.
+
+        Raises:
+            PeerError: If it could not be opened.
+        """
+        opened = self.opening[address] = curio.Event()
+        try:
+            host = split_address(address)[0]
+            sock = await curio.timeout_after(
+                CONNECT_SECONDS, curio.open_connection, host, self.port
+            )
+            tune_socket(sock, SERVER_SILENCE)
+            link = Link(sock, address)
+            self.links[address].append(link)
+            await curio.spawn(link.run, daemon=True)
+            return link
+        except (OSError, curio.TaskTimeout) as error:
+            reason = str(error) or "timed out"
+            raise PeerError(reason, "connect", address, sent=False) from error
+        finally:
+            del self.opening[address]
+            await opened.set()
+
+    async def drop(self, address: str) -> None:
+        """Close the links to a node that went silent; their calls are told."""
+        for link in self.links.pop(address, ()):
+            link.channel.broken = True
+            await link.channel.sock.close()
+
+
+class LinkServer:
+    """Answering side of the links of other nodes."""
+
+    def __init__(
+        self,
+        sock: Any,
+        runner: TargetRunner,
+        news: News,
+        journal: Journal,
+        hold_rest: Callable[[Opened], Awaitable[str]],
+    ) -> None:
+        self.sock = sock
+        self.runner = runner
+        self.news = news
+        self.journal = journal
+        self.hold_rest = hold_rest
+
+    async def run(self) -> None:
+        """Accept links until cancelled."""
+        while True:
+            try:
+                client, address = await self.sock.accept()
+            except OSError as error:
+                # Out of file descriptors: the listener survives and tries again.
+                self.journal.write("accept_failed", listener="links", error=str(error))
+                await curio.sleep(ACCEPT_RETRY_SECONDS)
+                continue
+            tune_socket(client, SERVER_SILENCE)
+            channel = Channel(client, f"{address[0]}:{address[1]}")
+            await curio.spawn(self.serve, channel, daemon=True)
+
+    async def serve(self, channel: Channel) -> None:
+        """Serve one link until it ends; its calls are cancelled then."""
+        buffer = FrameBuffer(channel.peer)
+        writer = await curio.spawn(channel.run_writes, daemon=True)
+        tasks: dict[int, Any] = {}
+        try:
+            while (frames := await channel.read(buffer)) is not None:
+                for frame in frames:
+                    await self.take(channel, frame, tasks)
+        except ProtocolError as error:
+            self.journal.write("bad_frame", peer=channel.peer, error=error.message)
+        finally:
+            channel.broken = True
+            await writer.cancel()
+            for task in list(tasks.values()):
+                await task.cancel(blocking=False)
+            await channel.sock.close()
+
+    async def take(self, channel: Channel, frame: Frame, tasks: dict[int, Any]) -> None:
+        """Start or cancel a call."""
+        if isinstance(frame, CallFrame):
+            tasks[frame.number] = await curio.spawn(
+                self.answer, channel, frame, tasks, daemon=True
+            )
+        elif isinstance(frame, CancelFrame):
+            task = tasks.get(frame.number)
+            if task is not None:
+                await task.cancel(blocking=False)
+
+    async def answer(
+        self, channel: Channel, frame: CallFrame, tasks: dict[int, Any]
+    ) -> None:
+        """Run one call and send its answer."""
+        call = frame.call
+        self.news.heard_version(call.version)
+        try:
+            request = Request(frame.method, frame.target, frame.headers)
+            result = await self.runner.run(call, request, frame.headers, frame.body)
+            await channel.write(await self.make_answer(frame, result))
+        except PeerError:
+            self.journal.count("answer_not_taken")
+        except curio.CancelledError:
+            self.journal.count("call_cancelled")
+        except Exception as error:
+            # A fault in the handling of one call must not end the node; without an
+            # answer its caller counts it as run.
+            self.journal.write(
+                "call_failed", request=call.attempt_id, error=repr(error)
+            )
+            channel.broken = True
+            await channel.sock.close()
+        finally:
+            tasks.pop(frame.number, None)
+
+    async def make_answer(
+        self, frame: CallFrame, result: Whole | Opened | Refusal
+    ) -> AnswerFrame:
+        """Return the answer to a call."""
+        call, number = frame.call, frame.number
+        if isinstance(result, Refusal):
+            self.runner.note_turned_away(call, result)
+            reply = self.runner.reply(call.route, result)
+            return AnswerFrame(number, reply, REFUSED_STATUS, [], b"", "")
+        reply = self.runner.reply(call.route, None)
+        if isinstance(result, Whole):
+            return AnswerFrame(
+                number, reply, result.status, list(result.headers), result.body, ""
+            )
+        answer = result.answer
+        rest = await self.hold_rest(result)
+        return AnswerFrame(number, reply, answer.status, [], b"", rest)
+
+
+def result_of(frame: AnswerFrame, peer: str) -> tuple[Whole | Refusal, Reply]:
+    """Return the result that an answer carries."""
+    refusal = frame.reply.refusal(peer)
+    if refusal is not None:
+        return refusal, frame.reply
+    return Whole(frame.status, frame.headers, frame.body), frame.reply
--- a/src/carawaywheel/mesh/news.py
+++ b/src/carawaywheel/mesh/news.py
@@ -100,6 +100,7 @@
         self.behind: set[str] = set()
         self.serving: Any = lambda: False
         self.on_configuration: Any = lambda configuration: None
+        self.on_hosts: Any = lambda: None
 
     def heard(self, address: str, reply: Reply) -> None:
         """Take what an answer says of its node."""
@@ -164,6 +165,7 @@
             phase=record.phase,
             order=record.order,
         )
+        self.on_hosts()
         if known is None or known.incarnation != record.incarnation:
             self.suspended.pop(record.address, None)
         elif record.phase == 0 and record.address in self.suspended:
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -30,6 +30,7 @@
 from .follower import StoreSync
 from .inbound import PeerHandler
 from .journal import Journal
+from .links import LinkServer
 from .local import HeartbeatHandler, ReadyHandler
 from .metrics import MetricsHandler
 from .news import News
@@ -139,6 +140,7 @@
             self.clock,
             self.rng,
         )
+        self.news.on_hosts = self.count_targets
         self.news.serving = lambda: self.runner.open_gate() is not None
         self.entry = EntryHandler(
             self.settings,
@@ -157,9 +159,17 @@
     def build_listeners(self) -> None:
         """Open the listeners."""
         listen = self.settings.listen
+        peers = PeerHandler(self.runner, self.news, self.journal)
+        self.links = LinkServer(
+            open_socket(*split_address(listen.links)),
+            self.runner,
+            self.news,
+            self.journal,
+            peers.hold_rest,
+        )
         handlers: dict[str, tuple[str, Any]] = {
             "callers": (listen.callers, self.entry),
-            "peers": (listen.peers, PeerHandler(self.runner, self.news, self.journal)),
+            "peers": (listen.peers, peers),
             "ready": (listen.ready, ReadyHandler(self.ready)),
             "heartbeats": (
                 listen.heartbeats,
@@ -193,6 +203,9 @@
         self.runner.version = configuration.version
         self.runner.level.set_top(configuration.lowest_priority + 1.0)
         self.quotas.configure(configuration.accounts)
+
+    def count_targets(self) -> None:
+        """Divide what a service allows by the targets that it has."""
         self.runner.set_targets(self.directory.targets(self.settings.service))
 
     async def note_target(self) -> None:
@@ -204,7 +217,6 @@
             int(Phase.GONE) if stopped or phase is None else int(phase),
             heartbeat.slots if heartbeat else 0,
         )
-        self.runner.set_targets(self.directory.targets(self.settings.service))
 
     async def run(self) -> None:
         """Run until a graceful stop is complete."""
@@ -222,6 +234,7 @@
             self.sync.run_writes,
             self.sync.run_refreshes,
             self.runner.run_polls,
+            self.links.run,
             self.run_flushes,
             self.run_settings,
         ]
@@ -294,7 +307,7 @@
 
     async def wait_until_idle(self) -> None:
         """Wait until no request is in flight."""
-        while self.watch.busy:
+        while self.watch.busy or self.runner.running:
             await curio.sleep(STOP_POLL_SECONDS)
         for listener in self.listeners.values():
             listener.close_idle()
--- /dev/null
+++ b/src/carawaywheel/mesh/peers.py
@@ -0,0 +1,107 @@
+"""Sending calls to the nodes beside other targets."""
+
+from ..errors import PeerError
+from ..http import Headers, Request
+from ..pool import Answer, ClientConnection, Pool
+from .calls import CALL_HEADER, REPLY_HEADER, Call, Reply, decode_reply, encode
+from .exchange import Opened, Result, Whole, hold
+from .execution import BODY_METHODS
+from .frames import FRAME_BODY_BYTES
+from .inbound import REST_PREFIX
+from .links import LinkPool, result_of
+from .settings import CONNECT_SECONDS
+
+
+class PeerCalls:
+    """Calls over links, and over HTTP where a body is too large for a frame."""
+
+    def __init__(self, port: int) -> None:
+        self.links = LinkPool(port)
+        self.pool = Pool(CONNECT_SECONDS)
+
+    async def call(
+        self, address: str, call: Call, request: Request, headers: Headers, body: bytes
+    ) -> tuple[Result, Reply]:
+        """Send a call and take its answer.
+
+        Args:
+            address: Address of the node.
+            call: The call.
+            request: Method and path.
+            headers: Headers that go on to the target.
+            body: The whole body.
+
+        Raises:
+            PeerError: If the exchange failed; ``sent`` tells whether the call may have
+                arrived.
+            ProtocolError: If the answer is not one of a node.
+        """
+        if len(body) > FRAME_BODY_BYTES:
+            return await self.call_over_http(address, call, request, headers, body)
+        link = await self.links.link(address)
+        answer = await link.call(call, request, headers, body)
+        if answer.rest:
+            return await self.fetch_rest(address, answer.rest), answer.reply
+        return result_of(answer, address)
+
+    async def call_over_http(
+        self, address: str, call: Call, request: Request, headers: Headers, body: bytes
+    ) -> tuple[Result, Reply]:
+        """Send a call with a large body on a connection of its own."""
+        connection = await self.pool.acquire(address)
+        fields = [*headers, (CALL_HEADER, encode(call))]
+        if body or request.method in BODY_METHODS:
+            fields.append((b"content-length", str(len(body)).encode()))
+        try:
+            await connection.send(request.method, request.target, fields, body)
+            answer = await connection.receive_head()
+            reply = decode_reply(answer.header(REPLY_HEADER), address)
+            result = await self.take(connection, answer)
+        except BaseException:
+            await self.pool.discard(connection)
+            raise
+        return reply.refusal(address) or result, reply
+
+    async def fetch_rest(self, address: str, name: str) -> Whole | Opened:
+        """Fetch an answer that was too large for a frame.
+
+        Raises:
+            PeerError: If it is not there any more.
+        """
+        connection = await self.pool.acquire(address)
+        try:
+            fields = [(b"host", address.encode())]
+            await connection.send("GET", REST_PREFIX + name, fields, b"")
+            answer = await connection.receive_head()
+            if answer.header(REPLY_HEADER):
+                raise connection.failure("the answer is gone", "fetch rest")
+            return await self.take(connection, answer)
+        except BaseException:
+            await self.pool.discard(connection)
+            raise
+
+    async def take(
+        self, connection: ClientConnection, answer: Answer
+    ) -> Whole | Opened:
+        """Hold an answer whole, or open it if it is large.
+
+        Raises:
+            PeerError: If it was cut.
+        """
+        whole, parts = await hold(answer)
+        if whole:
+            await self.pool.release(connection)
+            return Whole(answer.status, answer.headers, b"".join(parts))
+
+        async def close(complete: bool) -> None:
+            if complete:
+                await self.pool.release(connection)
+            else:
+                await self.pool.discard(connection)
+
+        return Opened(answer, parts, close)
+
+    async def lost(self, address: str, error: PeerError) -> None:
+        """Give up the connections to a node that one call failed on."""
+        if error.sent:
+            await self.pool.drop(address)
--- a/src/carawaywheel/mesh/settings.py
+++ b/src/carawaywheel/mesh/settings.py
@@ -12,7 +12,8 @@
 
     Attributes:
         callers: For clients and the local target's own calls.
-        peers: For other nodes.
+        peers: For checks of other nodes and their large bodies.
+        links: For the links of other nodes; the same port on every host.
         ready: For the platform's readiness checks.
         heartbeats: For the local target's heartbeats.
         metrics: For counters and histograms; empty for none.
@@ -21,6 +22,7 @@
 
     callers: str
     peers: str
+    links: str
     ready: str
     heartbeats: str
     metrics: str
--- a/src/carawaywheel/platform/boot.py
+++ b/src/carawaywheel/platform/boot.py
@@ -86,6 +86,7 @@
         listen=Listeners(
             callers=wire.listen.outbound,
             peers=wire.listen.inbound,
+            links=f"{wire.ip}:{ports[-1]}",
             ready=wire.listen.ready,
             heartbeats=wire.listen.control,
             metrics=f"{wire.ip}:{METRICS_PORT}" if has_metrics else "",
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -47,6 +47,7 @@
         self.sequence = 0
         self.running = 0
         self.most = 0
+        self.rejected = 0
         self.runs: list[dict[str, Any]] = []
 
     async def handle(self, request: Request) -> Response | None:
@@ -54,11 +55,14 @@
         if request.path == CONTROL_PATH:
             return await self.control(request.json())
         if request.path == RUNS_PATH:
-            return json_response({"runs": self.runs, "most": self.most})
+            return json_response(
+                {"runs": self.runs, "most": self.most, "rejected": self.rejected}
+            )
         headers = request.headers
         if headers.get("x-expected-instance") not in (None, self.identity):
             return json_response({}, 421)
         if self.mode == "shed":
+            self.rejected += 1
             body = b""
             return Response(503, [("x-not-executed", "1")], once(body), 0)
         return await self.work_on(request)
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -193,6 +193,13 @@
         runs = json.loads(answer.body)["runs"]
         return [run for run in runs if run["path"].startswith(prefix)]
 
+    def rejected(self, name):
+        """Return how many requests the target of a host rejected."""
+        answer = curio.run(
+            request, self.address(name, "app"), "GET", "/runs", [], b"", 5
+        )
+        return json.loads(answer.body)["rejected"]
+
     def order(self, name, **settings):
         """Change the behaviour of a target."""
         self.control(self.address(name, "app"), settings)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -76,6 +76,20 @@
         assert "x-response-signature" not in answer.headers
 
 
+def test_rejections_of_targets_count_as_repeats(platform):
+    start_pair(platform)
+    for name in ("h3", "h4", "h5"):
+        platform.start_host(name, "yard")
+    platform.wait_for(lambda: platform.log("h1", "host")[4:], "all are known")
+    for name in ("h2", "h3", "h4", "h5"):
+        platform.order(name, mode="shed")
+    for index in range(60):
+        platform.send("h1", f"/inner/{index}")
+    arrivals = sum(platform.rejected(name) for name in ("h2", "h3", "h4", "h5"))
+    # No client asked for this service, so the slack alone allows repeats.
+    assert arrivals - 60 <= 48
+
+
 def test_draining_target_receives_nothing_new(platform):
     start_pair(platform)
     platform.start_host("h3", "yard")
