--- a/src/carawaywheel/http.py
+++ b/src/carawaywheel/http.py
@@ -109,6 +109,8 @@
         peer: Address of the other side.
         gone: Whether the other side has closed the connection.
         last: Whether the connection closes after the current answer.
+        swept: Whether the listener closes the connection when it is idle for long,
+            which is cheaper than a timeout for each request.
     """
 
     def __init__(self, sock: Any, peer: str, budget: BodyBudget) -> None:
@@ -120,6 +122,7 @@
         self.gone = False
         self.last = False
         self.started = False
+        self.swept = False
         self.protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -136,7 +139,7 @@
         """
         event = self.parse()
         if event is h11.NEED_DATA:
-            data = await self.receive(IDLE_TIMEOUT_SECONDS)
+            data = await self.receive_first()
             if not data:
                 return None
             self.protocol.receive_data(data)
@@ -195,6 +198,12 @@
         except h11.RemoteProtocolError as error:
             raise ProtocolError(str(error), "read", self.peer) from error
 
+    async def receive_first(self) -> bytes:
+        """Read the first bytes of a request; empty if none came in the idle time."""
+        if self.swept:
+            return await self.receive_bytes()
+        return await self.receive(IDLE_TIMEOUT_SECONDS)
+
     async def receive(self, timeout: float) -> bytes:
         """Read some bytes; empty at the end or when none came in time."""
         try:
--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -22,6 +22,7 @@
 ACCEPT_RETRY_SECONDS = 0.05
 HANGUP_INTERVAL_SECONDS = 0.05
 IDLE_INTERVAL_SECONDS = 0.25
+SWEEP_SECONDS = 1.0
 HANGUP_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
@@ -86,7 +87,8 @@
     Attributes:
         address: IP address and port that callers use.
         connections: Open connections by file descriptor.
-        idle: File descriptors of connections on which no request runs.
+        idle: Connections on which no request runs, with the sweep that saw them first.
+        sweeps: Sweeps so far; None without sweeps.
         closing: Whether every answer ends its connection.
     """
 
@@ -107,7 +109,8 @@
         self.sock = sock
         self.address = format_address(sock.getsockname())
         self.connections: dict[int, ServerConnection] = {}
-        self.idle: set[int] = set()
+        self.idle: dict[int, int] = {}
+        self.sweeps: int | None = None
         self.closing = False
         self.on_protocol_error: Callable[[str], None] = lambda name: None
 
@@ -131,6 +134,7 @@
         fd = sock.fileno()
         connection = ServerConnection(sock, f"{address[0]}:{address[1]}", self.budget)
         connection.last = self.closing
+        connection.swept = self.sweeps is not None
         self.connections[fd] = connection
         tune_socket(sock, CALLER_SILENCE)
         self.watch.add(fd, await curio.current_task())
@@ -145,7 +149,7 @@
             self.on_protocol_error(self.name)
         finally:
             self.watch.remove(fd)
-            self.idle.discard(fd)
+            self.idle.pop(fd, None)
             del self.connections[fd]
             await sock.close()
 
@@ -153,9 +157,9 @@
         """Serve the requests of one connection, one after the other."""
         try:
             while True:
-                self.idle.add(fd)
+                self.idle[fd] = self.sweeps or 0
                 request = await connection.next_request()
-                self.idle.discard(fd)
+                self.idle.pop(fd, None)
                 if request is None:
                     return
                 await self.serve_one(connection, request, fd)
@@ -196,6 +200,21 @@
         for fd in self.idle:
             self.connections[fd].sock._socket.shutdown(socket.SHUT_RD)
 
+    async def run_sweeps(self, idle_seconds: Callable[[], float]) -> None:
+        """Close connections that stay idle for too long, until cancelled.
+
+        Args:
+            idle_seconds: Returns the longest time in seconds.
+        """
+        self.sweeps = 0
+        while True:
+            await curio.sleep(SWEEP_SECONDS)
+            self.sweeps += 1
+            oldest = self.sweeps - idle_seconds() / SWEEP_SECONDS
+            for fd, since in list(self.idle.items()):
+                if since < oldest:
+                    self.connections[fd].sock._socket.shutdown(socket.SHUT_RD)
+
     async def close(self) -> None:
         """Stop listening."""
         await self.sock.close()
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import time
+from functools import partial
 from typing import Any
 
 import curio
@@ -24,7 +25,7 @@
 from ..sockets import open_socket, split_address
 from .chains import ChainTable
 from .directory import Directory, HostRecord
-from .document import MeshConfiguration
+from .document import InputLimits, MeshConfiguration
 from .entry import EntryHandler
 from .execution import TargetRunner
 from .follower import StoreSync
@@ -49,6 +50,8 @@
 # Time before the end of the grace period at which the process ends in any case.
 STOP_MARGIN_SECONDS = 0.3
 STORE_TIMEOUT_SECONDS = 1.5
+# Clients that keep to the idle time must not find their connection closed.
+IDLE_MARGIN_SECONDS = 5.0
 # Connections that a listener accepts at most.
 MAX_CONNECTIONS = 2500
 # Part of the process's memory that buffered request bodies may take.
@@ -239,12 +242,22 @@
             self.run_settings,
         ]
         tasks += [listener.run for listener in self.listeners.values()]
+        tasks += [
+            partial(listener.run_sweeps, self.idle_seconds)
+            for listener in self.listeners.values()
+        ]
         async with curio.TaskGroup(wait=any) as group:
             for task in tasks:
                 await group.spawn(self.guard, task)
             await group.spawn(self.wait_for_stop)
         self.journal.flush()
 
+    def idle_seconds(self) -> float:
+        """Return the time in seconds after which idle connections are closed."""
+        configuration = self.directory.configuration
+        limits = configuration.limits if configuration else InputLimits()
+        return limits.idle_timeout + IDLE_MARGIN_SECONDS
+
     async def guard(self, task: Any) -> None:
         """Run a part; an error that nothing expected stops the node with its name."""
         try:
@@ -252,7 +265,11 @@
         except curio.CancelledError:
             raise
         except Exception as error:
-            self.journal.write("part_failed", part=task.__qualname__, error=repr(error))
+            self.journal.write(
+                "part_failed",
+                part=getattr(task, "__qualname__", str(task)),
+                error=repr(error),
+            )
             self.failed = True
 
     async def run_flushes(self) -> None:
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,40 @@
+"""Listeners: an idle connection is closed, a busy or fresh one is not."""
+
+import curio
+
+from carawaywheel.http import BodyBudget
+from carawaywheel.listener import HangupWatch, Listener, RequestHandler
+from carawaywheel.sockets import open_socket
+
+
+class Echo(RequestHandler):
+    async def handle(self, connection, request):
+        await connection.respond(200, [], request.path.encode())
+
+
+async def swept(idle_seconds, wait):
+    listener = Listener(
+        "test", open_socket("127.0.0.1", 0), Echo(), HangupWatch(), 10, BodyBudget(0)
+    )
+    host, port = listener.address.split(":")
+    tasks = [
+        await curio.spawn(listener.run, daemon=True),
+        await curio.spawn(listener.run_sweeps, lambda: idle_seconds, daemon=True),
+    ]
+    await curio.sleep(0)
+    client = await curio.open_connection(host, int(port))
+    await client.sendall(b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n")
+    assert b"200" in await client.recv(1000)
+    end = await curio.ignore_after(wait, client.recv, 1000)
+    for task in tasks:
+        await task.cancel()
+    await client.close()
+    return end
+
+
+def test_connection_that_stays_idle_is_closed():
+    assert curio.run(swept, 0.5, 5.0) == b""
+
+
+def test_connection_within_the_idle_time_is_kept():
+    assert curio.run(swept, 60.0, 1.5) is None
