--- a/src/carawaywheel/mesh/local.py
+++ b/src/carawaywheel/mesh/local.py
@@ -26,6 +26,7 @@
 
     async def handle(self, connection: ServerConnection, request: Request) -> None:
         """Answer one request; see the base class."""
+        await connection.read_body(0)
         status = 404
         if request.path == READY_PATH:
             status = 200 if self.ready() else 503
--- a/src/carawaywheel/mesh/metrics.py
+++ b/src/carawaywheel/mesh/metrics.py
@@ -18,6 +18,7 @@
         # Costs memory that a node needs only while somebody looks at it.
         from prometheus_client import CollectorRegistry, Counter, generate_latest
 
+        await connection.read_body(0)
         registry = CollectorRegistry()
         counter = Counter(
             "carawaywheel_events",
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -9,6 +9,7 @@
 
 class Echo(RequestHandler):
     async def handle(self, connection, request):
+        await connection.read_body(0)
         await connection.respond(200, [], request.path.encode())
 
 
