--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -204,6 +204,7 @@
         await deliver(connection, result, [])
         status = result.status if isinstance(result, Whole) else result.answer.status
         self.journal.count("answered", str(status // 100))
+        self.journal.observe(admission.route.name, self.clock.now() - started)
         if status >= 300:
             self.journal.write(
                 "failed_answer",
@@ -497,7 +498,6 @@
     ) -> None:
         """Tell a caller that its request failed or was not run."""
         status = status_of(refusal)
-        self.journal.count("refused", refusal.reason.value)
         self.journal.write(
             "refused",
             request=claims.attempt_id,
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -304,7 +304,6 @@
 
     def note_turned_away(self, call: Call, refusal: Refusal) -> None:
         """Record a call of another node that was refused here."""
-        self.journal.count("turned_away", refusal.reason.value)
         self.journal.write(
             "turned_away",
             request=call.attempt_id,
--- a/src/carawaywheel/mesh/journal.py
+++ b/src/carawaywheel/mesh/journal.py
@@ -1,5 +1,6 @@
 """Structured log: one JSON line for each decision, bounded and never blocking."""
 
+import bisect
 import os
 import time
 from collections import Counter
@@ -15,21 +16,44 @@
 # Bytes held while the reader of standard output is slow.
 BUFFER_BYTES = 256 * 1024
 
+# Upper bounds of the histogram of answers, in seconds: from one hop to a time limit.
+ANSWER_BOUNDS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0)
+
 encode = msgspec.json.encode
 
 
+class Histogram:
+    """Times of one kind, by upper bounds.
+
+    Attributes:
+        counts: Times in each bucket; the last one has no bound.
+        total: Sum of all times in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(ANSWER_BOUNDS) + 1)
+        self.total = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Count a time."""
+        self.counts[bisect.bisect_left(ANSWER_BOUNDS, seconds)] += 1
+        self.total += seconds
+
+
 class Journal:
     """Collects lines and writes what standard output takes.
 
     Attributes:
         node_id: Node that writes.
         counters: How often each event happened, with its outcome.
+        answers: Times to an answer, by route.
         dropped: Lines that were not written, by event.
     """
 
     def __init__(self, node_id: str) -> None:
         self.node_id = node_id
         self.counters: Counter[tuple[str, str]] = Counter()
+        self.answers: dict[str, Histogram] = {}
         self.dropped: Counter[str] = Counter()
         self.written: Counter[str] = Counter()
         self.second = 0
@@ -49,8 +73,16 @@
         """Count an event that needs no line."""
         self.counters[event, outcome] += 1
 
+    def observe(self, route: str, seconds: float) -> None:
+        """Count an answer in the histogram of its route."""
+        histogram = self.answers.get(route)
+        if histogram is None:
+            histogram = self.answers[route] = Histogram()
+        histogram.add(seconds)
+
     def write(self, event: str, **fields: Any) -> None:
-        """Add a line, unless there are too many of its kind in this second."""
+        """Count an event and add a line, unless there are too many in this second."""
+        self.count(event, str(fields.get("reason", "")))
         now = time.time()
         if int(now) != self.second:
             self.second = int(now)
--- a/src/carawaywheel/mesh/metrics.py
+++ b/src/carawaywheel/mesh/metrics.py
@@ -1,8 +1,11 @@
 """Counters and histograms, as text for the metrics address."""
 
+from collections.abc import Iterator
+from typing import Any
+
 from ..http import Request, ServerConnection
 from ..listener import RequestHandler
-from .journal import Journal
+from .journal import ANSWER_BOUNDS, Journal
 
 CONTENT_TYPE = (b"content-type", b"text/plain; version=0.0.4")
 
@@ -15,17 +18,52 @@
 
     async def handle(self, connection: ServerConnection, request: Request) -> None:
         """Answer one request; see the base class."""
-        # Costs memory that a node needs only while somebody looks at it.
-        from prometheus_client import CollectorRegistry, Counter, generate_latest
-
         await connection.read_body(0)
-        registry = CollectorRegistry()
-        counter = Counter(
+        await connection.respond(200, [CONTENT_TYPE], render(self.journal))
+
+
+class JournalCollector:
+    """Presents what a journal counted to the metrics library."""
+
+    def __init__(self, journal: Journal) -> None:
+        self.journal = journal
+
+    def collect(self) -> Iterator[Any]:
+        """Yield all counters and histograms."""
+        from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
+
+        events = CounterMetricFamily(
             "carawaywheel_events",
             "Decisions by event and outcome.",
-            ("event", "outcome"),
-            registry=registry,
+            labels=["event", "outcome"],
         )
-        for (event, outcome), count in self.journal.counters.items():
-            counter.labels(event, outcome).inc(count)
-        await connection.respond(200, [CONTENT_TYPE], generate_latest(registry))
+        for labels, count in self.journal.counters.items():
+            events.add_metric(list(labels), count)
+        yield events
+        answers = HistogramMetricFamily(
+            "carawaywheel_answer_seconds",
+            "Seconds until an answer was passed on.",
+            labels=["route"],
+        )
+        bounds = [*map(str, ANSWER_BOUNDS), "+Inf"]
+        for route, histogram in self.journal.answers.items():
+            total = 0
+            buckets = []
+            for bound, count in zip(bounds, histogram.counts, strict=True):
+                total += count
+                buckets.append((bound, float(total)))
+            answers.add_metric([route], buckets, histogram.total)
+        yield answers
+
+
+def render(journal: Journal) -> bytes:
+    """Return all figures as text.
+
+    The library is loaded at the first scrape: it takes 3 MB that a node needs only
+    while somebody looks at it.
+    """
+    from prometheus_client import CollectorRegistry, generate_latest
+
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(JournalCollector(journal))
+    return generate_latest(registry)
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,59 @@
+"""The log is bounded and never blocks; metrics count what the log leaves out."""
+
+import json
+import os
+
+from carawaywheel.mesh import journal as module
+from carawaywheel.mesh.journal import LINES_PER_SECOND, Journal
+from carawaywheel.mesh.metrics import render
+
+
+def lines_of(journal):
+    return [json.loads(line) for line in b"".join(journal.lines).splitlines()]
+
+
+def test_lines_of_one_event_are_bounded_and_the_rest_is_counted(monkeypatch):
+    monkeypatch.setattr(module.time, "time", lambda: 1000.5)
+    journal = Journal("n1")
+    for index in range(LINES_PER_SECOND + 50):
+        journal.write("shed", request=str(index))
+    journal.write("stop")
+    found = lines_of(journal)
+    assert len(found) == LINES_PER_SECOND + 1
+    assert journal.dropped["shed"] == 50
+    assert journal.counters["shed", ""] == LINES_PER_SECOND + 50
+
+
+def test_reader_that_does_not_read_blocks_nothing(monkeypatch):
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    monkeypatch.setattr(module, "STANDARD_OUTPUT", writer)
+    monkeypatch.setattr(module, "LINES_PER_SECOND", 1 << 30)
+    journal = Journal("n1")
+    for index in range(10_000):
+        journal.write("refused", request=str(index), reason="overload")
+        if index % 100 == 0:
+            journal.flush()
+    assert journal.held <= module.BUFFER_BYTES + 1000
+    assert journal.dropped["refused"] > 0
+    os.close(reader)
+    os.close(writer)
+
+
+def test_lines_name_their_event_and_inputs():
+    journal = Journal("n1")
+    journal.write("shed", request="a1", level=1.5)
+    (line,) = lines_of(journal)
+    assert line["event"] == "shed" and line["node"] == "n1"
+    assert line["request"] == "a1" and line["level"] == 1.5
+
+
+def test_metrics_count_events_and_times():
+    journal = Journal("n1")
+    journal.write("refused", reason="overload")
+    journal.observe("r-1", 0.03)
+    journal.observe("r-1", 9.0)
+    text = render(journal).decode()
+    assert 'carawaywheel_events_total{event="refused",outcome="overload"} 1.0' in text
+    assert 'carawaywheel_answer_seconds_bucket{le="0.05",route="r-1"} 1.0' in text
+    assert 'carawaywheel_answer_seconds_count{route="r-1"} 2.0' in text
