Move admission levels by arrivals instead of occupancy

Ruled out: chains that were not learned (shed names permit-office), old levels. Change: load = arrivals * service time / limit, one gain of 1 rank a second and unit.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -22,7 +22,7 @@
 from .chains import CallWeights, ChainTable
 from .exchange import Opened, Result, Whole, hold
 from .journal import Journal
-from .pressure import AdmissionLevel, LevelTable
+from .pressure import AdmissionLevel, LevelTable, load
 from .settings import CONNECT_SECONDS, HostSettings
 from .target import LocalTarget, Phase
 
@@ -52,6 +52,7 @@
         level: Ranks that the target takes.
         closing: Whether the node takes no more work for its target.
         running: Calls that wait or run.
+        offered: Calls that asked for a slot since the level was moved last.
     """
 
     def __init__(
@@ -78,6 +79,8 @@
         self.incarnation: tuple[str, int] | None = None
         self.closing = False
         self.running = 0
+        self.offered = 0
+        self.moved_at = clock.now()
         self.version = 0
         self.ids = itertools.count()
         self.set_targets(1)
@@ -134,6 +137,7 @@
             importance = Importance.CRITICAL
         ticket = Ticket(str(next(self.ids)), call.account, importance, deadline)
         self.running += 1
+        self.offered += 1
         try:
             refusal = await gate.enter(ticket)
             if refusal is not None:
@@ -356,5 +360,21 @@
             now = self.clock.now()
             if gate is not None:
                 await gate.poll()
-                self.level.update(self.occupancy, now)
+                self.move_level(gate, now)
             self.weights.tick(now)
+
+    def move_level(self, gate: Gate, now: float) -> None:
+        """Move the level by what was offered since the last time."""
+        elapsed = now - self.moved_at
+        if elapsed < IDLE_SECONDS:
+            return
+        queue = gate.queue
+        demand = load(
+            self.offered / elapsed,
+            queue.service_time.mean,
+            queue.queued,
+            queue.limit.limit(now),
+        )
+        self.level.update(demand, now)
+        self.offered = 0
+        self.moved_at = now
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -48,7 +48,7 @@
 # readiness checks, one a second, and a little more.
 LEAVE_SECONDS = 2.6
 # Time before the end of the grace period at which the process ends in any case.
-STOP_MARGIN_SECONDS = 0.3
+STOP_MARGIN_SECONDS = 0.7
 STORE_TIMEOUT_SECONDS = 1.5
 # Clients that keep to the idle time must not find their connection closed.
 IDLE_MARGIN_SECONDS = 5.0
--- a/src/carawaywheel/mesh/pressure.py
+++ b/src/carawaywheel/mesh/pressure.py
@@ -9,15 +9,18 @@
 
 from .calls import Demand
 
-# Share of the limit that is to be in use; the rest absorbs the variance of arrivals.
-OCCUPANCY_AIM = 0.88
-# Time constant of the mean occupancy, in seconds: a few service times.
-OCCUPANCY_SECONDS = 0.25
-# Ranks a second that the level falls for each unit of occupancy above the aim, and
-# rises for each unit below it.
-FALL = 1.6
-RISE = 0.9
-# Occupancy above the aim that counts, so that one long queue does not shut a service.
+# Demand as a share of the limit that is aimed at; the rest absorbs the variance of
+# arrivals.
+LOAD_AIM = 0.92
+# Time constant of the mean load, in seconds: a few service times.
+LOAD_SECONDS = 0.25
+# Ranks a second that the level moves for each unit of load off the aim. Stable while
+# this times the delay of the loop, a second or so for a deep chain, stays near one.
+GAIN = 1.0
+# Load that a queue as long as a fifth of the limit adds, so that it drains.
+QUEUE_LOAD = 0.3
+QUEUE_SHARE = 0.2
+# Load above the aim that counts, so that one clump does not shut a service.
 EXCESS_MAX = 1.0
 # Level below which no answer can lower it: most of rank 0 is always let through.
 LEVEL_MIN = 0.4
@@ -29,19 +32,35 @@
 LEAST_CALLS = 0.1
 
 
+def load(arrivals: float, service_time: float, queued: int, limit: int) -> float:
+    """Return the demand on a target as a share of its limit.
+
+    What is asked for is told from the arrivals, because the queue goes on growing for
+    as long as the level takes to have an effect.
+
+    Args:
+        arrivals: Requests a second.
+        service_time: Seconds that one of them holds a slot.
+        queued: Requests that wait for a slot.
+        limit: Slots in use at most.
+    """
+    waiting = min(1.0, queued / (QUEUE_SHARE * limit))
+    return arrivals * service_time / limit + QUEUE_LOAD * waiting
+
+
 class AdmissionLevel:
-    """Level of one target, moved by how full it is.
+    """Level of one target, moved by the demand on it.
 
     Attributes:
         level: Ranks that are taken.
         top: Level at which every rank is taken.
-        occupancy: Smoothed share of the limit that is in use or waited for.
+        load: Smoothed demand as a share of the limit.
     """
 
     def __init__(self, top: float) -> None:
         self.top = top
         self.level = top
-        self.occupancy = 0.0
+        self.load = 0.0
         self.updated_at: float | None = None
 
     def set_top(self, top: float) -> None:
@@ -51,17 +70,15 @@
             self.top = top
             self.level = top if at_top else min(self.level, top)
 
-    def update(self, occupancy: float, now: float) -> None:
-        """Move the level by the occupancy at ``now``, in seconds."""
+    def update(self, load: float, now: float) -> None:
+        """Move the level by the load at ``now``, in seconds."""
         if self.updated_at is None:
             self.updated_at = now
-        elapsed = min(now - self.updated_at, OCCUPANCY_SECONDS)
+        elapsed = min(now - self.updated_at, LOAD_SECONDS)
         self.updated_at = now
-        gain = min(1.0, elapsed / OCCUPANCY_SECONDS)
-        self.occupancy += gain * (occupancy - self.occupancy)
-        excess = min(self.occupancy - OCCUPANCY_AIM, EXCESS_MAX)
-        step = FALL if excess > 0 else RISE
-        self.level -= step * excess * elapsed
+        self.load += elapsed / LOAD_SECONDS * (load - self.load)
+        excess = min(self.load - LOAD_AIM, EXCESS_MAX)
+        self.level -= GAIN * excess * elapsed
         self.level = min(max(self.level, LEVEL_MIN), self.top)
 
 
@@ -104,7 +121,7 @@
         if heard is None:
             return float("inf")
         age = now - heard.heard_at - FRESH_SECONDS
-        return heard.level + RISE * age if age > 0 else heard.level
+        return heard.level + GAIN * age if age > 0 else heard.level
 
     def admits(
         self, demands: dict[str, float], priority: int, now: float
