--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -109,8 +109,9 @@
         if self.gate is None or self.incarnation != present:
             self.incarnation = present
             limit = FixedLimit(max(1, int(heartbeat.slots * USED_SHARE)))
+            # One line for all accounts, as calls of targets belong to none.
             queue = AdmissionQueue(
-                AdmissionSettings(), limit, heartbeat.slots, self.rng
+                AdmissionSettings(fair=False), limit, heartbeat.slots, self.rng
             )
             self.gate = Gate(self.target, queue, self.clock)  # type: ignore[arg-type]
         return self.gate
@@ -132,10 +133,9 @@
         gate = self.open_gate()
         assert gate is not None
         deadline = self.clock.now() + call.remaining
-        importance = Importance(min(call.priority, Importance.SHEDDABLE))
-        if call.from_target:
-            importance = Importance.CRITICAL
-        ticket = Ticket(str(next(self.ids)), call.account, importance, deadline)
+        ticket = Ticket(
+            str(next(self.ids)), call.account, importance_of(call), deadline
+        )
         self.running += 1
         self.offered += 1
         try:
@@ -378,3 +378,15 @@
         self.level.update(demand, now)
         self.offered = 0
         self.moved_at = now
+
+
+def importance_of(call: Call) -> Importance:
+    """Return the importance of a call in the queue.
+
+    A call of a target does not tell the rank of the request that it serves. It waits
+    in line with the second rank: behind it, the work above the call would be wasted,
+    and before it, the requests of the lowest rank would pass it by their calls.
+    """
+    if call.from_target:
+        return Importance.NORMAL
+    return Importance(min(call.priority, Importance.SHEDDABLE))
