Refuse queued calls as not run when the address was given to another target

Cause: after a 421 the target is unknown until its next heartbeat; calls that waited in the queue met an assertion, which broke their whole link and made them unknown (502). Found by reading; test_address_that_belongs_to_another_target_runs_nothing failed first ({200, 502, 503}). Change: they are refused as not run. Also splits entry.py.

--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -1,8 +1,6 @@
 """Requests of clients and of the local target's calls."""
 
-import math
 import random
-from typing import NamedTuple
 
 import curio
 
@@ -14,10 +12,11 @@
 from ..refusals import Outcome, Ran, Reason, Refusal
 from ..routing import Candidate, Router
 from ..sockets import split_address
+from .admitted import Admission, Progress, Spreader, status_of
 from .calls import Call, CallerClaims
 from .chains import ChainTable
 from .directory import Directory
-from .document import Account, MeshConfiguration, Repeat, Route
+from .document import Account, MeshConfiguration, Repeat
 from .exchange import Result, Whole, deliver
 from .execution import TargetRunner
 from .journal import Journal
@@ -61,86 +60,8 @@
 )
 
 
-class Admission(NamedTuple):
-    """A request that may be sent to a target.
-
-    Attributes:
-        claims: What the caller says.
-        route: Its route.
-        service: Service that is to run it.
-        account: Client account; None on a route that is open to all.
-        from_target: Whether the local target sent it while running another one.
-        echo: Whether it counts as repeated, as a call of a repeated request.
-        deadline: Deadline on the local clock, in seconds.
-    """
-
-    claims: CallerClaims
-    route: Route
-    service: str
-    account: Account | None
-    from_target: bool
-    echo: bool
-    deadline: float
-
-    @property
-    def priority(self) -> int:
-        """Rank of the request; that of its account goes before its route's."""
-        if self.account is not None and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
-
-
-class Progress:
-    """What has become of a request so far.
-
-    Attributes:
-        runs: Targets on which it may have run.
-        arrivals: Targets at which it may have arrived, those that rejected it included.
-        in_doubt: Whether a try is under way.
-        offered: Whether a try was under way at any time.
-        charged: Whether its account was charged.
-    """
-
-    def __init__(self) -> None:
-        self.runs = 0
-        self.arrivals = 0
-        self.in_doubt = False
-        self.offered = False
-        self.charged = False
-
-    @property
-    def ran(self) -> Ran:
-        """What may be said of the request if it ends now."""
-        return Ran.UNKNOWN if self.runs or self.in_doubt else Ran.NOT_RUN
-
-
-class Spreader:
-    """Divides the requests of a route over its services by weight, evenly."""
-
-    def __init__(self) -> None:
-        self.credit: dict[tuple[str, str], float] = {}
-
-    def choose(self, route: Route) -> str:
-        """Return the service of the next request."""
-        if len(route.shares) == 1:
-            return route.shares[0].service
-        total = sum(share.weight for share in route.shares)
-        best = ("", -math.inf)
-        for share in route.shares:
-            name = (route.name, share.service)
-            self.credit[name] = self.credit.get(name, 0.0) + share.weight / total
-            if self.credit[name] > best[1]:
-                best = (share.service, self.credit[name])
-        self.credit[route.name, best[0]] -= 1.0
-        return best[0]
-
-
 class EntryHandler(RequestHandler):
-    """Admits requests and sends them to the node beside a target.
-
-    Attributes:
-        closing: Whether the node is stopping.
-    """
+    """Admits requests and sends them to the node beside a target."""
 
     def __init__(
         self,
@@ -526,12 +447,3 @@
             ran=progress.ran.value,
             waited=round(self.clock.now() - started, 3),
         )
-
-
-def status_of(refusal: Refusal) -> int:
-    """Return the status for a caller; only a request that did not run gets 503."""
-    if refusal.ran is Ran.UNKNOWN:
-        return 504 if refusal.reason is Reason.DEADLINE else 502
-    if refusal.status in (502, 504):
-        return 503
-    return refusal.status
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -131,7 +131,8 @@
         if refusal is not None:
             return refusal
         gate = self.open_gate()
-        assert gate is not None
+        if gate is None:
+            return Refusal(Reason.NO_TARGET, Ran.NOT_RUN, None, "target")
         deadline = self.clock.now() + call.remaining
         ticket = Ticket(
             str(next(self.ids)), call.account, importance_of(call), deadline
@@ -203,7 +204,9 @@
         """Send a call to the target and take its answer."""
         peer = self.target.address
         heartbeat = self.target.heartbeat
-        assert heartbeat is not None
+        if heartbeat is None:
+            # The address was found to belong to another target meanwhile.
+            return Refusal(Reason.NO_TARGET, Ran.NOT_RUN, None, "target", peer)
         try:
             connection = await self.pool.acquire(peer)
         except PeerError as error:
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -115,6 +115,7 @@
         """Take an order of a test."""
         self.mode = order.get("mode", self.mode)
         self.work = order.get("work", self.work)
+        self.identity = order.get("identity", self.identity)
         if "phase" in order:
             self.phase = order["phase"]
             await self.beat()
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -76,6 +76,19 @@
         assert "x-response-signature" not in answer.headers
 
 
+def test_address_that_belongs_to_another_target_runs_nothing(platform):
+    start_pair(platform, "--slots", "4", "--work", "0.5")
+    answers = [platform.send_later("h1", f"/order/{i}", "POST") for i in range(12)]
+    platform.wait_for(lambda: len(platform.runs("h2", "/order/")) == 3, "three run")
+    platform.order("h2", identity="i-other")
+    found = [answer.result(8.0) for answer in answers]
+    assert {answer.status for answer in found} <= {200, 503}
+    refused = [answer for answer in found if answer.status == 503]
+    assert refused
+    assert {json.loads(answer.body)["ran"] for answer in refused} == {"not_run"}
+    assert not platform.log("h2", "call_failed")
+
+
 def test_rejections_of_targets_count_as_repeats(platform):
     start_pair(platform)
     for name in ("h3", "h4", "h5"):
