--- a/src/carawaywheel/mesh/local.py
+++ b/src/carawaywheel/mesh/local.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable, Callable
 
-from ..clock import Clock
 from ..errors import ProtocolError
 from ..http import JSON_HEADER, Request, ServerConnection
 from ..listener import RequestHandler
@@ -41,22 +40,19 @@
         target: LocalTarget,
         on_change: Callable[[], Awaitable[None]],
         journal: Journal,
-        clock: Clock,
     ) -> None:
         self.target = target
         self.on_change = on_change
         self.journal = journal
-        self.clock = clock
 
     async def handle(self, connection: ServerConnection, request: Request) -> None:
         """Answer one request; see the base class."""
         body = await connection.read_body(HEARTBEAT_BYTES)
         before = self.described()
-        now = self.clock.now()
         if request.method == "DELETE" and target_id(request.path):
-            self.target.leave(target_id(request.path), now)
+            self.target.leave(target_id(request.path))
         elif request.method == "PUT":
-            self.receive(request.path, body, now)
+            self.receive(request.path, body)
         else:
             await connection.respond(404, [JSON_HEADER], b"{}")
             return
@@ -65,14 +61,14 @@
             self.journal.write("target", target=str(self.target.heartbeat))
             await self.on_change()
 
-    def receive(self, path: str, body: bytes, now: float) -> None:
+    def receive(self, path: str, body: bytes) -> None:
         """Take a heartbeat; one that cannot be read changes nothing."""
         try:
             heartbeat = decode_heartbeat(path, body)
         except ProtocolError as error:
             self.journal.write("heartbeat_invalid", error=str(error))
             return
-        if not self.target.receive(heartbeat, now):
+        if not self.target.receive(heartbeat):
             self.journal.write("heartbeat_late", target=str(heartbeat))
 
     def described(self) -> tuple[object, ...]:
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -176,9 +176,7 @@
             "ready": (listen.ready, ReadyHandler(self.ready)),
             "heartbeats": (
                 listen.heartbeats,
-                HeartbeatHandler(
-                    self.target, self.note_target, self.journal, self.clock
-                ),
+                HeartbeatHandler(self.target, self.note_target, self.journal),
             ),
         }
         if listen.metrics:
--- a/src/carawaywheel/mesh/settings.py
+++ b/src/carawaywheel/mesh/settings.py
@@ -44,14 +44,12 @@
 
     Attributes:
         grace: Seconds between the request to stop and the kill.
-        drain: Seconds after which a leaving target must receive nothing new.
         retry_ratio: Repeats allowed as a share of the requests for a service.
         retry_window: Seconds over which repeats are counted.
         retry_slack: Repeats allowed in a window whatever the share.
     """
 
     grace: float = 6.0
-    drain: float = 2.0
     retry_ratio: float = 0.2
     retry_window: float = 10.0
     retry_slack: float = 48.0
@@ -67,7 +65,6 @@
         target_address: Address of the local target.
         listen: Addresses to listen on.
         store: The platform's store.
-        heartbeat: Seconds between two heartbeats of a target.
         bounds: Bounds of the installation.
         memory_bytes: Memory that the process may use.
     """
@@ -78,6 +75,5 @@
     target_address: str
     listen: Listeners
     store: StoreSettings
-    heartbeat: float
     bounds: Bounds
     memory_bytes: int
--- a/src/carawaywheel/mesh/start.py
+++ b/src/carawaywheel/mesh/start.py
@@ -8,6 +8,7 @@
 from ..errors import SettingsError
 from ..platform.boot import read_boot
 from .node import MeshNode
+from .settings import HostSettings
 
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -22,11 +23,11 @@
     except SettingsError as error:
         print(f"error: {error}", file=sys.stderr)
         return EXIT_USAGE
-    return curio.run(serve, MeshNode, settings, path)
+    return int(curio.run(serve, settings, path))
 
 
-async def serve(make_node, settings, path) -> int:  # type: ignore[no-untyped-def]
-    """Run a node inside curio."""
-    node = make_node(settings, path)
+async def serve(settings: HostSettings, path: str) -> int:
+    """Run a node inside curio; return the exit status."""
+    node = MeshNode(settings, path)
     await node.run()
     return EXIT_FAILED if node.failed else 0
--- a/src/carawaywheel/mesh/target.py
+++ b/src/carawaywheel/mesh/target.py
@@ -23,7 +23,6 @@
         phase: Whether it takes new work.
         incarnation: Start of the target in Unix milliseconds.
         sequence: Number of the heartbeat in this incarnation.
-        warmup: Seconds for which it stays slow after its start.
     """
 
     target_id: str
@@ -33,7 +32,6 @@
     phase: Phase
     incarnation: int
     sequence: int
-    warmup: float
 
 
 class LocalTarget:
@@ -41,19 +39,16 @@
 
     Attributes:
         heartbeat: Its newest heartbeat, None before the first one.
-        cold_until: Time until which it is slow, in seconds.
-        seen_at: Time of the newest heartbeat, in seconds.
+        gone: Start of each target that said that it leaves, by id.
     """
 
     def __init__(self, service: str, address: str) -> None:
         self.service = service
         self.address = address
         self.heartbeat: Heartbeat | None = None
-        self.cold_until = 0.0
-        self.seen_at = 0.0
         self.gone: dict[str, int] = {}
 
-    def receive(self, heartbeat: Heartbeat, now: float) -> bool:
+    def receive(self, heartbeat: Heartbeat) -> bool:
         """Take a heartbeat; return whether it is newer than what is known.
 
         A late heartbeat of a former incarnation changes nothing, and neither does
@@ -74,11 +69,9 @@
                     return False
                 heartbeat = heartbeat._replace(phase=max(known.phase, heartbeat.phase))
         self.heartbeat = heartbeat
-        self.cold_until = now + heartbeat.warmup
-        self.seen_at = now
         return True
 
-    def leave(self, target_id: str, now: float) -> None:
+    def leave(self, target_id: str) -> None:
         """Note that a target said that it is gone."""
         known = self.heartbeat
         if known is not None and known.target_id == target_id:
--- a/src/carawaywheel/platform/boot.py
+++ b/src/carawaywheel/platform/boot.py
@@ -31,7 +31,6 @@
     """Figures of the rules; ``budget_*`` are about repeats."""
 
     grace_s: float = Bounds().grace
-    drain_s: float = Bounds().drain
     retry_budget_ratio: float = Bounds().retry_ratio
     budget_window_s: float = Bounds().retry_window
     budget_slack: float = Bounds().retry_slack
@@ -54,7 +53,6 @@
     port_range: list[int]
     service: str = ""
     app_addr: str = ""
-    heartbeat_s: float = 1.5
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
 
@@ -93,10 +91,8 @@
             datagrams=f"{wire.ip}:{ports[-1]}",
         ),
         store=StoreSettings(wire.provider.address),
-        heartbeat=wire.heartbeat_s,
         bounds=Bounds(
             bounds.grace_s,
-            bounds.drain_s,
             bounds.retry_budget_ratio,
             bounds.budget_window_s,
             bounds.budget_slack,
--- a/src/carawaywheel/platform/heartbeats.py
+++ b/src/carawaywheel/platform/heartbeats.py
@@ -23,7 +23,6 @@
 
     phase: str
     sequence: int
-    warmup_left_s: float = 0.0
 
 
 class WireHeartbeat(msgspec.Struct):
@@ -66,7 +65,6 @@
         phase,
         wire.born,
         wire.status.sequence,
-        max(0.0, wire.status.warmup_left_s),
     )
 
 
