--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -50,9 +50,6 @@
 # Time before the end of the grace period at which the process ends in any case.
 STOP_MARGIN_SECONDS = 0.7
 STORE_TIMEOUT_SECONDS = 1.5
-# New objects after which the collector runs; a request makes a few hundred, nearly all
-# of which are freed at once by their counts.
-COLLECT_OBJECTS = 20_000
 # Clients that keep to the idle time must not find their connection closed.
 IDLE_MARGIN_SECONDS = 5.0
 # Connections that a listener accepts at most.
@@ -228,7 +225,6 @@
         # Long pauses of the collector come from objects that live as long as the node.
         gc.collect()
         gc.freeze()
-        gc.set_threshold(COLLECT_OBJECTS)
         tasks = [
             self.watch.run,
             self.sock.run,
