Run pipelined reads side by side

These clients send a read before the earlier one is answered, and a connection served one request at a time. Ruled out: the queue beside the target (57% of its slots in use). Change: a request without a body that may be repeated starts at once; answers are sent in the order of the requests. Anything else keeps its place. The side of a connection that answers moves from http.py to answering.py.

--- a/src/carawaywheel/admin.py
+++ b/src/carawaywheel/admin.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .administration import ChangeService, describe
+from .answering import JSON_HEADER, ServerExchange, json_body, refusal_body
 from .bodies import (
     ForgetRequest,
     KeyRequest,
@@ -24,7 +25,7 @@
 from .events import encode_events
 from .fleet import FleetService
 from .headers import AUTHORIZATION_HEADER, bearer_key
-from .http import JSON_HEADER, Request, ServerConnection, json_body, refusal_body
+from .http import Request
 from .listener import RequestHandler
 from .policies import PolicyDocument, check, difference, parse
 from .records import (
@@ -84,7 +85,7 @@
             "/fleet/summaries": self.show_summaries,
         }
 
-    async def handle(self, connection: ServerConnection, request: Request) -> None:
+    async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Answer one request of the local target or of an operator."""
         body = await connection.read_body(MAX_BODY_BYTES)
         if request.path == "/announce":
@@ -103,7 +104,7 @@
             await handler(connection, token, body)
 
     async def announce(
-        self, connection: ServerConnection, request: Request, body: bytes
+        self, connection: ServerExchange, request: Request, body: bytes
     ) -> None:
         """Take the announcement of the local target.
 
@@ -121,7 +122,7 @@
         await self.reply(connection, {})
 
     async def authorise(
-        self, connection: ServerConnection, token: str, path: str
+        self, connection: ServerExchange, token: str, path: str
     ) -> str | None:
         """Return the author that a token stands for, or refuse the request."""
         author = self.state.configuration.authorise(token, path)
@@ -131,7 +132,7 @@
         return author
 
     async def publish(
-        self, connection: ServerConnection, token: str, body: bytes
+        self, connection: ServerExchange, token: str, body: bytes
     ) -> None:
         """Publish a policy, or show what a publication would change."""
         wanted = decode_body(body, PolicyRequest, connection.peer)
@@ -171,7 +172,7 @@
 
     async def publish_document(
         self,
-        connection: ServerConnection,
+        connection: ServerExchange,
         document: PolicyDocument,
         base: int,
         author: str,
@@ -202,7 +203,7 @@
         await self.reply(connection, plain)
 
     async def rollback(
-        self, connection: ServerConnection, token: str, body: bytes
+        self, connection: ServerExchange, token: str, body: bytes
     ) -> None:
         """Publish an earlier version of a policy as a new change."""
         wanted = decode_body(body, RollbackRequest, connection.peer)
@@ -223,9 +224,7 @@
             connection, document, held.version, author, wanted["reason"], wanted, lines
         )
 
-    async def issue(
-        self, connection: ServerConnection, token: str, body: bytes
-    ) -> None:
+    async def issue(self, connection: ServerExchange, token: str, body: bytes) -> None:
         """Issue a key."""
         wanted = decode_body(body, KeyRequest, connection.peer)
         author = await self.authorise(connection, token, policy_path(wanted["team"]))
@@ -251,7 +250,7 @@
         await self.reply(connection, describe(result) | {"change_id": change_id})
 
     async def withdraw(
-        self, connection: ServerConnection, token: str, body: bytes
+        self, connection: ServerExchange, token: str, body: bytes
     ) -> None:
         """Withdraw a key everywhere."""
         wanted = decode_body(body, WithdrawRequest, connection.peer)
@@ -275,7 +274,7 @@
         await self.reply(connection, describe(result))
 
     async def set_token(
-        self, connection: ServerConnection, token: str, body: bytes
+        self, connection: ServerExchange, token: str, body: bytes
     ) -> None:
         """Set a team's token; needs the root token."""
         wanted = decode_body(body, TokenRequest, connection.peer)
@@ -297,9 +296,7 @@
         result = await self.changes.change(record, change_id)
         await self.reply(connection, describe(result) | {"change_id": change_id})
 
-    async def forget(
-        self, connection: ServerConnection, token: str, body: bytes
-    ) -> None:
+    async def forget(self, connection: ServerExchange, token: str, body: bytes) -> None:
         """Declare a node gone, so that others take its slots; needs the root token."""
         wanted = decode_body(body, ForgetRequest, connection.peer)
         author = await self.authorise(connection, token, TEAMS)
@@ -324,7 +321,7 @@
         await self.reply(connection, plain, 200 if taken else 503)
 
     async def show(
-        self, connection: ServerConnection, token: str, request: Request
+        self, connection: ServerExchange, token: str, request: Request
     ) -> None:
         """Show the policy of a team and its versions."""
         team = query_of(request).get("team", "")
@@ -349,7 +346,7 @@
         await self.reply(connection, {"path": path, "versions": versions})
 
     async def list_keys(
-        self, connection: ServerConnection, token: str, request: Request
+        self, connection: ServerExchange, token: str, request: Request
     ) -> None:
         """List the keys of a team without their texts."""
         team = query_of(request).get("team", "")
@@ -371,14 +368,14 @@
         await self.reply(connection, {"team": team, "keys": keys})
 
     async def show_status(
-        self, connection: ServerConnection, token: str, request: Request
+        self, connection: ServerExchange, token: str, request: Request
     ) -> None:
         """Show the status of all nodes; any valid token may ask."""
         if await self.authorise_reader(connection, token, request):
             await self.reply(connection, await self.fleet.status())
 
     async def show_events(
-        self, connection: ServerConnection, token: str, request: Request
+        self, connection: ServerExchange, token: str, request: Request
     ) -> None:
         """Send the merged events of all nodes."""
         if not await self.authorise_reader(connection, token, request):
@@ -389,7 +386,7 @@
         await connection.respond(200, headers, encode_events(events))
 
     async def show_summaries(
-        self, connection: ServerConnection, token: str, request: Request
+        self, connection: ServerExchange, token: str, request: Request
     ) -> None:
         """Send the summaries of all nodes that the log still has."""
         if not await self.authorise_reader(connection, token, request):
@@ -399,7 +396,7 @@
         await connection.respond(200, [BINARY_HEADER], body)
 
     async def authorise_reader(
-        self, connection: ServerConnection, token: str, request: Request
+        self, connection: ServerExchange, token: str, request: Request
     ) -> bool:
         """Return whether a token may read what concerns the whole fleet."""
         team = query_of(request).get("team", "")
@@ -407,7 +404,7 @@
         return await self.authorise(connection, token, path) is not None
 
     async def reply(
-        self, connection: ServerConnection, value: object, status: int = 200
+        self, connection: ServerExchange, value: object, status: int = 200
     ) -> None:
         """Send a JSON answer."""
         await connection.respond(status, [JSON_HEADER], json_body(value))
--- a/src/carawaywheel/entry.py
+++ b/src/carawaywheel/entry.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from .answering import JSON_HEADER, ServerExchange, refusal_body
 from .charging import ChargingService
 from .claiming import Claimed, ClaimingService
 from .clock import Clock
@@ -18,7 +19,7 @@
     bearer_key,
     holds_key,
 )
-from .http import JSON_HEADER, Headers, Request, ServerConnection, refusal_body
+from .http import Headers, Request
 from .levels import Level, LevelTable
 from .listener import RequestHandler
 from .recorder import Recorder
@@ -60,7 +61,7 @@
         self.clock = clock
         self.max_body = max_body
 
-    async def handle(self, connection: ServerConnection, request: Request) -> None:
+    async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Answer one request of a caller or of the local target."""
         started = self.clock.now()
         flight = self.in_flight.get(request.header(REQUEST_ID_HEADER))
@@ -71,7 +72,7 @@
 
     async def handle_caller(
         self,
-        connection: ServerConnection,
+        connection: ServerExchange,
         request: Request,
         started: float,
     ) -> None:
@@ -142,7 +143,7 @@
 
     async def handle_subcall(
         self,
-        connection: ServerConnection,
+        connection: ServerExchange,
         request: Request,
         flight: Flight,
         started: float,
@@ -186,7 +187,7 @@
 
     async def run(
         self,
-        connection: ServerConnection,
+        connection: ServerExchange,
         request: Request,
         body: bytes,
         context: RequestContext,
@@ -261,7 +262,7 @@
 
     async def answer(
         self,
-        connection: ServerConnection,
+        connection: ServerExchange,
         call: Call,
         exchange: Exchange,
         flight: Flight | None,
@@ -295,7 +296,7 @@
 
     async def refuse_unknown(
         self,
-        connection: ServerConnection,
+        connection: ServerExchange,
         request: Request,
         root_id: str,
         refusal: Refusal,
@@ -308,7 +309,7 @@
 
     async def refuse(
         self,
-        connection: ServerConnection,
+        connection: ServerExchange,
         context: RequestContext,
         refusal: Refusal,
         in_rate: bool,
@@ -318,7 +319,7 @@
         await self.write_refusal(connection, refusal, context.root_id)
 
     async def write_refusal(
-        self, connection: ServerConnection, refusal: Refusal, root_id: str
+        self, connection: ServerExchange, refusal: Refusal, root_id: str
     ) -> None:
         """Send a refusal."""
         headers = [JSON_HEADER, (REQUEST_ID_HEADER, root_id.encode())]
--- a/src/carawaywheel/http.py
+++ b/src/carawaywheel/http.py
@@ -4,38 +4,35 @@
 abandoned or broken is closed and never reused.
 """
 
-import json
 import re
-from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 import curio
 from curio import socket
 from curio.traps import _read_wait
 
+from .answering import ServerExchange
 from .errors import ProtocolError
 from .framing import (
     CLOSED,
     END,
     NEED_DATA,
-    BodyWriter,
     Data,
     Event,
     FramingError,
     Headers,
     RequestHead,
     RequestReader,
-    encode_answer_head,
 )
-from .refusals import Refusal
 
 MAX_HEAD_BYTES = 16 * 1024
 PATH = re.compile(rb"/[!-~]*")
 READ_BYTES = 64 * 1024
 HEAD_TIMEOUT_SECONDS = 10.0
+# Requests of a connection after which a look-ahead may find that it is pipelined.
+PIPELINE_CHECKS = 4
 IDLE_TIMEOUT_SECONDS = 75.0
 BODY_TIMEOUT_SECONDS = 30.0
-WRITE_TIMEOUT_SECONDS = 30.0
 
 
 class SilenceLimits(NamedTuple):
@@ -61,8 +58,6 @@
 SERVER_SILENCE = SilenceLimits(1, 1, 2, 1_500)
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-CLOSE_HEADER = (b"connection", b"close")
-JSON_HEADER = (b"content-type", b"application/json")
 
 
 class Request(NamedTuple):
@@ -115,37 +110,31 @@
         self.held -= size
 
 
-class ServerConnection:
+class ServerConnection(ServerExchange):
     """One connection of a caller or a peer.
 
     Attributes:
-        sock: curio socket.
-        peer: Address of the other side.
-        gone: Whether the other side has closed the connection.
         last: Whether the connection closes after the current answer.
         swept: Whether the listener closes the connection when it is idle for long,
             which is cheaper than a timeout for each request.
-        started: Whether a part of the answer was sent.
-        finished: Whether the whole answer was sent.
+        pipelined: Whether the other side sends requests before earlier ones are
+            answered.
         ended: Whether the whole request was read.
     """
 
     def __init__(self, sock: Any, peer: str, budget: BodyBudget) -> None:
-        self.sock = sock
-        self.peer = peer
+        super().__init__(sock, peer)
         self.budget = budget
         self.buffered = 0
         self.announced = 0
-        self.gone = False
         self.last = False
-        self.started = False
-        self.finished = False
         self.ended = False
         self.expects_continue = False
-        self.without_body = False
+        self.bodiless = False
         self.swept = False
+        self.pipelined = False
+        self.checks = PIPELINE_CHECKS
         self.reader = RequestReader(MAX_HEAD_BYTES)
-        self.writer: BodyWriter | None = None
 
     async def next_request(self) -> Request | None:
         """Wait for the head of the next request.
@@ -181,6 +170,8 @@
             raise ProtocolError("HTTP/1.1 is required", "read head", self.peer)
         check_head(head, self.peer)
         self.announced = content_length(head.headers)
+        names = [name for name, _ in head.headers]
+        self.bodiless = not self.announced and b"transfer-encoding" not in names
         self.expects_continue = (b"expect", b"100-continue") in head.headers
         self.without_body = head.method == b"HEAD"
         self.last = self.last or not self.reader.keep_alive
@@ -262,6 +253,8 @@
         if self.announced > limit:
             raise self.too_large(limit)
         parts: list[bytes] = []
+        if self.ended:
+            return b""
         while True:
             event = await self.next_event(BODY_TIMEOUT_SECONDS)
             if event is END:
@@ -301,79 +294,26 @@
             f"the body is larger than {limit} bytes", "read body", self.peer
         )
 
-    async def write(self, data: bytes) -> None:
-        """Send bytes.
-
-        Raises:
-            ProtocolError: If the other side is gone or does not read.
-        """
-        try:
-            # Most answers fit the socket's buffer and need no timeout.
-            rest = data[send_some(self.sock, data) :]
-            if rest:
-                await curio.timeout_after(
-                    WRITE_TIMEOUT_SECONDS, self.sock.sendall, rest
-                )
-        except (OSError, curio.TaskTimeout) as error:
-            self.gone = True
-            raise ProtocolError("the answer was not taken", "write", self.peer) from (
-                error
-            )
-
-    async def respond(
-        self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes
-    ) -> None:
-        """Send a complete answer in one write."""
-        fields = [*headers, (b"content-length", str(len(body)).encode())]
-        if self.last:
-            fields.append(CLOSE_HEADER)
-        head = self.encode_fields(status, fields)
-        self.started = self.finished = True
-        await self.write(head if self.without_body else head + body)
-
-    def encode_fields(self, status: int, fields: Headers) -> bytes:
-        """Encode the head of an answer.
-
-        Raises:
-            ProtocolError: If a header is not valid.
-        """
-        try:
-            return encode_answer_head(status, fields)
-        except FramingError as error:
-            raise ProtocolError(str(error), "write", self.peer) from error
-
-    def encode_head(self, status: int, headers: Headers) -> bytes:
-        """Encode the head of a streamed answer, to be sent with its first bytes."""
-        self.started = True
-        self.writer = BodyWriter(status, headers, self.without_body)
-        fields = [*headers, CLOSE_HEADER] if self.last else headers
-        return self.encode_fields(status, fields)
-
-    def encode_data(self, data: bytes) -> bytes:
-        """Encode a part of the body of a streamed answer.
-
-        Raises:
-            ProtocolError: If more bytes come than the head announced.
-        """
-        assert self.writer is not None
-        try:
-            return self.writer.encode(data)
-        except FramingError as error:
-            raise ProtocolError(str(error), "write", self.peer) from error
+    def is_whole(self) -> bool:
+        """Return whether the request has arrived whole and has no body."""
+        return self.bodiless and (self.ended or self.parse() is END)
 
-    def encode_end(self) -> bytes:
-        """Encode the end of a streamed answer.
+    def is_pipelined(self) -> bool:
+        """Return whether requests arrive before earlier ones are answered."""
+        self.pipelined = self.pipelined or bool(self.reader.events)
+        return self.pipelined
 
-        Raises:
-            ProtocolError: If fewer bytes were sent than the head announced.
-        """
-        assert self.writer is not None
+    def look_ahead(self) -> None:
+        """Read what arrived before the last request was answered."""
+        if self.is_pipelined() or not self.checks or not self.reader.idle:
+            return
+        self.checks -= 1
         try:
-            end = self.writer.end()
-        except FramingError as error:
-            raise ProtocolError(str(error), "write", self.peer) from error
-        self.finished = True
-        return end
+            self.reader.feed(self.sock._socket.recv(READ_BYTES))
+        except OSError:
+            # Nothing has arrived, or the next read fails in the same way.
+            return
+        self.is_pipelined()
 
     def reuse(self) -> bool:
         """Prepare for the next request; False if the connection must close."""
@@ -383,15 +323,6 @@
         self.writer = None
         return True
 
-    async def refuse_input(self, error: ProtocolError) -> None:
-        """Answer malformed input with an error, if an answer can still be sent."""
-        if self.started:
-            return
-        status = bad_input_status(error)
-        body = json_body({"reason": "bad_request", "detail": error.message})
-        self.last = True
-        await self.respond(status, [JSON_HEADER], body)
-
 
 def check_head(head: RequestHead, peer: str) -> None:
     """Refuse heads that are too large and targets that are not a plain path.
@@ -418,35 +349,6 @@
     return 0
 
 
-def bad_input_status(error: ProtocolError) -> int:
-    """Return the HTTP status for malformed input."""
-    if error.message.startswith("the body is larger"):
-        return 413
-    if error.message.startswith("the head is larger"):
-        return 431
-    if error.message.startswith("too many"):
-        return 503
-    return 400
-
-
-def json_body(value: Any) -> bytes:
-    """Encode a value as one line of JSON."""
-    return json.dumps(value, separators=(",", ":")).encode() + b"\n"
-
-
-def refusal_body(refusal: Refusal) -> bytes:
-    """Encode a refusal for a caller."""
-    return json_body(
-        {
-            "reason": refusal.reason.value,
-            "ran": refusal.ran.value,
-            "retry_after": refusal.retry_after,
-            "step": refusal.step,
-            "peer": refusal.peer,
-        }
-    )
-
-
 async def receive_some(sock: Any, size: int) -> bytes:
     """Wait for bytes on a curio socket and read them; empty at the end.
 
@@ -476,19 +378,6 @@
     return sock
 
 
-def send_some(sock: Any, data: bytes) -> int:
-    """Send what the socket takes without waiting; return the number of bytes.
-
-    Raises:
-        OSError: If the connection is broken.
-    """
-    try:
-        sent: int = sock._socket.send(data)
-    except (BlockingIOError, InterruptedError):
-        return 0
-    return sent
-
-
 def tune_socket(sock: Any, limits: SilenceLimits) -> None:
     """Send small writes at once and notice connections that went silent.
 
--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -9,6 +9,7 @@
 import curio
 from loguru import logger
 
+from .answering import ServerExchange
 from .datagrams import format_address
 from .errors import ProtocolError
 from .http import (
@@ -18,6 +19,7 @@
     ServerConnection,
     tune_socket,
 )
+from .pipelining import MOST_TURNS, Line, Turn
 
 ACCEPT_RETRY_SECONDS = 0.05
 HANGUP_INTERVAL_SECONDS = 0.05
@@ -30,13 +32,21 @@
     """Handles the requests of one listener."""
 
     @abstractmethod
-    async def handle(self, connection: ServerConnection, request: Request) -> None:
+    async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Answer one request on its connection.
 
         Raises:
             ProtocolError: If the exchange broke; the connection is then closed.
         """
 
+    def may_overlap(self, request: Request) -> bool:
+        """Return whether a request may run before earlier ones are answered.
+
+        One that must not be repeated may not: the caller sends it again if an earlier
+        answer closes the connection.
+        """
+        return False
+
 
 class HangupWatch:
     """Cancels the tasks of callers that closed their connection.
@@ -154,25 +164,87 @@
             await sock.close()
 
     async def serve_requests(self, connection: ServerConnection, fd: int) -> None:
-        """Serve the requests of one connection, one after the other."""
+        """Serve the requests of one connection, side by side where that is allowed."""
+        line = Line(connection)
         try:
             while True:
-                self.idle[fd] = self.sweeps or 0
+                if not line.turns:
+                    self.idle[fd] = self.sweeps or 0
                 request = await connection.next_request()
                 self.idle.pop(fd, None)
                 if request is None:
                     return
-                await self.serve_one(connection, request, fd)
-                if not connection.reuse():
+                if not await self.serve_next(connection, request, line, fd):
+                    await line.wait()
                     return
         except ProtocolError as error:
             self.on_protocol_error(self.name)
+            await line.wait()
             await self.answer_bad_input(connection, error)
+        finally:
+            connection.gone = True
+            await line.cancel()
+
+    async def serve_next(
+        self, connection: ServerConnection, request: Request, line: Line, fd: int
+    ) -> bool:
+        """Serve a request, or begin to; return whether another one may follow."""
+        overlaps = connection.is_whole() and connection.is_pipelined()
+        if overlaps and self.handler.may_overlap(request):
+            await line.wait(MOST_TURNS - 1)
+            turn = line.add()
+            turn.task = await curio.spawn(
+                self.serve_turn, turn, request, line, fd, daemon=True
+            )
+            connection.finished = True
+            return connection.reuse()
+        await line.wait()
+        await self.serve_one(connection, request, fd)
+        if not connection.reuse():
+            return False
+        connection.look_ahead()
+        return True
+
+    async def serve_turn(
+        self, turn: Turn, request: Request, line: Line, fd: int
+    ) -> None:
+        """Run the handler for a request that others of its connection overlap."""
+        self.watch.busy.add(fd)
+        whole = False
+        try:
+            await self.handler.handle(turn, request)
+            whole = turn.finished
+        except (OSError, ProtocolError):
+            self.on_protocol_error(self.name)
+        except Exception:
+            # A fault in the handling of one request must not end the node.
+            logger.exception("request on {} from {} failed", self.name, turn.peer)
+            self.on_protocol_error(self.name)
+        finally:
+            await self.end_turn(turn, line, fd, whole)
+
+    async def end_turn(self, turn: Turn, line: Line, fd: int, whole: bool) -> None:
+        """Let the next answer of a connection follow, or end the connection."""
+        try:
+            if not whole:
+                await line.cancel(after=turn)
+                await turn.wait_turn()
+            if turn.connection.gone or fd not in self.connections:
+                return
+            if not whole or turn.last:
+                turn.connection.gone = True
+                turn.sock._socket.shutdown(socket.SHUT_RD)
+        finally:
+            await line.finish(turn)
+            if not line.turns and not turn.connection.gone:
+                self.watch.busy.discard(fd)
+                self.idle[fd] = self.sweeps or 0
 
     async def serve_one(
         self, connection: ServerConnection, request: Request, fd: int
     ) -> None:
         """Run the handler; a caller that goes away meanwhile cancels it."""
+        self.idle.pop(fd, None)
         self.watch.busy.add(fd)
         try:
             await self.handler.handle(connection, request)
--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -4,9 +4,10 @@
 
 import curio
 
+from ..answering import JSON_HEADER, ServerExchange, refusal_body
 from ..clock import Clock
 from ..errors import PeerError, ProtocolError
-from ..http import JSON_HEADER, Request, ServerConnection, refusal_body
+from ..http import Request
 from ..listener import RequestHandler
 from ..platform.headers import decode_request
 from ..refusals import Outcome, Ran, Reason, Refusal
@@ -93,7 +94,16 @@
         self.spreader = Spreader()
         self.own_ip = settings.target_address.rpartition(":")[0]
 
-    async def handle(self, connection: ServerConnection, request: Request) -> None:
+    def may_overlap(self, request: Request) -> bool:
+        """Return whether a request may be repeated; see the base class."""
+        configuration = self.directory.configuration
+        if configuration is None:
+            return False
+        host = decode_request(request).host
+        route = configuration.route(host, request.path)
+        return route is not None and route.repeat is Repeat.IDEMPOTENT
+
+    async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Answer one request; see the base class."""
         started = self.clock.now()
         claims = decode_request(request)
@@ -139,7 +149,7 @@
     def admit(
         self,
         configuration: MeshConfiguration,
-        connection: ServerConnection,
+        connection: ServerExchange,
         request: Request,
         claims: CallerClaims,
         now: float,
@@ -191,7 +201,7 @@
 
     async def send_in_time(
         self,
-        connection: ServerConnection,
+        connection: ServerExchange,
         admission: Admission,
         request: Request,
         limit: int,
@@ -226,7 +236,7 @@
 
     async def read_and_send(
         self,
-        connection: ServerConnection,
+        connection: ServerExchange,
         admission: Admission,
         request: Request,
         limit: int,
@@ -407,7 +417,7 @@
 
     async def refuse(
         self,
-        connection: ServerConnection,
+        connection: ServerExchange,
         claims: CallerClaims,
         refusal: Refusal,
         started: float,
--- a/src/carawaywheel/mesh/exchange.py
+++ b/src/carawaywheel/mesh/exchange.py
@@ -3,8 +3,9 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from ..answering import ServerExchange
 from ..headers import forwarded_answer_headers
-from ..http import Headers, ServerConnection
+from ..http import Headers
 from ..pool import Answer
 from ..refusals import Refusal
 from ..streaming import pass_on_rest
@@ -66,7 +67,7 @@
 
 
 async def deliver(
-    connection: ServerConnection, result: Whole | Opened, extra: Headers
+    connection: ServerExchange, result: Whole | Opened, extra: Headers
 ) -> None:
     """Pass an answer on to the other side of a connection.
 
--- a/src/carawaywheel/mesh/inbound.py
+++ b/src/carawaywheel/mesh/inbound.py
@@ -2,9 +2,10 @@
 
 import curio
 
+from ..answering import ServerExchange
 from ..errors import ProtocolError
 from ..headers import HOP_BY_HOP, INTERNAL_PREFIX
-from ..http import Headers, Request, ServerConnection
+from ..http import Headers, Request
 from ..listener import RequestHandler
 from ..refusals import Ran, Reason, Refusal
 from .calls import CALL_HEADER, REPLY_HEADER, decode_call, encode
@@ -35,7 +36,7 @@
         self.rests: dict[str, Opened] = {}
         self.names = 0
 
-    async def handle(self, connection: ServerConnection, request: Request) -> None:
+    async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Answer one request; see the base class."""
         if request.path.startswith(REST_PREFIX):
             await self.send_rest(connection, request.path.removeprefix(REST_PREFIX))
@@ -44,7 +45,7 @@
         else:
             await self.news.answer(connection, request)
 
-    async def answer_call(self, connection: ServerConnection, request: Request) -> None:
+    async def answer_call(self, connection: ServerExchange, request: Request) -> None:
         """Run a call of another node at the local target."""
         call = decode_call(request.header(CALL_HEADER), connection.peer)
         self.news.heard_version(call.version)
@@ -78,7 +79,7 @@
             self.journal.count("rest_not_fetched")
             await result.close(False)
 
-    async def send_rest(self, connection: ServerConnection, name: str) -> None:
+    async def send_rest(self, connection: ServerExchange, name: str) -> None:
         """Send an answer that was kept."""
         await connection.read_body(0)
         result = self.rests.pop(name, None)
--- a/src/carawaywheel/mesh/links.py
+++ b/src/carawaywheel/mesh/links.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from ..answering import send_some
 from ..errors import PeerError, ProtocolError
 from ..http import (
     READ_BYTES,
@@ -17,7 +18,6 @@
     Request,
     open_connection,
     receive_some,
-    send_some,
     tune_socket,
 )
 from ..listener import ACCEPT_RETRY_SECONDS
--- a/src/carawaywheel/mesh/local.py
+++ b/src/carawaywheel/mesh/local.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Awaitable, Callable
 
+from ..answering import JSON_HEADER, ServerExchange
 from ..errors import ProtocolError
-from ..http import JSON_HEADER, Request, ServerConnection
+from ..http import Request
 from ..listener import RequestHandler
 from ..platform.heartbeats import (
     ACKNOWLEDGEMENT,
@@ -23,7 +24,7 @@
     def __init__(self, ready: Callable[[], bool]) -> None:
         self.ready = ready
 
-    async def handle(self, connection: ServerConnection, request: Request) -> None:
+    async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Answer one request; see the base class."""
         await connection.read_body(0)
         status = 404
@@ -45,7 +46,7 @@
         self.on_change = on_change
         self.journal = journal
 
-    async def handle(self, connection: ServerConnection, request: Request) -> None:
+    async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Answer one request; see the base class."""
         body = await connection.read_body(HEARTBEAT_BYTES)
         before = self.described()
--- a/src/carawaywheel/mesh/metrics.py
+++ b/src/carawaywheel/mesh/metrics.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterator
 from typing import Any
 
-from ..http import Request, ServerConnection
+from ..answering import ServerExchange
+from ..http import Request
 from ..listener import RequestHandler
 from .journal import ANSWER_BOUNDS, Journal
 
@@ -16,7 +17,7 @@
     def __init__(self, journal: Journal) -> None:
         self.journal = journal
 
-    async def handle(self, connection: ServerConnection, request: Request) -> None:
+    async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Answer one request; see the base class."""
         await connection.read_body(0)
         await connection.respond(200, [CONTENT_TYPE], render(self.journal))
--- a/src/carawaywheel/mesh/news.py
+++ b/src/carawaywheel/mesh/news.py
@@ -11,9 +11,10 @@
 import curio
 import msgspec
 
+from ..answering import JSON_HEADER, ServerExchange
 from ..clock import Clock
 from ..errors import PeerError, PolicyError, ProtocolError
-from ..http import JSON_HEADER, Request, ServerConnection
+from ..http import Request
 from ..platform.configuration import decode_configuration
 from ..pool import Pool
 from ..routing import Router
@@ -194,7 +195,7 @@
         )
         self.on_configuration(configuration)
 
-    async def answer(self, connection: ServerConnection, request: Request) -> None:
+    async def answer(self, connection: ServerExchange, request: Request) -> None:
         """Answer a check, or take the state that another node passes on."""
         if request.path != STATE_PATH:
             raise ProtocolError("the request is no call", "read head", connection.peer)
--- a/src/carawaywheel/peers.py
+++ b/src/carawaywheel/peers.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from .answering import JSON_HEADER, ServerExchange, json_body, refusal_body
 from .clock import Clock
 from .contexts import RequestContext
 from .errors import ProtocolError, RecordError
@@ -17,7 +18,7 @@
     DIGEST_HEADER,
     SIGNATURE_HEADER,
 )
-from .http import JSON_HEADER, Request, ServerConnection, json_body, refusal_body
+from .http import Request
 from .listener import RequestHandler
 from .logs import encode_batch
 from .membership import Membership
@@ -64,7 +65,7 @@
         self.clock = clock
         self.max_body = max_body
 
-    async def handle(self, connection: ServerConnection, request: Request) -> None:
+    async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Answer one request of another node."""
         header = request.header(CONTEXT_HEADER)
         if header:
@@ -82,7 +83,7 @@
         await self.handle_control(connection, request, body)
 
     def verify(
-        self, connection: ServerConnection, request: Request, content: bytes
+        self, connection: ServerExchange, request: Request, content: bytes
     ) -> None:
         """Check that a request comes from a node of the fleet.
 
@@ -99,7 +100,7 @@
 
     async def handle_call(
         self,
-        connection: ServerConnection,
+        connection: ServerExchange,
         request: Request,
         body: bytes,
         context: RequestContext,
@@ -113,7 +114,7 @@
         finally:
             await self.runner.close(running, whole)
 
-    async def answer(self, connection: ServerConnection, running: Running) -> None:
+    async def answer(self, connection: ServerExchange, running: Running) -> None:
         """Pass the target's answer or the refusal back."""
         header = (ANSWER_HEADER, encode_header(running.info))
         refusal = running.info.refusal
@@ -124,7 +125,7 @@
             await pass_on(running.execution.answer, connection, [header])
 
     async def handle_control(
-        self, connection: ServerConnection, request: Request, body: bytes
+        self, connection: ServerExchange, request: Request, body: bytes
     ) -> None:
         """Answer a control message."""
         path = request.path
@@ -147,13 +148,11 @@
         else:
             await connection.respond(404, [JSON_HEADER], json_body({"path": path}))
 
-    async def reply(self, connection: ServerConnection, value: object) -> None:
+    async def reply(self, connection: ServerExchange, value: object) -> None:
         """Send a JSON answer."""
         await connection.respond(200, [JSON_HEADER], json_body(value))
 
-    async def reply_attempt(
-        self, connection: ServerConnection, attempt_id: str
-    ) -> None:
+    async def reply_attempt(self, connection: ServerExchange, attempt_id: str) -> None:
         """Tell the state of an attempt, and for how long this process has run."""
         now = self.clock.now()
         attempts = self.runner.attempts
@@ -162,7 +161,7 @@
         await self.reply(connection, {"state": state.value, "uptime": uptime})
 
     async def relay_stream(
-        self, connection: ServerConnection, stream: str, query: dict[str, list[str]]
+        self, connection: ServerExchange, stream: str, query: dict[str, list[str]]
     ) -> None:
         """Pass records of a stream on to a node that does not read the log."""
         follower = self.followers.get(stream)
@@ -177,7 +176,7 @@
         age = min(follower.age, MAX_AGE_SECONDS)
         await self.reply(connection, {**encode_batch(batch), "age": age})
 
-    async def exchange_members(self, connection: ServerConnection, body: bytes) -> None:
+    async def exchange_members(self, connection: ServerExchange, body: bytes) -> None:
         """Merge the members that a starting node knows and send all of them.
 
         Raises:
@@ -192,7 +191,7 @@
         state = members_encoder.encode(self.membership.full_state(now))
         await connection.respond(200, [BINARY_HEADER], state)
 
-    async def reply_withdrawals(self, connection: ServerConnection) -> None:
+    async def reply_withdrawals(self, connection: ServerExchange) -> None:
         """Send all withdrawals to a node that was frozen, unless this one was too."""
         if not self.state.news_is_fresh(self.clock.now()):
             await connection.respond(503, [JSON_HEADER], json_body({}))
@@ -200,7 +199,7 @@
         body = msgspec.msgpack.encode(self.state.withdrawn())
         await connection.respond(200, [BINARY_HEADER], body)
 
-    def take_withdrawal(self, connection: ServerConnection, body: bytes) -> None:
+    def take_withdrawal(self, connection: ServerExchange, body: bytes) -> None:
         """Apply a withdrawal that another node has appended.
 
         Raises:
@@ -215,7 +214,7 @@
         self.state.withdraw_early(record)
 
     async def reply_events(
-        self, connection: ServerConnection, query: dict[str, list[str]]
+        self, connection: ServerExchange, query: dict[str, list[str]]
     ) -> None:
         """Send the events of this node."""
         since = whole_number(query, "since", 0, connection.peer)
--- a/src/carawaywheel/pool.py
+++ b/src/carawaywheel/pool.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from .answering import send_some
 from .errors import PeerError
 from .framing import (
     BODILESS_STATUSES,
@@ -28,7 +29,6 @@
     Headers,
     open_connection,
     receive_some,
-    send_some,
     tune_socket,
 )
 
--- a/src/carawaywheel/streaming.py
+++ b/src/carawaywheel/streaming.py
@@ -2,9 +2,10 @@
 
 import curio
 
+from .answering import ServerExchange
 from .errors import PeerError, ProtocolError
 from .headers import forwarded_answer_headers
-from .http import Headers, ServerConnection
+from .http import Headers
 from .pool import Answer
 
 WRITE_BATCH_BYTES = 256 * 1024
@@ -15,7 +16,7 @@
     """The answer broke after its head was passed on."""
 
 
-async def pass_on(answer: Answer, connection: ServerConnection, extra: Headers) -> None:
+async def pass_on(answer: Answer, connection: ServerExchange, extra: Headers) -> None:
     """Pass an answer on to the other side of a connection.
 
     Args:
@@ -32,7 +33,7 @@
 
 
 async def pass_on_rest(
-    answer: Answer, parts: list[bytes], connection: ServerConnection, extra: Headers
+    answer: Answer, parts: list[bytes], connection: ServerExchange, extra: Headers
 ) -> None:
     """Pass on an answer of which some of the body was read already.
 
@@ -47,6 +48,7 @@
         ProtocolError: If the other side is gone.
     """
     headers = forwarded_answer_headers(answer.status, answer.headers) + extra
+    await connection.wait_turn()
     pending = connection.encode_head(answer.status, headers)
     for part in parts:
         pending += connection.encode_data(part)
@@ -78,7 +80,7 @@
 
 
 async def write_full(
-    answer: Answer, connection: ServerConnection, pending: bytes
+    answer: Answer, connection: ServerExchange, pending: bytes
 ) -> bytes:
     """Write what is pending unless more of a small answer has already arrived."""
     chunk = answer.next_ready()
