Lend tokens ahead where an account has plenty

Change: a node asks for 0.4 s of its demand ahead; the home lends ahead only while the bucket is more than half full, so that unused tokens are not missed elsewhere. Before / after: 400 / fewer than 250 questions for 400 requests at 80% of the rate over five nodes (test_account_within_its_rate_asks_seldom).

--- a/src/carawaywheel/mesh/quotas.py
+++ b/src/carawaywheel/mesh/quotas.py
@@ -22,10 +22,16 @@
 REPORT_SECONDS = 0.3
 # Longer than three reports, so that a lost datagram or two change nothing.
 LEASE_SECONDS = 1.0
-# Tokens that a node holds ahead of demand, in seconds of its demand.
-AHEAD_SECONDS = 0.03
+# Tokens that a node holds ahead of demand, in seconds of its demand: less than their
+# time, so that few of them are lost unused.
+AHEAD_SECONDS = 0.4
+# Part of its burst above which a bucket lends ahead; below it, tokens that one node does
+# not use would be missed by another.
+AHEAD_LEVEL = 0.5
 # Seconds for which tokens ahead of demand may be used.
 STOCK_SECONDS = 0.5
+# Seconds for which the token of a request that did not run may be used again.
+REFUND_SECONDS = 0.03
 # Time constant of the demand of an account at a node, in seconds.
 DEMAND_SECONDS = 0.5
 # Part of its burst that a bucket holds at first, as another home may have given the
@@ -178,6 +184,8 @@
             bucket = self.buckets[account.name] = TokenBucket(rate, burst, now, level)
         elif bucket.rate != rate or bucket.burst != burst:
             bucket.reconfigure(rate, burst, now)
+        if bucket.available(now) < AHEAD_LEVEL * burst:
+            wanted = 1
         tokens = min(wanted, int(bucket.available(now)))
         if tokens:
             bucket.take(tokens, now)
@@ -286,6 +294,10 @@
         stock.tokens = 0
         return False if now < stock.blocked_until else None
 
+    def wanted(self, stock: Stock) -> int:
+        """Return the tokens to ask the home of an account for."""
+        return 1 + int(stock.demand * AHEAD_SECONDS)
+
     def take_apart(self, stock: Stock, now: float) -> bool:
         """Take a token of the node's own part, when the home does not answer."""
         stock.apart.reconfigure(*stock.part(len(self.nodes)), now)
@@ -296,7 +308,7 @@
         stock = self.stocks.get(account.name)
         if stock is not None:
             stock.tokens += 1
-            stock.tokens_until = max(stock.tokens_until, now + AHEAD_SECONDS)
+            stock.tokens_until = max(stock.tokens_until, now + REFUND_SECONDS)
 
     def lend(self, ask: Ask, now: float) -> Grant:
         """Answer a node as the home of a slot."""
--- a/src/carawaywheel/mesh/rates.py
+++ b/src/carawaywheel/mesh/rates.py
@@ -10,7 +10,6 @@
 from .journal import Journal
 from .news import News
 from .quotas import (
-    AHEAD_SECONDS,
     REPORT_SECONDS,
     SLOTS,
     Ask,
@@ -79,8 +78,7 @@
             event = self.answered.get(name)
             if event is None:
                 event = self.answered[name] = curio.Event()
-                ahead = int(stock.demand * AHEAD_SECONDS)
-                await self.send(stock.slot, {name: 1 + ahead})
+                await self.send(stock.slot, {name: self.quotas.wanted(stock)})
             elif self.waiting[name] > 1:
                 await self.send(stock.slot, {name: 1})
             if not event.is_set():
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -27,6 +27,7 @@
     def __init__(self, nodes=NODES):
         self.now = 100.0
         self.cut = set()
+        self.asked = 0
         self.nodes = {name: Quotas(name) for name in nodes}
         for quotas in self.nodes.values():
             quotas.configure({ACCOUNT.name: ACCOUNT})
@@ -51,9 +52,12 @@
     def charge(self, name):
         quotas = self.nodes[name]
         stock = quotas.stock(ACCOUNT, self.now)
+        stock.note_demand(self.now)
         taken = quotas.take(stock, self.now)
         if taken is None:
-            self.ask(name, quotas, Ask(name, 2, slot_of(ACCOUNT.name), {"county": 1}))
+            self.asked += 1
+            wants = {"county": quotas.wanted(stock)}
+            self.ask(name, quotas, Ask(name, 2, slot_of(ACCOUNT.name), wants))
             taken = quotas.take(stock, self.now)
         return quotas.take_apart(stock, self.now) if taken is None else taken
 
@@ -76,6 +80,20 @@
     assert served(fleet, NODES[:1], 48.0, 10.0) == 480
 
 
+def test_account_within_its_rate_asks_seldom():
+    """Each question costs three nodes a turn of the processor."""
+    fleet = Fleet()
+    fleet.pass_time(1.0)
+    assert served(fleet, NODES, 40.0, 10.0) == 400
+    assert fleet.asked < 250
+
+
+def test_tokens_ahead_do_not_starve_the_others_of_a_full_account():
+    """Tokens that one node holds unused would be refused to another one."""
+    fleet = Fleet()
+    assert served(fleet, NODES, 49.0, 20.0) >= 0.99 * 980
+
+
 def test_account_that_presses_gets_its_rate_and_burst_only():
     fleet = Fleet()
     count = served(fleet, NODES, 400.0, 10.0)
