Charge accounts only once the other nodes are known, and lend the shares of a few lost ones

All nodes had been killed at 13.0 s. Until the first report, 0.3 s after its start, a node took itself for the only one, for the home of all accounts, and lent itself the whole rate. Ruled out: the first filling of a bucket (0.4 of the burst; the window allows 0.6). Change: a node answers 503 and is not ready until it has read the records of the others or got them from one; the homes follow each change of the hosts at once. Also, a home that hears most nodes lends the shares of up to 15% that are silent, one that hears at most half lends 0.4 of its part, and silent nodes count as gone after 20 s. Before, each host that was replaced took its part of all rates with it for good. Tests: three in test_quotas.py fail without the change.

--- a/src/carawaywheel/mesh/directory.py
+++ b/src/carawaywheel/mesh/directory.py
@@ -70,9 +70,11 @@
     Attributes:
         configuration: The configuration in force; None before the first one.
         hosts: Records by address.
+        hosts_known: Whether the records of others were read or passed on by one.
     """
 
     def __init__(self) -> None:
+        self.hosts_known = False
         self.configuration: MeshConfiguration | None = None
         self.hosts: dict[str, HostRecord] = {}
 
--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -246,7 +246,12 @@
         body = await connection.read_body(limit)
         account = admission.account
         if account is not None:
-            if not await self.rates.charge(account):
+            charged = await self.rates.charge(account)
+            if charged is None:
+                return Refusal(
+                    Reason.STALE_NODE, Ran.NOT_RUN, NOT_READY_RETRY_SECONDS, STEP
+                )
+            if not charged:
                 self.note_over_rate(admission, account)
                 return Refusal(
                     Reason.RATE_EXCEEDED,
--- a/src/carawaywheel/mesh/follower.py
+++ b/src/carawaywheel/mesh/follower.py
@@ -26,6 +26,7 @@
         table: Name of the table.
         position: Position up to which it was read; None before the first read.
         failing: Whether the last call failed.
+        on_read: Called after the whole table was read.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         self.rng = rng
         self.position: int | None = None
         self.failing = False
+        self.on_read: Callable[[], None] = lambda: None
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -77,6 +79,7 @@
             self.take(item)
         if self.position is None or page.position > self.position:
             self.position = page.position
+        self.on_read()
 
     def note(self, error: LogError | None) -> None:
         """Record that the store was lost or regained."""
@@ -120,6 +123,7 @@
             tables[0], store, self.take_configuration, journal, rng
         )
         self.hosts = TableFollower(tables[1], store, self.take_host, journal, rng)
+        self.hosts.on_read = news.note_hosts_known
 
     def take_configuration(self, item: Item) -> None:
         """Take a value of the operator's table."""
--- a/src/carawaywheel/mesh/news.py
+++ b/src/carawaywheel/mesh/news.py
@@ -39,10 +39,12 @@
     Attributes:
         configuration: The document as it was published; empty for none.
         hosts: Records of hosts.
+        hosts_known: Whether the sender knows all hosts.
     """
 
     configuration: bytes
     hosts: list[HostRecord]
+    hosts_known: bool = False
 
 
 class Standing(msgspec.Struct):
@@ -143,6 +145,7 @@
             if candidate.address not in self.suspended
         ]
         self.router.update(candidates, self.clock.now())
+        self.on_hosts()
 
     def live(self) -> list[str]:
         """Return the hosts that can be reached."""
@@ -166,13 +169,19 @@
             phase=record.phase,
             order=record.order,
         )
-        self.on_hosts()
         if known is None or known.incarnation != record.incarnation:
             self.suspended.pop(record.address, None)
         elif record.phase == 0 and record.address in self.suspended:
             self.suspended.pop(record.address)
         self.update_router()
 
+    def note_hosts_known(self) -> None:
+        """Note that the records of all other hosts were read."""
+        if not self.directory.hosts_known:
+            self.directory.hosts_known = True
+            self.journal.write("hosts_known", hosts=len(self.directory.hosts))
+            self.update_router()
+
     def take_configuration(self, source: bytes, origin: str) -> None:
         """Take a configuration document if it is valid and newer."""
         try:
@@ -222,13 +231,19 @@
             self.take_configuration(state.configuration, peer)
         for record in state.hosts:
             self.add_host(record)
+        if state.hosts_known:
+            self.note_hosts_known()
 
     def state(self) -> bytes:
         """Return what this node passes on."""
         configuration = self.directory.configuration
         source = configuration.source if configuration else b""
         return msgspec.msgpack.encode(
-            State(source, list(self.directory.hosts.values()))
+            State(
+                source,
+                list(self.directory.hosts.values()),
+                self.directory.hosts_known,
+            )
         )
 
     async def run(self) -> None:
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -197,7 +197,8 @@
 
     def ready(self) -> bool:
         """Whether clients may be sent to this node."""
-        return not self.stopping and self.directory.configuration is not None
+        known = self.directory.configuration is not None and self.directory.hosts_known
+        return known and not self.stopping
 
     def use_configuration(self, configuration: MeshConfiguration) -> None:
         """Give the parts a new configuration."""
@@ -207,6 +208,7 @@
 
     def count_targets(self) -> None:
         """Divide what a service allows by the targets that it has."""
+        self.rates.refresh()
         self.runner.set_targets(self.directory.targets(self.settings.service))
 
     async def note_target(self) -> None:
--- a/src/carawaywheel/mesh/quotas.py
+++ b/src/carawaywheel/mesh/quotas.py
@@ -4,8 +4,8 @@
 hashing. The home holds the token bucket of each account; other nodes ask it for tokens
 when a request needs one. Every node also reports to each home now and then, which
 lends the home the node's equal part of the rates. A node that cannot reach a home uses
-its own part, and the home keeps aside the parts of nodes that do not report, so that
-all together never use more than the rate.
+its own part, and the home keeps aside the parts of nodes that do not report, but for a
+few that the overage allows, until they are taken for gone.
 """
 
 import hashlib
@@ -22,11 +22,13 @@
 REPORT_SECONDS = 0.3
 # Longer than three reports, so that a lost datagram or two change nothing.
 LEASE_SECONDS = 1.0
+# Seconds between two counts of the nodes that a home hears.
+WEIGH_SECONDS = 0.1
 # Tokens that a node holds ahead of demand, in seconds of its demand: less than their
 # time, so that few of them are lost unused.
 AHEAD_SECONDS = 0.4
-# Part of its burst above which a bucket lends ahead; below it, tokens that one node does
-# not use would be missed by another.
+# Part of its burst above which a bucket lends ahead; below it, tokens that one node
+# does not use would be missed by another.
 AHEAD_LEVEL = 0.5
 # Seconds for which tokens ahead of demand may be used.
 STOCK_SECONDS = 0.5
@@ -41,6 +43,14 @@
 LEAST_BURST = 1.0
 # Part of a node's equal share that it uses while it cannot reach a home.
 APART_SHARE = 0.8
+# Part of its share that a home lends that hears at most half of the nodes, as another
+# home may lend the shares of the others.
+MINORITY_SHARE = 0.4
+# Part of the nodes whose shares a home that hears most of them lends although they are
+# silent. With MINORITY_SHARE, that stays within the overage of a tenth.
+SPARE_NODES = 0.15
+# Seconds of silence after which a node counts as gone: longer than a partition.
+GONE_SECONDS = 20.0
 # Shortest and longest time in seconds for which a home turns an account away.
 BLOCK_SECONDS = 0.03
 BLOCK_SECONDS_MAX = 0.25
@@ -144,37 +154,60 @@
         heard: Time of the newest question of each node, in seconds.
         since: Time from which all nodes have asked here, in seconds.
         buckets: Bucket of each account.
+        share: Part of the rates that this home lends.
+        share_until: Time until which this part is used, in seconds.
     """
 
     def __init__(self) -> None:
         self.heard: dict[str, float] = {}
         self.since = 0.0
         self.buckets: dict[str, TokenBucket] = {}
+        self.share = 0.0
+        self.share_until = 0.0
 
     def hear(self, sender: str, now: float) -> None:
-        """Note that a node lends its part, and forget those whose lease is over."""
+        """Note that a node lends its part."""
         if now - max(self.heard.values(), default=0.0) > LEASE_SECONDS:
             # Another home may have given tokens meanwhile.
             self.since = now
+            self.heard.clear()
             self.buckets.clear()
+        if now - self.heard.get(sender, 0.0) > LEASE_SECONDS:
+            self.share_until = now
         self.heard[sender] = now
-        if any(now - heard_at > LEASE_SECONDS for heard_at in self.heard.values()):
-            self.heard = {
-                name: heard_at
-                for name, heard_at in self.heard.items()
-                if now - heard_at <= LEASE_SECONDS
-            }
-
-    def lend(self, account: Account, wanted: int, nodes: int, now: float) -> Lent:
+
+    def weigh(self, nodes: list[str], now: float) -> float:
+        """Return the part of the rates that this home may lend.
+
+        Args:
+            nodes: Nodes that are known.
+            now: Time in seconds.
+        """
+        if now < self.share_until:
+            return self.share
+        active = sum(now - heard <= LEASE_SECONDS for heard in self.heard.values())
+        gone = sum(
+            now - self.heard.get(node, self.since) > GONE_SECONDS for node in nodes
+        )
+        total = max(active, len(nodes) - gone)
+        lent = float(active)
+        if 2 * active <= total:
+            lent *= MINORITY_SHARE
+        elif now - self.since > LEASE_SECONDS:
+            lent = min(total, active + int(SPARE_NODES * total))
+        self.share = lent / total
+        self.share_until = now + WEIGH_SECONDS
+        return self.share
+
+    def lend(self, account: Account, wanted: int, share: float, now: float) -> Lent:
         """Give tokens of an account.
 
         Args:
             account: The account.
             wanted: Tokens wanted.
-            nodes: Number of nodes that may use the account.
+            share: Part of its rate that may be lent.
             now: Time in seconds.
         """
-        share = len(self.heard) / max(nodes, len(self.heard))
         rate = account.rate * share
         burst = max(LEAST_BURST, account.burst * share)
         bucket = self.buckets.get(account.name)
@@ -238,12 +271,15 @@
     Attributes:
         address: Address of this node.
         nodes: Addresses of the nodes that are known, this one included.
+        known: Whether the other nodes are known; without them, each of many nodes would
+            take itself for the only one.
         live: Those of them that can be reached.
         accounts: Accounts of the configuration.
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.known = False
         self.nodes: list[str] = [address]
         self.live: list[str] = [address]
         self.home: dict[int, str] = {}
@@ -314,11 +350,12 @@
         """Answer a node as the home of a slot."""
         home = self.homes[ask.slot % SLOTS]
         home.hear(ask.sender, now)
+        share = home.weigh(self.nodes, now)
         lent = {}
         for name, wanted in ask.wants.items():
             account = self.accounts.get(name)
             if account is not None and account.rate > 0 and wanted > 0:
-                lent[name] = home.lend(account, wanted, len(self.nodes), now)
+                lent[name] = home.lend(account, wanted, share, now)
         return Grant(ask.sequence, ask.slot, lent)
 
     def receive(self, grant: Grant, now: float) -> None:
--- a/src/carawaywheel/mesh/rates.py
+++ b/src/carawaywheel/mesh/rates.py
@@ -53,10 +53,22 @@
         self.answered: dict[str, curio.Event] = {}
         sock.handlers[KIND] = self
 
-    async def charge(self, account: Account) -> bool:
-        """Charge one request; return False if its account is over the rate."""
+    def refresh(self) -> None:
+        """Use the nodes that are known and that can be reached now."""
+        directory = self.news.directory
+        self.quotas.known = directory.hosts_known
+        self.quotas.set_nodes(sorted(directory.hosts), self.news.live())
+
+    async def charge(self, account: Account) -> bool | None:
+        """Charge one request.
+
+        Returns:
+            False if its account is over the rate; None if this can't be told yet.
+        """
         if account.rate <= 0:
             return True
+        if not self.quotas.known:
+            return None
         now = self.clock.now()
         stock = self.quotas.stock(account, now)
         stock.note_demand(now)
@@ -123,6 +135,6 @@
         """Report to all homes at intervals until cancelled."""
         while True:
             await curio.sleep(REPORT_SECONDS)
-            self.quotas.set_nodes(sorted(self.news.directory.hosts), self.news.live())
+            self.refresh()
             for slot in range(SLOTS):
                 await self.send(slot, {})
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -1,11 +1,17 @@
 """Rates over all nodes: a client account is refused only beyond its rate."""
 
+from types import SimpleNamespace
+
+import curio
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from carawaywheel.clock import ManualClock
+from carawaywheel.mesh.directory import Directory
 from carawaywheel.mesh.document import Account
 from carawaywheel.mesh.quotas import (
+    GONE_SECONDS,
     LEASE_SECONDS,
     SLOTS,
     Ask,
@@ -16,6 +22,7 @@
     home_of,
     slot_of,
 )
+from carawaywheel.mesh.rates import RateService
 
 NODES = [f"10.0.0.{index}:1" for index in range(1, 6)]
 ACCOUNT = Account("county", None, 50.0, 50.0)
@@ -141,6 +148,73 @@
     assert served(fleet, left, 48.0, 5.0) >= 235
 
 
+def large_fleet():
+    """Return fifteen nodes whose homes have heard all of them for some seconds."""
+    fleet = Fleet([f"10.0.1.{index}:1" for index in range(15)])
+    for _ in range(6):
+        fleet.pass_time(0.5)
+    return fleet
+
+
+def without_home(fleet, count):
+    """Cut some nodes off that are not the home of the account."""
+    names = list(fleet.nodes)
+    home = home_of(slot_of(ACCOUNT.name), names)
+    left = [name for name in names if name != home]
+    fleet.cut = set(left[:count])
+    return [home, *left[count:]]
+
+
+def test_two_lost_nodes_leave_the_whole_rate():
+    """A rate that waits for lost nodes refuses what is within it."""
+    fleet = large_fleet()
+    rest = without_home(fleet, 2)
+    for _ in range(4):
+        fleet.pass_time(0.5)
+    assert served(fleet, rest, 48.0, 5.0) == 240
+
+
+def test_half_of_the_nodes_lost_for_good_leave_the_whole_rate_in_the_end():
+    fleet = large_fleet()
+    rest = without_home(fleet, 9)
+    for _ in range(int(2 * (GONE_SECONDS + 2))):
+        fleet.pass_time(0.5)
+    served(fleet, rest, 48.0, 2.0)
+    assert served(fleet, rest, 48.0, 5.0) == 240
+
+
+def test_parts_of_a_divided_fleet_do_not_exceed_the_rate_together():
+    """Each part elects homes of its own and hears only itself."""
+    fleet = large_fleet()
+    names = list(fleet.nodes)
+    parts = names[:5], names[5:]
+    for part in parts:
+        for name in part:
+            fleet.nodes[name].set_nodes(names, list(part))
+    fleet.now += LEASE_SECONDS + 0.1
+    for _ in range(8):
+        fleet.pass_time(0.5)
+    count = served(fleet, names, 400.0, 5.0)
+    assert count <= (ACCOUNT.rate * 5 + ACCOUNT.burst) * 1.1 + 20
+    assert count >= ACCOUNT.rate * 5 * 0.6
+
+
+def test_node_that_knows_no_others_charges_nothing():
+    """Each node of a fleet that starts at once would take itself for the only one."""
+    directory = Directory()
+    directory.hosts = {NODES[0]: None}
+    news = SimpleNamespace(directory=directory, live=lambda: NODES[:1])
+    sock = SimpleNamespace(address="127.0.0.1:1", handlers={})
+    quotas = Quotas(NODES[0])
+    quotas.configure({ACCOUNT.name: ACCOUNT})
+    service = RateService(quotas, sock, news, None, ManualClock(100.0))
+    service.refresh()
+    assert curio.run(service.charge, ACCOUNT) is None
+    directory.hosts_known = True
+    service.refresh()
+    assert curio.run(service.charge, ACCOUNT) is True
+
+
 def test_malformed_message_is_ignored():
     assert decode_message(b"\xff") is None
     assert decode_message(encode_message(Grant(1, 2, {}))) == Grant(1, 2, {})
