--- a/src/carawaywheel/mesh/exchange.py
+++ b/src/carawaywheel/mesh/exchange.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from ..answering import ServerExchange
-from ..headers import ANSWER_PRIVATE, INTERNAL_PREFIX
+from ..headers import forwarded_answer_headers
 from ..http import Headers
 from ..pool import Answer
 from ..refusals import Refusal
@@ -13,7 +13,6 @@
 # Largest body that is held whole before the first byte is passed on; larger ones are
 # streamed, so that memory stays bounded with any number of slow readers.
 HOLD_BYTES = 256 * 1024
-NOT_PASSED = ANSWER_PRIVATE | {b"content-length"}
 
 
 class Whole(NamedTuple):
@@ -77,7 +76,7 @@
     """
     if isinstance(result, Whole):
         await connection.respond(
-            result.status, whole_headers(result) + extra, result.body
+            result.status, whole_headers(result.headers) + extra, result.body
         )
         return
     whole = False
@@ -88,10 +87,10 @@
         await result.close(whole)
 
 
-def whole_headers(result: Whole) -> Headers:
+def whole_headers(headers: Headers) -> Headers:
     """Return the headers of an answer whose length is known by now."""
     return [
         (name, value)
-        for name, value in result.headers
-        if name not in NOT_PASSED and not name.startswith(INTERNAL_PREFIX)
+        for name, value in forwarded_answer_headers(0, headers)
+        if name not in (b"content-length", b"transfer-encoding")
     ]
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -52,7 +52,6 @@
         level: Ranks that the target takes.
         closing: Whether the node takes no more work for its target.
         running: Calls that wait or run.
-        demands: What answers say of each route, until the level moves next.
         offered: Calls that asked for a slot since the level was moved last.
     """
 
@@ -75,7 +74,6 @@
         self.rng = rng
         self.pool = Pool(CONNECT_SECONDS)
         self.weights = CallWeights()
-        self.demands: dict[str, list[Demand]] = {}
         self.level = AdmissionLevel(1.0)
         self.gate: Gate | None = None
         self.incarnation: tuple[str, int] | None = None
@@ -326,9 +324,12 @@
 
     def reply(self, route: str, refusal: Refusal | None) -> Reply:
         """Describe an answer to the node that asked."""
-        demands = self.demands.get(route)
-        if demands is None:
-            demands = self.demands[route] = self.demands_of(route)
+        now = self.clock.now()
+        below = self.chains.below(self.weights, route, self.settings.service)
+        demands = [
+            Demand(service, round(calls, 3), round(self.level_of(service, now), 3))
+            for service, calls in below.items()
+        ]
         return Reply(
             refusal.reason.value if refusal else "",
             refusal.ran.value if refusal else "",
@@ -339,15 +340,6 @@
             demands,
         )
 
-    def demands_of(self, route: str) -> list[Demand]:
-        """Return the services that a request of a route leads to, with their levels."""
-        now = self.clock.now()
-        below = self.chains.below(self.weights, route, self.settings.service)
-        return [
-            Demand(service, round(calls, 3), round(self.level_of(service, now), 3))
-            for service, calls in below.items()
-        ]
-
     def level_of(self, service: str, now: float) -> float:
         """Return the level of a service, exactly for that of the local target."""
         if service == self.settings.service:
@@ -373,7 +365,6 @@
                 await gate.poll()
                 self.move_level(gate, now)
             self.weights.tick(now)
-            self.demands.clear()
 
     def move_level(self, gate: Gate, now: float) -> None:
         """Move the level by what was offered since the last time."""
--- a/src/carawaywheel/mesh/links.py
+++ b/src/carawaywheel/mesh/links.py
@@ -24,7 +24,7 @@
 from ..refusals import Refusal
 from ..sockets import split_address
 from .calls import Call, Reply
-from .exchange import Opened, Whole, whole_headers
+from .exchange import Opened, Whole
 from .execution import TargetRunner
 from .frames import (
     AnswerFrame,
@@ -358,7 +358,7 @@
         reply = self.runner.reply(call.route, None)
         if isinstance(result, Whole):
             return AnswerFrame(
-                number, reply, result.status, whole_headers(result), result.body, ""
+                number, reply, result.status, list(result.headers), result.body, ""
             )
         answer = result.answer
         rest = await self.hold_rest(result)
