Send nothing from the queue to a leaving target, and leave a dead one alone

Cause: two gaps found by reading. A request that waited beside a target was sent to it however long ago the target had said that it leaves; the bound is drain_s after the acknowledgement. A target that accepts no connection kept its place in the choice of all nodes until its host was replaced, at up to 0.3 s for each request. Tests: test_requests_that_wait_for_a_leaving_target_go_elsewhere and test_target_that_accepts_no_connection_is_left_alone; both fail without the change.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -32,6 +32,9 @@
 USED_SHARE = 0.94
 # Seconds after which a request that was refused as not run may come back.
 RETRY_AFTER_SECONDS = 0.3
+# Seconds for which a target that accepts no connection is left alone; the nodes that
+# send to it check about as often whether it takes work again.
+UNREACHABLE_SECONDS = 0.4
 POLL_SECONDS = 0.01
 IDLE_SECONDS = 0.05
 # Answers to earlier requests that are skipped on one connection.
@@ -52,6 +55,7 @@
         level: Ranks that the target takes.
         closing: Whether the node takes no more work for its target.
         running: Calls that wait or run.
+        unreachable_until: Time until which the target takes no work, in seconds.
         offered: Calls that asked for a slot since the level was moved last.
     """
 
@@ -79,6 +83,7 @@
         self.incarnation: tuple[str, int] | None = None
         self.closing = False
         self.running = 0
+        self.unreachable_until = 0.0
         self.offered = 0
         self.moved_at = clock.now()
         self.version = 0
@@ -105,6 +110,8 @@
         heartbeat = self.target.heartbeat
         if heartbeat is None or heartbeat.phase is not Phase.READY or self.closing:
             return None
+        if self.clock.now() < self.unreachable_until:
+            return None
         present = (heartbeat.target_id, heartbeat.incarnation)
         if self.gate is None or self.incarnation != present:
             self.incarnation = present
@@ -204,12 +211,13 @@
         """Send a call to the target and take its answer."""
         peer = self.target.address
         heartbeat = self.target.heartbeat
-        if heartbeat is None:
-            # The address was found to belong to another target meanwhile.
+        if heartbeat is None or heartbeat.phase is not Phase.READY:
+            # It began to leave, or its address went to another one, meanwhile.
             return Refusal(Reason.NO_TARGET, Ran.NOT_RUN, None, "target", peer)
         try:
             connection = await self.pool.acquire(peer)
         except PeerError as error:
+            self.note_unreachable(error)
             return Refusal(Reason.TARGET_FAILED, Ran.NOT_RUN, None, error.step, peer)
         length = len(body) if body or request.method in BODY_METHODS else None
         remaining = max(0.0, ticket.deadline - self.clock.now())
@@ -236,6 +244,15 @@
             await self.pool.discard(connection)
             raise
 
+    def note_unreachable(self, error: PeerError) -> None:
+        """Take no work for a while for a target that accepts no connection."""
+        now = self.clock.now()
+        if now >= self.unreachable_until:
+            self.journal.write(
+                "target_unreachable", peer=error.peer, step=error.step, error=str(error)
+            )
+        self.unreachable_until = now + UNREACHABLE_SECONDS
+
     async def receive(self, call: Call, connection: ClientConnection) -> Answer:
         """Wait for the head of the answer, past late ones to earlier requests.
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import time
 
 import pytest
 
@@ -114,6 +115,31 @@
     assert arrivals - 60 <= 48
 
 
+def test_requests_that_wait_for_a_leaving_target_go_elsewhere(platform):
+    """A queue longer than the time until the target ends would run into its end."""
+    start_pair(platform, "--slots", "4", "--work", "0.5")
+    answers = [platform.send_later("h1", f"/order/{i}", "POST") for i in range(12)]
+    platform.wait_for(lambda: len(platform.runs("h2", "/order/")) == 3, "three run")
+    platform.order("h2", phase="draining")
+    told = time.time()
+    found = [answer.result(8.0).status for answer in answers]
+    assert sorted(found) == [200] * 3 + [503] * 9
+    assert all(run["at"] < told + 0.1 for run in platform.runs("h2", "/order/"))
+
+
+def test_target_that_accepts_no_connection_is_left_alone(platform):
+    """Each request would wait for a connection that never opens."""
+    start_pair(platform)
+    platform.start_host("h3", "yard")
+    platform.wait_for(lambda: platform.log("h1", "host")[2:], "h3 is known")
+    platform.wait_served("h3", "/order/1")
+    platform.programs["target-h2"].kill()
+    found = [platform.send("h1", f"/order/{i}", "POST").status for i in range(30)]
+    assert found == [200] * 30
+    assert platform.log("h2", "target_unreachable")
+    assert platform.log("h1", "host_suspended")
+
+
 def test_draining_target_receives_nothing_new(platform):
     start_pair(platform)
     platform.start_host("h3", "yard")
