Set the options of accepted connections once, on the listening socket

Change: the listening socket carries the options, and connections take them over. Test: test_accepted_connection_notices_a_silent_caller holds with and without the change.

--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -116,6 +116,8 @@
         self.handler = handler
         self.watch = watch
         self.limit = limit
+        # Accepted connections take over these options of the listening socket.
+        tune_socket(sock, CALLER_SILENCE)
         self.sock = sock
         self.address = format_address(sock.getsockname())
         self.connections: dict[int, ServerConnection] = {}
@@ -146,7 +148,6 @@
         connection.last = self.closing
         connection.swept = self.sweeps is not None
         self.connections[fd] = connection
-        tune_socket(sock, CALLER_SILENCE)
         self.watch.add(fd, await curio.current_task())
         try:
             await self.serve_requests(connection, fd)
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -1,8 +1,10 @@
 """Listeners: an idle connection is closed, a busy or fresh one is not."""
 
+from socket import IPPROTO_TCP, TCP_KEEPIDLE, TCP_USER_TIMEOUT
+
 import curio
 
-from carawaywheel.http import BodyBudget
+from carawaywheel.http import CALLER_SILENCE, BodyBudget
 from carawaywheel.listener import HangupWatch, Listener, RequestHandler
 from carawaywheel.sockets import open_socket
 
@@ -39,3 +41,28 @@
 
 def test_connection_within_the_idle_time_is_kept():
     assert curio.run(swept, 60.0, 1.5) is None
+
+
+def test_accepted_connection_notices_a_silent_caller():
+    """Guards against connections that wait for a caller that is long gone."""
+
+    class Options(RequestHandler):
+        async def handle(self, connection, request):
+            option = connection.sock.getsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT)
+            idle = connection.sock.getsockopt(IPPROTO_TCP, TCP_KEEPIDLE)
+            await connection.respond(200, [], f"{option} {idle}".encode())
+
+    async def run():
+        sock = open_socket("127.0.0.1", 0)
+        listener = Listener("test", sock, Options(), HangupWatch(), 10, BodyBudget(0))
+        host, port = listener.address.split(":")
+        task = await curio.spawn(listener.run, daemon=True)
+        client = await curio.open_connection(host, int(port))
+        await client.sendall(b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n")
+        answer = await client.recv(1000)
+        await task.cancel()
+        await client.close()
+        return answer.partition(b"\r\n\r\n")[2].decode()
+
+    expected = f"{CALLER_SILENCE.unacknowledged_ms} {CALLER_SILENCE.idle}"
+    assert curio.run(run) == expected
