Refuse requests at the entry whose calls would be rejected

An order that ends with a 500 is not sent again by its client, one that was refused as not run is. Change: answers carry the share of requests that the targets of a service accept; a request with less than a chance of 0.2 is refused at its entry with Retry-After 2 s, but for 3% that find out when it ends. Tests: four in test_pressure.py.

--- a/src/carawaywheel/mesh/calls.py
+++ b/src/carawaywheel/mesh/calls.py
@@ -105,11 +105,13 @@
         service: Name of the service.
         calls: Calls to it for each request.
         level: Ranks that it admits: all below this number, part of the last one.
+        accepted: Share of requests that its targets do not reject.
     """
 
     service: str
     calls: float
     level: float
+    accepted: float = 1.0
 
 
 class Reply(NamedTuple):
--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -35,6 +35,8 @@
 # or so once the level has fallen, and a caller waits a third of its time at most.
 OVERLOAD_RETRY_SECONDS = 0.5
 RATE_RETRY_SECONDS = 1.0
+# Targets that reject most of what they get do so for seconds.
+HOPELESS_RETRY_SECONDS = 2.0
 NO_TARGET_RETRY_SECONDS = 0.5
 NOT_READY_RETRY_SECONDS = 1.0
 # Seconds before the end of a request's time at which its final answer is made.
@@ -187,6 +189,8 @@
         demands = self.chains.demands.get(admission.route.name)
         if demands is None:
             return None
+        if self.levels.is_hopeless(demands, now):
+            return self.refuse_hopeless(admission, demands, now)
         admitted, service, level = self.levels.admits(demands, admission.priority, now)
         if admitted:
             return None
@@ -202,6 +206,23 @@
             Reason.OVERLOAD, Ran.NOT_RUN, OVERLOAD_RETRY_SECONDS, STEP, service
         )
 
+    def refuse_hopeless(
+        self, admission: Admission, demands: dict[str, float], now: float
+    ) -> Refusal:
+        """Refuse a request whose calls would be rejected."""
+        service = min(demands, key=lambda name: self.levels.accepted(name, now))
+        self.journal.write(
+            "hopeless",
+            request=admission.claims.attempt_id,
+            route=admission.route.name,
+            service=service,
+            accepted=round(self.levels.accepted(service, now), 2),
+            calls=demands[service],
+        )
+        return Refusal(
+            Reason.OVERLOAD, Ran.NOT_RUN, HOPELESS_RETRY_SECONDS, STEP, service
+        )
+
     async def send_in_time(
         self,
         connection: ServerExchange,
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -37,6 +37,9 @@
 UNREACHABLE_SECONDS = 0.4
 POLL_SECONDS = 0.01
 IDLE_SECONDS = 0.05
+# Weight of one answer in the share of calls that the target accepts: some 20 answers
+# tell a rejecting target from a chance one.
+ACCEPTED_STEP = 0.05
 # Answers to earlier requests that are skipped on one connection.
 LATE_ANSWERS_MAX = 3
 # Time to wait after such an answer for that to a request that may be repeated: several
@@ -56,6 +59,7 @@
         closing: Whether the node takes no more work for its target.
         running: Calls that wait or run.
         unreachable_until: Time until which the target takes no work, in seconds.
+        accepted: Smoothed share of the calls that the target does not reject.
         offered: Calls that asked for a slot since the level was moved last.
     """
 
@@ -84,6 +88,7 @@
         self.closing = False
         self.running = 0
         self.unreachable_until = 0.0
+        self.accepted = 1.0
         self.offered = 0
         self.moved_at = clock.now()
         self.version = 0
@@ -299,6 +304,8 @@
         reply = decode_reply(answer.status, answer.headers)
         if reply.wrong_target:
             self.target.heartbeat = None
+        if not reply.wrong_target:
+            self.accepted += ACCEPTED_STEP * (float(not reply.refused) - self.accepted)
         if reply.refused:
             await self.finish(connection, answer)
             peer = connection.address
@@ -344,7 +351,12 @@
         now = self.clock.now()
         below = self.chains.below(self.weights, route, self.settings.service)
         demands = [
-            Demand(service, round(calls, 3), round(self.level_of(service, now), 3))
+            Demand(
+                service,
+                round(calls, 3),
+                round(self.level_of(service, now), 3),
+                round(self.accepted_by(service, now), 3),
+            )
             for service, calls in below.items()
         ]
         return Reply(
@@ -363,6 +375,12 @@
             return self.level.level
         return min(self.levels.level(service, now), self.level.top)
 
+    def accepted_by(self, service: str, now: float) -> float:
+        """Return the share of requests that the targets of a service accept."""
+        if service == self.settings.service:
+            return self.accepted
+        return self.levels.accepted(service, now)
+
     @property
     def occupancy(self) -> float:
         """Share of the target's limit that is in use or waited for."""
--- a/src/carawaywheel/mesh/pressure.py
+++ b/src/carawaywheel/mesh/pressure.py
@@ -28,6 +28,11 @@
 SMOOTHING = 0.25
 # Seconds after which a level that nothing renews begins to rise.
 FRESH_SECONDS = 1.0
+# Chance of a whole answer below which a request is not worth the work that it causes
+# above the calls that fail.
+LEAST_CHANCE = 0.2
+# Part of the requests with less of a chance that enter all the same.
+PROBE_SHARE = 0.03
 # Calls for each request below which a service's level does not count.
 LEAST_CALLS = 0.1
 
@@ -83,17 +88,19 @@
 
 
 class Heard:
-    """Level of a service that answers told.
+    """What answers told of a service.
 
     Attributes:
         level: Smoothed level.
+        accepted: Smoothed share of requests that its targets do not reject.
         heard_at: Time of the newest answer, in seconds.
     """
 
-    __slots__ = ("level", "heard_at")
+    __slots__ = ("level", "accepted", "heard_at")
 
-    def __init__(self, level: float, heard_at: float) -> None:
+    def __init__(self, level: float, accepted: float, heard_at: float) -> None:
         self.level = level
+        self.accepted = accepted
         self.heard_at = heard_at
 
 
@@ -109,10 +116,12 @@
         for item in demands:
             heard = self.heard.get(item.service)
             if heard is None:
-                self.heard[item.service] = Heard(item.level, now)
+                self.heard[item.service] = Heard(item.level, item.accepted, now)
                 continue
             known = self.level(item.service, now)
             heard.level = known + SMOOTHING * (item.level - known)
+            known = self.accepted(item.service, now)
+            heard.accepted = known + SMOOTHING * (item.accepted - known)
             heard.heard_at = now
 
     def level(self, service: str, now: float) -> float:
@@ -123,6 +132,37 @@
         age = now - heard.heard_at - FRESH_SECONDS
         return heard.level + GAIN * age if age > 0 else heard.level
 
+    def accepted(self, service: str, now: float) -> float:
+        """Return the share of requests that the targets of a service accept."""
+        heard = self.heard.get(service)
+        if heard is None:
+            return 1.0
+        age = now - heard.heard_at - FRESH_SECONDS
+        return min(1.0, heard.accepted + GAIN * age) if age > 0 else heard.accepted
+
+    def chance(self, demands: dict[str, float], now: float) -> float:
+        """Return the chance that no call of a request is rejected.
+
+        Args:
+            demands: Calls to each service that it leads to.
+            now: Time in seconds.
+        """
+        chance = 1.0
+        for service, calls in demands.items():
+            accepted = self.accepted(service, now)
+            if accepted < 1.0:
+                chance *= accepted**calls
+        return chance
+
+    def is_hopeless(self, demands: dict[str, float], now: float) -> bool:
+        """Decide whether a request should not enter as its calls would be rejected.
+
+        A few enter in any case, to find out when that ends.
+        """
+        if self.chance(demands, now) >= LEAST_CHANCE:
+            return False
+        return self.rng.random() >= PROBE_SHARE
+
     def admits(
         self, demands: dict[str, float], priority: int, now: float
     ) -> tuple[bool, str, float]:
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -91,3 +91,37 @@
 def test_unknown_service_refuses_nothing():
     table = LevelTable(random.Random(1))
     assert table.admits({"office": 1.0}, 9, 0.0)[0]
+
+
+def rejecting_table(accepted, seed=1):
+    """Return a table that heard that a service rejects a part of its requests."""
+    table = LevelTable(random.Random(seed))
+    for index in range(20):
+        table.learn([Demand("office", 1.0, 3.0, accepted)], index * 0.01)
+    return table
+
+
+def test_request_whose_calls_would_be_rejected_does_not_enter():
+    """All work above the rejected call would be wasted."""
+    table = rejecting_table(0.45)
+    chain = {"desk": 1.0, "office": 4.0}
+    entered = sum(not table.is_hopeless(chain, 0.3) for _ in range(1000))
+    assert 5 <= entered <= 80, "a few find out when it ends"
+    assert not table.is_hopeless({"office": 1.0}, 0.3)
+
+
+def test_few_rejections_turn_no_chain_away():
+    table = rejecting_table(0.9)
+    assert not table.is_hopeless({"desk": 1.0, "office": 8.0}, 0.3)
+
+
+def test_chain_enters_again_when_its_calls_are_accepted():
+    table = rejecting_table(0.3)
+    chain = {"office": 4.0}
+    for index in range(20):
+        table.learn([Demand("office", 1.0, 3.0, 1.0)], 0.3 + index * 0.01)
+    assert table.chance(chain, 0.5) > 0.9
+
+
+def test_chain_enters_again_when_nothing_is_heard():
+    assert rejecting_table(0.3).chance({"office": 4.0}, 5.0) == 1.0
