Move the decisions at the entry to a module of their own

What may enter (route, account, service, pressure) is decided in policy.py; entry.py reads, sends and answers. Nothing else changes.

--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -13,16 +13,17 @@
 from ..refusals import Outcome, Ran, Reason, Refusal
 from ..routing import Candidate, Router
 from ..sockets import split_address
-from .admitted import Admission, Progress, Spreader, status_of
+from .admitted import Admission, Progress, status_of
 from .calls import Call, CallerClaims
 from .chains import ChainTable
 from .directory import Directory
-from .document import Account, MeshConfiguration, Repeat
+from .document import Account, Repeat
 from .exchange import Result, Whole, deliver
 from .execution import TargetRunner
 from .journal import Journal
 from .news import News
 from .peers import PeerCalls
+from .policy import EntryPolicy
 from .pressure import LevelTable
 from .rates import RateService
 from .settings import HostSettings
@@ -31,17 +32,9 @@
 # Refusals that lead to another target and were not run there; a request is passed
 # round at most this often, since each try costs a round trip.
 MOST_REFUSALS = 4
-# Seconds after which a refused request may come back: overload ends within a second
-# or so once the level has fallen, and a caller waits a third of its time at most.
-OVERLOAD_RETRY_SECONDS = 0.5
 RATE_RETRY_SECONDS = 1.0
-# Targets that reject most of what they get do so for seconds.
-HOPELESS_RETRY_SECONDS = 2.0
 NO_TARGET_RETRY_SECONDS = 0.5
 NOT_READY_RETRY_SECONDS = 1.0
-# Seconds before the end of a request's time at which its final answer is made.
-ANSWER_MARGIN_SECONDS = 0.02
-
 # Status of a target that failed to do what it was asked.
 FAILED_STATUS = 500
 
@@ -96,8 +89,7 @@
         self.rng = rng
         port = split_address(settings.listen.links)[1]
         self.peers = PeerCalls(port)
-        self.spreader = Spreader()
-        self.own_ip = settings.target_address.rpartition(":")[0]
+        self.policy = EntryPolicy(settings, runner.weights, chains, levels, journal)
 
     def may_overlap(self, request: Request) -> bool:
         """Return whether a request may be repeated; see the base class."""
@@ -120,7 +112,9 @@
             )
             await self.refuse(connection, claims, refusal, started)
             return
-        admission = self.admit(configuration, connection, request, claims, started)
+        admission = self.policy.admit(
+            configuration, connection.peer, request, claims, started
+        )
         if isinstance(admission, Refusal):
             await self.refuse(connection, claims, admission, started)
             return
@@ -151,78 +145,6 @@
                 waited=round(self.clock.now() - started, 3),
             )
 
-    def admit(
-        self,
-        configuration: MeshConfiguration,
-        connection: ServerExchange,
-        request: Request,
-        claims: CallerClaims,
-        now: float,
-    ) -> Admission | Refusal:
-        """Decide whether a request may be sent to a target."""
-        route = configuration.route(claims.host, request.path)
-        if route is None:
-            return Refusal(Reason.NO_ROUTE, Ran.NOT_RUN, None, STEP, claims.host)
-        account = configuration.keys.get(claims.key) if claims.key else None
-        if account is None and configuration.accounts and not route.open:
-            reason = Reason.KEY_UNKNOWN if claims.key else Reason.KEY_MISSING
-            return Refusal(reason, Ran.NOT_RUN, None, STEP, route.name)
-        local = connection.peer.rpartition(":")[0] == self.own_ip
-        from_target = route.open and not claims.key and local
-        service = self.spreader.choose(route)
-        remaining = min(claims.remaining, route.timeout) - ANSWER_MARGIN_SECONDS
-        admission = Admission(
-            claims,
-            route,
-            service,
-            None if route.open else account,
-            from_target,
-            from_target and self.runner.weights.called(route.name),
-            now + remaining,
-        )
-        if from_target:
-            return admission
-        return self.check_pressure(admission, now) or admission
-
-    def check_pressure(self, admission: Admission, now: float) -> Refusal | None:
-        """Refuse a request that leads to a service which does not take its rank."""
-        demands = self.chains.demands.get(admission.route.name)
-        if demands is None:
-            return None
-        if self.levels.is_hopeless(demands, now):
-            return self.refuse_hopeless(admission, demands, now)
-        admitted, service, level = self.levels.admits(demands, admission.priority, now)
-        if admitted:
-            return None
-        self.journal.write(
-            "shed",
-            request=admission.claims.attempt_id,
-            route=admission.route.name,
-            priority=admission.priority,
-            service=service,
-            level=round(level, 2),
-        )
-        return Refusal(
-            Reason.OVERLOAD, Ran.NOT_RUN, OVERLOAD_RETRY_SECONDS, STEP, service
-        )
-
-    def refuse_hopeless(
-        self, admission: Admission, demands: dict[str, float], now: float
-    ) -> Refusal:
-        """Refuse a request whose calls would be rejected."""
-        service = min(demands, key=lambda name: self.levels.accepted(name, now))
-        self.journal.write(
-            "hopeless",
-            request=admission.claims.attempt_id,
-            route=admission.route.name,
-            service=service,
-            accepted=round(self.levels.accepted(service, now), 2),
-            calls=demands[service],
-        )
-        return Refusal(
-            Reason.OVERLOAD, Ran.NOT_RUN, HOPELESS_RETRY_SECONDS, STEP, service
-        )
-
     async def send_in_time(
         self,
         connection: ServerExchange,
--- /dev/null
+++ b/src/carawaywheel/mesh/policy.py
@@ -0,0 +1,119 @@
+"""Decisions at the entry: route, account, service, and what pressure allows."""
+
+from ..http import Request
+from ..refusals import Ran, Reason, Refusal
+from .admitted import Admission, Spreader
+from .calls import CallerClaims
+from .chains import CallWeights, ChainTable
+from .document import MeshConfiguration
+from .journal import Journal
+from .pressure import LevelTable
+from .settings import HostSettings
+
+STEP = "entry"
+# Seconds after which a refused request may come back: overload ends within a second
+# or so once the level has fallen, and a caller waits a third of its time at most.
+OVERLOAD_RETRY_SECONDS = 0.5
+# Targets that reject most of what they get do so for seconds.
+HOPELESS_RETRY_SECONDS = 2.0
+# Seconds before the end of a request's time at which its final answer is made.
+ANSWER_MARGIN_SECONDS = 0.02
+
+
+class EntryPolicy:
+    """Decides whether a request that enters here may be sent to a target."""
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        weights: CallWeights,
+        chains: ChainTable,
+        levels: LevelTable,
+        journal: Journal,
+    ) -> None:
+        self.weights = weights
+        self.chains = chains
+        self.levels = levels
+        self.journal = journal
+        self.spreader = Spreader()
+        self.own_ip = settings.target_address.rpartition(":")[0]
+
+    def admit(
+        self,
+        configuration: MeshConfiguration,
+        peer: str,
+        request: Request,
+        claims: CallerClaims,
+        now: float,
+    ) -> Admission | Refusal:
+        """Decide whether a request may be sent to a target.
+
+        Args:
+            configuration: The configuration in force.
+            peer: Address that the request comes from.
+            request: Its head.
+            claims: What its caller says.
+            now: Time in seconds.
+        """
+        route = configuration.route(claims.host, request.path)
+        if route is None:
+            return Refusal(Reason.NO_ROUTE, Ran.NOT_RUN, None, STEP, claims.host)
+        account = configuration.keys.get(claims.key) if claims.key else None
+        if account is None and configuration.accounts and not route.open:
+            reason = Reason.KEY_UNKNOWN if claims.key else Reason.KEY_MISSING
+            return Refusal(reason, Ran.NOT_RUN, None, STEP, route.name)
+        local = peer.rpartition(":")[0] == self.own_ip
+        from_target = route.open and not claims.key and local
+        service = self.spreader.choose(route)
+        remaining = min(claims.remaining, route.timeout) - ANSWER_MARGIN_SECONDS
+        admission = Admission(
+            claims,
+            route,
+            service,
+            None if route.open else account,
+            from_target,
+            from_target and self.weights.called(route.name),
+            now + remaining,
+        )
+        if from_target:
+            return admission
+        return self.check_pressure(admission, now) or admission
+
+    def check_pressure(self, admission: Admission, now: float) -> Refusal | None:
+        """Refuse a request that leads to a service which does not take its rank."""
+        demands = self.chains.demands.get(admission.route.name)
+        if demands is None:
+            return None
+        if self.levels.is_hopeless(demands, now):
+            return self.refuse_hopeless(admission, demands, now)
+        admitted, service, level = self.levels.admits(demands, admission.priority, now)
+        if admitted:
+            return None
+        self.journal.write(
+            "shed",
+            request=admission.claims.attempt_id,
+            route=admission.route.name,
+            priority=admission.priority,
+            service=service,
+            level=round(level, 2),
+        )
+        return Refusal(
+            Reason.OVERLOAD, Ran.NOT_RUN, OVERLOAD_RETRY_SECONDS, STEP, service
+        )
+
+    def refuse_hopeless(
+        self, admission: Admission, demands: dict[str, float], now: float
+    ) -> Refusal:
+        """Refuse a request whose calls would be rejected."""
+        service = min(demands, key=lambda name: self.levels.accepted(name, now))
+        self.journal.write(
+            "hopeless",
+            request=admission.claims.attempt_id,
+            route=admission.route.name,
+            service=service,
+            accepted=round(self.levels.accepted(service, now), 2),
+            calls=demands[service],
+        )
+        return Refusal(
+            Reason.OVERLOAD, Ran.NOT_RUN, HOPELESS_RETRY_SECONDS, STEP, service
+        )
