Test what may enter, and let the stand-in's calls come from its own host

Cause: the first run of test_request_whose_calls_are_rejected_is_refused_before_it_runs showed that the stand-in target called from 127.0.0.1, not from its host's address, so that no node told its calls from requests of clients; and that it answered with success when its call had failed. Change: the stand-in calls from its host's address and fails when its call fails. test_calls_of_a_target_need_no_key_and_clients_do used a route that needs a key, and passed as the failed call was not noticed; it now makes a call without a key on an open route and looks at the run.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -50,6 +50,7 @@
     headers: list[tuple[str, str]] | None = None,
     body: bytes = b"",
     timeout: float | None = None,
+    source: str = "",
 ) -> Answer:
     """Send one request on a new connection and read its answer.
 
@@ -60,11 +61,12 @@
         headers: Extra headers.
         body: Request body.
         timeout: Seconds to wait for the whole answer, or None to wait for ever.
+        source: IP address to send from; empty for any.
 
     Returns:
         The answer. A failed connection gives status 0; a cut answer is not whole.
     """
-    exchange = Exchange()
+    exchange = Exchange(source)
     sending = exchange.run(address, method, path, headers or [], body)
     if timeout is None:
         await sending
@@ -76,7 +78,8 @@
 class Exchange:
     """Client side of one HTTP request."""
 
-    def __init__(self) -> None:
+    def __init__(self, source: str = "") -> None:
+        self.source = source
         self.machine = h11.Connection(h11.CLIENT)
         self.status = NO_ANSWER
         self.headers: dict[str, str] = {}
@@ -110,6 +113,8 @@
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         async with connection:
             try:
+                if self.source:
+                    connection.bind((self.source, 0))
                 await connection.connect((host, int(port)))
                 connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 await connection.sendall(data)
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -76,41 +76,45 @@
         self.running += 1
         self.most = max(self.most, self.running)
         try:
-            if self.options.call:
-                await self.call()
+            called = not self.options.call or await self.call()
             await curio.sleep(self.work)
         finally:
             self.running -= 1
         run["done"] = True
-        return self.answer(request)
+        return self.answer(request, "" if called else "fail")
 
-    async def call(self) -> None:
-        """Make the call that a request needs."""
+    async def call(self) -> bool:
+        """Make the call that a request needs; return whether it succeeded."""
         host, path = self.options.call.split("/", 1)
         headers = [
             ("host", host),
             ("x-attempt-id", f"call-{self.identity}-{len(self.runs)}"),
         ]
-        await send(self.options.outbound, "GET", f"/{path}", headers)
+        own = self.options.address.rpartition(":")[0]
+        answer = await send(
+            self.options.outbound, "GET", f"/{path}", headers, source=own
+        )
+        return answer.status == 200 and answer.whole
 
-    def answer(self, request: Request) -> Response | None:
+    def answer(self, request: Request, mode: str) -> Response | None:
         """Return the answer to a request, spoiled as the mode says."""
+        mode = mode or self.mode
         content = json.dumps({"id": self.identity, "path": request.path}).encode()
         content = content.ljust(self.options.bytes)
         headers = [
             ("x-attempt-id", request.headers.get("x-attempt-id", "")),
             ("x-response-signature", DIGEST),
         ]
-        if self.mode == "lost":
+        if mode == "lost":
             return None
-        if self.mode == "cut":
+        if mode == "cut":
             return Response(200, headers, once(content), len(content), False, 3)
-        if self.mode == "cut-late":
+        if mode == "cut-late":
             stop = len(content) - 1
             return Response(200, headers, once(content), len(content), False, stop)
-        if self.mode == "crossed":
+        if mode == "crossed":
             headers[0] = ("x-attempt-id", "another")
-        if self.mode == "fail":
+        if mode == "fail":
             return Response(500, headers, once(b"failed"), 6)
         return Response(200, headers, once(content), len(content))
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -38,7 +38,11 @@
 
 
 def test_calls_of_a_target_need_no_key_and_clients_do(platform):
-    start_pair(platform, "--call", "mesh.example/read/deep")
+    platform.start_host("h1", "desk", "--call", "mesh.example/inner/deep")
+    platform.start_host("h2", "yard")
+    platform.wait_served("h1", "/read/x")
+    (run, *_) = platform.runs("h2", "/inner/deep")
+    assert run["headers"]["x-caller-service"] == "desk"
     assert platform.send("h1", "/order/1", "POST", key="").status == 401
     assert platform.send("h1", "/order/1", "POST", key="wrong").status == 401
     assert platform.send("h1", "/nothing/1").status == 404
@@ -79,6 +83,24 @@
     assert 1 <= len(platform.runs("h3", "/read/")) <= 8
 
 
+def test_request_whose_calls_are_rejected_is_refused_before_it_runs(platform):
+    """Its target would work on it and fail, again and again."""
+    platform.start_host("h1", "desk", "--call", "mesh.example/inner/1")
+    platform.start_host("h2", "yard")
+    platform.wait_served("h1", "/read/1")
+
+    def refused():
+        answer = platform.send("h1", "/read/2")
+        return answer.status == 503 and float(answer.headers["retry-after"]) > 1
+
+    platform.order("h2", mode="shed")
+    platform.wait_for(refused, "refused at the entry", 20.0)
+    line, *_ = platform.wait_for(lambda: platform.log("h1", "hopeless"), "is logged")
+    assert line["service"] == "yard" and line["accepted"] < 0.5
+    platform.order("h2", mode="none")
+    platform.wait_served("h1", "/read/3", 20.0)
+
+
 def test_spoiled_answer_never_looks_whole(platform):
     start_pair(platform)
     for mode in ("cut", "crossed", "lost"):
