End a process without waiting for requests that overlap

At the end of a process curio cancels the newest task first and waits for its end. A pipelined request that was cancelled waited for the answer of the one before it, which is cancelled later, and so held up the end until that was answered. Change: a cancelled request only leaves the line; whoever cancelled it ends the connection. Test: test_stop_does_not_wait_for_requests_that_overlap fails without the change.

--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -211,10 +211,14 @@
     ) -> None:
         """Run the handler for a request that others of its connection overlap."""
         self.watch.busy.add(fd)
-        whole = False
+        whole = cancelled = False
         try:
             await self.handler.handle(turn, request)
             whole = turn.finished
+        except curio.CancelledError:
+            # Whoever cancelled it ends the connection.
+            cancelled = True
+            raise
         except (OSError, ProtocolError):
             self.on_protocol_error(self.name)
         except Exception:
@@ -222,25 +226,24 @@
             logger.exception("request on {} from {} failed", self.name, turn.peer)
             self.on_protocol_error(self.name)
         finally:
-            await self.end_turn(turn, line, fd, whole)
-
-    async def end_turn(self, turn: Turn, line: Line, fd: int, whole: bool) -> None:
-        """Let the next answer of a connection follow, or end the connection."""
-        try:
-            if not whole:
-                await line.cancel(after=turn)
-                await turn.wait_turn()
-            if turn.connection.gone or fd not in self.connections:
-                return
-            if not whole or turn.last:
-                turn.connection.gone = True
-                turn.sock._socket.shutdown(socket.SHUT_RD)
-        finally:
+            if not cancelled:
+                await self.end_turn(turn, line, fd, whole)
             await line.finish(turn)
             if not line.turns and not turn.connection.gone:
                 self.watch.busy.discard(fd)
                 self.idle[fd] = self.sweeps or 0
 
+    async def end_turn(self, turn: Turn, line: Line, fd: int, whole: bool) -> None:
+        """End the connection after its last answer, or after one that failed."""
+        if not whole:
+            await line.cancel(after=turn)
+            await turn.wait_turn()
+        if turn.connection.gone or fd not in self.connections:
+            return
+        if not whole or turn.last:
+            turn.connection.gone = True
+            turn.sock._socket.shutdown(socket.SHUT_RD)
+
     async def serve_one(
         self, connection: ServerConnection, request: Request, fd: int
     ) -> None:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -184,3 +184,29 @@
         b"200",
         b"400",
     ]
+
+
+def test_stop_does_not_wait_for_requests_that_overlap():
+    """Curio cancels the newest task first and waits for its end.
+
+    A request that waited for the turn of an earlier one, which is cancelled later, held
+    up the end of the process until the earlier one was answered.
+    """
+
+    async def script(client, listener):
+        await client.sendall(get("/3000/a", "/3000/b", "/3000/c"))
+        await curio.sleep(0.1)
+
+    async def run():
+        sock = open_socket("127.0.0.1", 0)
+        listener = Listener("test", sock, Sleeper(), HangupWatch(), 10, BodyBudget(9))
+        host, port = listener.address.split(":")
+        await curio.spawn(listener.run, daemon=True)
+        client = await curio.open_connection(host, int(port))
+        await script(client, listener)
+        return client
+
+    started = time.monotonic()
+    client = curio.run(run)
+    client._socket.close()
+    assert time.monotonic() - started < 1.0
