Choose the ports of the platform tests where nothing else takes them

A base port was taken from those that the system gives to connections, free on 127.0.0.1 only, while all test runs share the hosts' addresses 127.0.N.1. Ruled out: the change of listener.py, as the targets of the stand-ins don't use it. Change: the base lies below the ports of connections, and all ports are tried on the addresses of all hosts.

--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import socket
 import subprocess
 import sys
@@ -62,12 +63,28 @@
     return {**document, **changes}
 
 
+# Below the ports that the system gives to connections.
+PORT_RANGE = range(12000, 32000, 10)
+HOSTS = 6
+
+
 def free_base():
-    """Return a port after which some more are most likely free."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
-    return port if port < 60000 else port - 5000
+    """Return a port that is free, with those after it, on the addresses of all hosts."""
+    while True:
+        base = random.SystemRandom().choice(PORT_RANGE)
+        if all(is_free(index, base) for index in range(1, HOSTS + 1)):
+            return base
+
+
+def is_free(index, base):
+    """Return whether the ports of one host can be bound."""
+    for port in range(base, base + len(PORTS) + 2):
+        with socket.socket() as probe:
+            try:
+                probe.bind((f"127.0.{index}.1", port))
+            except OSError:
+                return False
+    return True
 
 
 class Platform(Mesh):
