--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -69,7 +69,7 @@
 
 
 def free_base():
-    """Return a port that is free, with those after it, on the addresses of all hosts."""
+    """Return a port that is free on all hosts, with those after it."""
     while True:
         base = random.SystemRandom().choice(PORT_RANGE)
         if all(is_free(index, base) for index in range(1, HOSTS + 1)):
