Keep a node up through errors, stalls and bytes without end

Cause: an unexpected error in any background component ended the node's group of tasks. Time that a request spent unread in a paused process still counted as left. Grants of tokens were dated by their arrival and applied as often as they arrived. A response without an id was taken on a connection that earlier requests had used. Trailers and chunk extensions were read without a bound, and streams without a deadline. Ruled out: late responses with an id of their own (skipped before), grants of a former owner (its buckets start with a part of the burst). Change: a supervisor restarts components; a stall detector ages what was read after a pause; token requests are dated and answered once; such responses fail their request; the reader counts bytes that are neither head nor body; streams end with the deadline. The stand-in for targets sends the attempt's id in each answer.

--- a/src/carawaywheel/framing.py
+++ b/src/carawaywheel/framing.py
@@ -85,7 +85,9 @@
     """Parses the messages that the other side of a connection sends.
 
     Attributes:
-        max_head_bytes: Largest size of a message head in bytes.
+        max_head_bytes: Largest size of a message head in bytes, with informational
+            responses before it, and of bytes in a row that belong neither to a head
+            nor to a body.
         keep_alive: Whether the connection stays open after the current message.
     """
 
@@ -101,6 +103,7 @@
         self.in_message = False
         self.in_head = False
         self.head_bytes = 0
+        self.overhead_bytes = 0
         self.headers: Headers = []
 
     @property
@@ -115,6 +118,7 @@
         if not data:
             self.feed_eof()
             return
+        event_count = len(self.events)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -126,6 +130,15 @@
             self.head_bytes += len(data)
             if self.head_bytes > self.max_head_bytes:
                 self.error = f"the head is larger than {self.max_head_bytes} bytes"
+        elif len(self.events) == event_count:
+            # Chunk extensions, trailers and informational responses yield no event.
+            self.overhead_bytes += len(data)
+            if self.overhead_bytes > self.max_head_bytes:
+                self.error = (
+                    f"more than {self.max_head_bytes} bytes are neither head nor body"
+                )
+        else:
+            self.overhead_bytes = 0
 
     def feed_eof(self) -> None:
         """Handle the end of the connection."""
@@ -148,7 +161,6 @@
     def on_message_begin(self) -> None:
         """Start a message; called by the parser."""
         self.in_message = self.in_head = True
-        self.head_bytes = 0
         self.headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -158,7 +170,10 @@
     def on_headers_complete(self) -> None:
         """Finish the head of a message; called by the parser."""
         self.in_head = False
+        events_before = len(self.events)
         self.append_head_event()
+        if len(self.events) > events_before:
+            self.head_bytes = 0
 
     @abstractmethod
     def append_head_event(self) -> None:
--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -1,5 +1,6 @@
 """Requests of clients and calls of the local target, sent on to targets."""
 
+import math
 import random
 
 import curio
@@ -13,6 +14,7 @@
 from ..routing import Candidate, Router
 from ..serverexchange import JSON_HEADER, ServerExchange, refusal_body
 from ..sockets import split_address
+from ..streaming import TruncatedResponseError
 from .callgraph import CallGraph
 from .configuration import Account, RouteKind
 from .directory import Directory
@@ -24,9 +26,15 @@
 from .policy import AdmissionPolicy
 from .ratelimiter import RateLimiter
 from .requests import AdmittedRequest, RequestProgress, http_status
-from .responses import BufferedResponse, CallResult, send_response
+from .responses import (
+    BufferedResponse,
+    CallResult,
+    StreamedResponse,
+    send_response,
+)
 from .settings import HostSettings
 from .shedding import AdmissionLevelTable
+from .stalls import StallDetector
 
 STEP = "entry"
 # Attempts of one request that may be refused without having run; each costs a round
@@ -55,6 +63,7 @@
         Reason.SHUTTING_DOWN,
         Reason.PEER_FAILED,
         Reason.TARGET_FAILED,
+        Reason.STALE_NODE,
     }
 )
 
@@ -74,9 +83,11 @@
         peer_monitor: PeerMonitor,
         journal: Journal,
         clock: Clock,
+        stalls: StallDetector,
         rng: random.Random,
     ) -> None:
         self.settings = settings
+        self.stalls = stalls
         self.directory = directory
         self.router = router
         self.runner = runner
@@ -114,8 +125,9 @@
             )
             await self.refuse(connection, caller, refusal, started_at)
             return
+        sent_at = started_at - self.stalls.input_age()
         admitted = self.policy.admit(
-            configuration, connection.peer, request, caller, started_at
+            configuration, connection.peer, request, caller, sent_at
         )
         if isinstance(admitted, Refusal):
             await self.refuse(connection, caller, admitted, started_at)
@@ -133,7 +145,7 @@
                 self.rate_limiter.quotas.refund(admitted.account, self.clock.now())
             await self.refuse(connection, caller, result, started_at)
             return
-        await send_response(connection, result, [])
+        await self.deliver(connection, result, admitted, started_at)
         status = (
             result.status
             if isinstance(result, BufferedResponse)
@@ -151,6 +163,37 @@
                 waited=round(self.clock.now() - started_at, 3),
             )
 
+    async def deliver(
+        self,
+        connection: ServerExchange,
+        result: BufferedResponse | StreamedResponse,
+        admitted: AdmittedRequest,
+        started_at: float,
+    ) -> None:
+        """Send a response to the caller; a stream ends at the caller's own deadline.
+
+        Raises:
+            ProtocolError: If the caller disconnected or the response was truncated.
+        """
+        if isinstance(result, BufferedResponse):
+            await send_response(connection, result, [])
+            return
+        remaining = admitted.caller.remaining
+        if remaining == math.inf:
+            remaining = admitted.route.timeout
+        try:
+            async with curio.timeout_after(
+                max(0.0, started_at + remaining - self.clock.now())
+            ):
+                await send_response(connection, result, [])
+        except curio.TaskTimeout as error:
+            connection.disconnected = True
+            raise TruncatedResponseError(
+                "the caller's deadline passed within the response body",
+                "forward body",
+                connection.peer,
+            ) from error
+
     async def send_before_deadline(
         self,
         connection: ServerExchange,
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -24,6 +24,7 @@
 from .responses import BufferedResponse, CallResult, StreamedResponse, buffer_response
 from .settings import CONNECT_TIMEOUT_SECONDS, HostSettings
 from .shedding import AdmissionLevel, AdmissionLevelTable, offered_load
+from .stalls import StallDetector
 from .target import LocalTarget, Phase
 
 BODY_METHODS = ("POST", "PUT", "PATCH")
@@ -72,9 +73,11 @@
         levels: AdmissionLevelTable,
         journal: Journal,
         clock: Clock,
+        stalls: StallDetector,
         rng: random.Random,
     ) -> None:
         self.settings = settings
+        self.stalls = stalls
         self.target = target
         self.call_graph = call_graph
         self.levels = levels
@@ -150,7 +153,9 @@
         gate = self.current_gate()
         if gate is None:
             return Refusal(Reason.NO_TARGET, Ran.NOT_RUN, None, "target")
-        deadline = self.clock.now() + call.remaining
+        deadline = self.clock.now() + call.remaining - self.stalls.input_age()
+        if deadline <= self.clock.now():
+            return Refusal(Reason.STALE_NODE, Ran.NOT_RUN, None, "target")
         ticket = Ticket(
             str(next(self.ticket_ids)), call.account, queue_importance(call), deadline
         )
@@ -231,6 +236,9 @@
             # While the call waited, the target began to drain or another one took over
             # its address.
             return Refusal(Reason.NO_TARGET, Ran.NOT_RUN, None, "target", peer)
+        if ticket.deadline <= self.clock.now():
+            # The process may have stood still since the call was admitted.
+            return Refusal(Reason.DEADLINE, Ran.NOT_RUN, None, "target", peer)
         try:
             connection = await self.pool.acquire(peer)
         except PeerError as error:
@@ -285,8 +293,13 @@
             response_attempt_id = decode_target_headers(
                 response.status, response.headers
             ).attempt_id
-            if not response_attempt_id or response_attempt_id == call.attempt_id:
+            if response_attempt_id == call.attempt_id:
                 return response
+            if not response_attempt_id:
+                if not connection.reused:
+                    return response
+                self.journal.write("answer_without_id", request=call.attempt_id)
+                break
             self.journal.write(
                 "late_answer", request=call.attempt_id, answered=response_attempt_id
             )
--- a/src/carawaywheel/mesh/main.py
+++ b/src/carawaywheel/mesh/main.py
@@ -11,7 +11,6 @@
 from .node import MeshNode
 from .settings import HostSettings
 
-EXIT_FAILED = 1
 EXIT_USAGE = 2
 
 
@@ -28,7 +27,6 @@
 
 
 async def serve(settings: HostSettings, path: str) -> int:
-    """Run a node in the curio kernel; return the exit status."""
-    node = MeshNode(settings, path)
-    await node.run()
-    return EXIT_FAILED if node.failed else 0
+    """Run a node in the curio kernel until it stops; return the exit status."""
+    await MeshNode(settings, path).run()
+    return 0
--- a/src/carawaywheel/mesh/messages.py
+++ b/src/carawaywheel/mesh/messages.py
@@ -136,12 +136,18 @@
     demands: list[ServiceDemand]
 
     def refusal(self, peer: str) -> Refusal | None:
-        """Return the refusal of the call, or None if the target responded."""
+        """Return the refusal of the call, or None if the target responded.
+
+        Raises:
+            ProtocolError: If the reason is not one that this version knows.
+        """
         if not self.reason:
             return None
-        return Refusal(
-            Reason(self.reason), Ran(self.ran), self.retry_after, "peer", peer
-        )
+        try:
+            reason, ran = Reason(self.reason), Ran(self.ran)
+        except ValueError as error:
+            raise ProtocolError(str(error), "decode reply", peer) from error
+        return Refusal(reason, ran, self.retry_after, "peer", peer)
 
 
 call_decoder = msgspec.json.Decoder(Call)
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -39,6 +39,8 @@
 from .ratelimiter import RateLimiter
 from .settings import HostSettings
 from .shedding import AdmissionLevelTable
+from .stalls import StallDetector
+from .supervisor import Component, Supervisor
 from .target import LocalTarget, Phase
 
 FLUSH_INTERVAL_SECONDS = 0.1
@@ -67,7 +69,7 @@
         settings: Settings of the node.
         settings_version: Version of the settings file that was read last.
         stopping: Whether a graceful stop has begun.
-        failed: Whether a component ended with an unexpected error.
+        supervisor: Restarts the background components that fail.
     """
 
     def __init__(self, settings: HostSettings, path: str) -> None:
@@ -86,7 +88,8 @@
         self.journal.install()
         self.signal_waiter = SignalWaiter()
         self.stopping = False
-        self.failed = False
+        self.supervisor = Supervisor(self.journal, self.clock)
+        self.stalls = StallDetector(self.clock)
         self.hangup_monitor = HangupMonitor()
         self.body_budget = BodyBudget(int(settings.memory_bytes * BUFFERED_BODY_SHARE))
         self.build_shared_state()
@@ -148,6 +151,7 @@
             levels,
             self.journal,
             self.clock,
+            self.stalls,
             self.rng,
         )
         self.peer_monitor.on_hosts_changed = self.update_targets
@@ -163,6 +167,7 @@
             self.peer_monitor,
             self.journal,
             self.clock,
+            self.stalls,
             self.rng,
         )
 
@@ -239,7 +244,8 @@
         # the node; freezing exempts them.
         gc.collect()
         gc.freeze()
-        components = [
+        components: list[Component] = [
+            self.stalls.run,
             self.hangup_monitor.run,
             self.datagram_socket.run,
             self.rate_limiter.run,
@@ -260,9 +266,9 @@
         ]
         async with curio.TaskGroup(wait=any) as group:
             for component in components:
-                await group.spawn(self.run_component, component)
+                await group.spawn(self.supervisor.run, component)
             await group.spawn(self.wait_for_stop)
-        self.journal.flush()
+        await self.supervisor.attempt(self.flush_journal)
 
     def idle_seconds(self) -> float:
         """Return after how many seconds idle connections are closed."""
@@ -270,19 +276,9 @@
         limits = configuration.limits if configuration else InputLimits()
         return limits.idle_timeout + IDLE_MARGIN_SECONDS
 
-    async def run_component(self, component: Any) -> None:
-        """Run a component; an unexpected error is logged and stops the node."""
-        try:
-            await component()
-        except curio.CancelledError:
-            raise
-        except Exception as error:
-            self.journal.write(
-                "part_failed",
-                part=getattr(component, "__qualname__", str(component)),
-                error=repr(error),
-            )
-            self.failed = True
+    async def flush_journal(self) -> None:
+        """Write buffered log lines."""
+        self.journal.flush()
 
     async def run_flushes(self) -> None:
         """Write buffered log lines at intervals until cancelled."""
@@ -312,9 +308,13 @@
 
     async def wait_for_stop(self) -> None:
         """Reload on SIGHUP; stop gracefully on the other signals."""
+        await self.supervisor.attempt(self.handle_signals)
+        await self.stop()
+
+    async def handle_signals(self) -> None:
+        """Reload on SIGHUP until a signal asks the node to stop."""
         while await self.signal_waiter.wait():
             self.reload()
-        await self.stop()
 
     async def stop(self) -> None:
         """Stop without aborting requests that end within the grace period.
@@ -328,7 +328,7 @@
         self.runner.shutting_down = True
         for name in ("callers", "peers"):
             self.listeners[name].drain()
-        await self.publish_target()
+        await self.supervisor.attempt(self.publish_target)
         await curio.sleep(DRAIN_ANNOUNCEMENT_SECONDS)
         remaining = self.settings.bounds.grace - STOP_MARGIN_SECONDS
         remaining -= self.clock.now() - started
--- a/src/carawaywheel/mesh/quotas.py
+++ b/src/carawaywheel/mesh/quotas.py
@@ -33,7 +33,7 @@
 # Fraction of its burst that a bucket must hold to grant more than one token. Below it,
 # a token that sits unused at one node would be refused to another.
 PREFETCH_MIN_FILL = 0.5
-# Lifetime of tokens that were granted.
+# Lifetime of granted tokens, from their request on.
 CACHED_TOKEN_SECONDS = 0.5
 # Lifetime of a token that was refunded for a request that did not run.
 REFUNDED_TOKEN_SECONDS = 0.03
@@ -380,8 +380,14 @@
                 grants[name] = buckets.grant(account, requested, share, now)
         return TokenGrant(request.sequence, request.slot, grants)
 
-    def apply_grant(self, grant: TokenGrant, now: float) -> None:
-        """Add granted tokens to the caches."""
+    def apply_grant(self, grant: TokenGrant, requested_at: float, now: float) -> None:
+        """Add granted tokens to the caches.
+
+        Args:
+            grant: The grant.
+            requested_at: Time of its request, from which the tokens age, in seconds.
+            now: Time in seconds.
+        """
         for name, account_grant in grant.grants.items():
             cache = self.caches.get(name)
             if cache is None:
@@ -389,5 +395,5 @@
             if now > cache.tokens_until:
                 cache.tokens = 0
             cache.tokens += account_grant.tokens
-            cache.tokens_until = now + CACHED_TOKEN_SECONDS
+            cache.tokens_until = requested_at + CACHED_TOKEN_SECONDS
             cache.blocked_until = now + account_grant.blocked_seconds
--- a/src/carawaywheel/mesh/ratelimiter.py
+++ b/src/carawaywheel/mesh/ratelimiter.py
@@ -1,5 +1,6 @@
 """Rate limiter of client accounts, with datagrams between nodes and slot owners."""
 
+import secrets
 from collections import Counter
 
 import curio
@@ -10,6 +11,7 @@
 from .journal import Journal
 from .monitor import PeerMonitor
 from .quotas import (
+    CACHED_TOKEN_SECONDS,
     REPORT_INTERVAL_SECONDS,
     SLOT_COUNT,
     Quotas,
@@ -31,6 +33,9 @@
     """Limits the rates of accounts, and grants tokens to other nodes as slot owner.
 
     Attributes:
+        sequence: Sequence number of the newest token request. The first one is random,
+            so that no grant for an earlier start of this node is taken.
+        requested_at: Time of each token request without a grant, in seconds.
         waiting: Number of requests that wait for a grant, by account.
         reply_events: Events that are set when a grant arrives, by account.
     """
@@ -49,7 +54,8 @@
         self.journal = journal
         self.clock = clock
         self.port = int(sock.address.rpartition(":")[2])
-        self.sequence = 0
+        self.sequence = secrets.randbits(32)
+        self.requested_at: dict[int, float] = {}
         self.waiting: Counter[str] = Counter()
         self.reply_events: dict[str, curio.Event] = {}
         sock.handlers[DATAGRAM_KIND] = self
@@ -113,6 +119,8 @@
         request = TokenRequest(quotas.address, self.sequence, slot, tokens_by_account)
         owner = quotas.owner(slot)
         now = self.clock.now()
+        if tokens_by_account:
+            self.requested_at[self.sequence] = now
         if owner == quotas.address:
             await self.receive_grant(quotas.grant(request, now), now)
         elif owner:
@@ -132,17 +140,35 @@
             await self.receive_grant(message, now)
 
     async def receive_grant(self, grant: TokenGrant, now: float) -> None:
-        """Apply a grant and wake the requests that wait for it."""
-        self.quotas.apply_grant(grant, now)
+        """Apply a grant and wake the requests that wait for it.
+
+        A repeated grant and one that arrives after its tokens expired are ignored.
+        """
+        requested_at = self.requested_at.pop(grant.sequence, None)
+        if requested_at is None or now - requested_at > CACHED_TOKEN_SECONDS:
+            if grant.grants:
+                self.journal.count("grant_late")
+            return
+        self.quotas.apply_grant(grant, requested_at, now)
         for name in grant.grants:
             event = self.reply_events.pop(name, None)
             if event is not None:
                 await event.set()
 
+    def forget_expired_requests(self) -> None:
+        """Forget token requests whose grants would come too late."""
+        expired_at = self.clock.now() - CACHED_TOKEN_SECONDS
+        self.requested_at = {
+            sequence: requested_at
+            for sequence, requested_at in self.requested_at.items()
+            if requested_at > expired_at
+        }
+
     async def run(self) -> None:
         """Report to all slot owners at intervals until cancelled."""
         while True:
             await curio.sleep(REPORT_INTERVAL_SECONDS)
             self.refresh_nodes()
+            self.forget_expired_requests()
             for slot in range(SLOT_COUNT):
                 await self.send_request(slot, {})
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -13,6 +13,7 @@
 
 from .caller import request as send_request
 from .httpserver import (
+    EndlessBytes,
     Request,
     Response,
     announce_address,
@@ -23,6 +24,7 @@
 )
 
 CONTROL_PATH = "/control"
+FILLER_BYTES = 16384
 RUNS_PATH = "/runs"
 RESPONSE_SIGNATURE = "digest-of-the-target"
 
@@ -53,7 +55,7 @@
         self.rejected = 0
         self.runs: list[dict[str, Any]] = []
 
-    async def handle(self, request: Request) -> Response | None:
+    async def handle(self, request: Request) -> Response | EndlessBytes | None:
         """Handle one request."""
         if request.path == CONTROL_PATH:
             return await self.control(request.json())
@@ -67,14 +69,14 @@
             )
         headers = request.headers
         if headers.get("x-expected-instance") not in (None, self.identity):
-            return json_response({}, 421)
+            return Response(421, [attempt_header(request)], single_chunk(b""), 0)
         if self.mode == "shed":
             self.rejected += 1
-            body = b""
-            return Response(503, [("x-not-executed", "1")], single_chunk(body), 0)
+            rejection = [attempt_header(request), ("x-not-executed", "1")]
+            return Response(503, rejection, single_chunk(b""), 0)
         return await self.run_request(request)
 
-    async def run_request(self, request: Request) -> Response | None:
+    async def run_request(self, request: Request) -> Response | EndlessBytes | None:
         """Run a request with its sub-call and return the response."""
         run = {"path": request.path, "at": time.time(), "headers": request.headers}
         run["body"] = len(request.body)
@@ -103,18 +105,21 @@
         )
         return response.status == 200 and response.complete
 
-    def make_response(self, request: Request, mode: str) -> Response | None:
+    def make_response(
+        self, request: Request, mode: str
+    ) -> Response | EndlessBytes | None:
         """Return the response to a request, with the fault of a mode.
 
         ``lost`` sends nothing, ``cut`` and ``cut-late`` truncate the body after 3
         bytes and before its last byte, ``crossed`` carries the id of another attempt,
-        and ``fail`` is a 500.
+        ``anonymous`` carries none, ``fail`` is a 500, and ``endless-`` with a part of
+        a message sends this part without end.
         """
         mode = mode or self.mode
         content = json.dumps({"id": self.identity, "path": request.path}).encode()
         content = content.ljust(self.options.bytes)
         headers = [
-            ("x-attempt-id", request.headers.get("x-attempt-id", "")),
+            attempt_header(request),
             ("x-response-signature", RESPONSE_SIGNATURE),
         ]
         if mode == "lost":
@@ -126,8 +131,12 @@
             return Response(
                 200, headers, single_chunk(content), len(content), False, truncate_after
             )
+        if mode.startswith("endless-"):
+            return endless_response(mode.removeprefix("endless-"), headers)
         if mode == "crossed":
             headers[0] = ("x-attempt-id", "another")
+        if mode == "anonymous":
+            del headers[0]
         if mode == "fail":
             return Response(500, headers, single_chunk(b"failed"), 6)
         return Response(200, headers, single_chunk(content), len(content))
@@ -179,6 +188,34 @@
             await curio.sleep(self.options.heartbeat)
 
 
+def attempt_header(request: Request) -> tuple[str, str]:
+    """Return the header with the id of the attempt that a response belongs to."""
+    return "x-attempt-id", request.headers.get("x-attempt-id", "")
+
+
+def endless_response(part: str, headers: list[tuple[str, str]]) -> EndlessBytes:
+    """Return a response of which one part never ends.
+
+    Args:
+        part: The part, or ``trickle`` for a head that comes byte by byte.
+        headers: Headers of the response.
+    """
+    head = "HTTP/1.1 200 OK\r\n"
+    head += "".join(f"{name}: {value}\r\n" for name, value in headers)
+    chunked = head + "transfer-encoding: chunked\r\n\r\n"
+    filler = b"x" * FILLER_BYTES
+    chunk = b"%x\r\n%b\r\n" % (len(filler), filler)
+    return {
+        "header": EndlessBytes(f"{head}x-fill: ".encode(), filler, 0.0),
+        "trickle": EndlessBytes(f"{head}x-fill: ".encode(), b"x", 0.01),
+        "chunks": EndlessBytes(chunked.encode(), chunk, 0.0),
+        "extension": EndlessBytes(f"{chunked}1;x=".encode(), filler, 0.0),
+        "trailers": EndlessBytes(f"{chunked}0\r\n".encode(), b"x: y\r\n" * 2000, 0.0),
+        "unframed": EndlessBytes(f"{head}\r\n".encode(), filler, 0.0),
+        "garbage": EndlessBytes(b"\x00\x01", filler, 0.0),
+    }[part]
+
+
 async def run(options: Any) -> None:
     """Serve until the process ends."""
     listener = open_listener(options.address)
--- a/standins/httpserver.py
+++ b/standins/httpserver.py
@@ -62,7 +62,21 @@
     reset: bool = False
 
 
-Handler = Callable[[Request], Awaitable[Response | None]]
+class EndlessBytes(NamedTuple):
+    """Bytes that are sent until the client closes the connection.
+
+    Attributes:
+        start: Bytes sent first.
+        filler: Bytes repeated after them.
+        pause: Seconds between two repetitions.
+    """
+
+    start: bytes
+    filler: bytes
+    pause: float
+
+
+Handler = Callable[[Request], Awaitable[Response | EndlessBytes | None]]
 
 
 async def single_chunk(body: bytes) -> AsyncIterator[bytes]:
@@ -137,6 +151,9 @@
         response = await self.call_handler(request)
         if response is None:
             return False
+        if isinstance(response, EndlessBytes):
+            await self.send_endless(response)
+            return False
         if not await self.send(response):
             return False
         return self.protocol.our_state is h11.DONE
@@ -165,7 +182,7 @@
         method = head.method.decode()
         return Request(method, target.path, query, headers, bytes(body))
 
-    async def call_handler(self, request: Request) -> Response | None:
+    async def call_handler(self, request: Request) -> Response | EndlessBytes | None:
         """Run the handler and cancel it if the client disconnects meanwhile."""
         handler_task = await curio.spawn(self.handler, request)
         hangup_task = await curio.spawn(
@@ -216,6 +233,13 @@
         await self.client.sendall(self.protocol.send(h11.EndOfMessage()))
         return True
 
+    async def send_endless(self, response: EndlessBytes) -> None:
+        """Send bytes until the client closes the connection."""
+        await self.client.sendall(response.start)
+        while True:
+            await self.client.sendall(response.filler)
+            await curio.sleep(response.pause)
+
     def set_linger(self, reset: bool) -> None:
         """If ``reset``, make the following close send a TCP reset."""
         if reset:
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -144,12 +144,12 @@
         path.write_text("\n".join(lines) + "\n")
         return path
 
-    def start_node(self, name, service, store=""):
+    def start_node(self, name, service, store="", program="carawaywheel"):
         """Start the node of a host; its log is written to a file."""
         path = self.write_boot_file(name, service, store)
         with (self.work_dir / f"{name}.log").open("a") as log_file:
             process = subprocess.Popen(
-                [sys.executable, "-m", "carawaywheel", "node"],
+                [sys.executable, "-m", program, "node"],
                 stdout=log_file,
                 stderr=log_file,
                 env=os.environ | {"CARAWAYWHEEL_BOOT": str(path)},
@@ -185,11 +185,19 @@
         return curio.run(request, address, "GET", "/api/ready", [], b"", 2.0).status
 
     def send(
-        self, name, path, method="GET", body=b"", key=KEY, headers=(), timeout=8.0
+        self,
+        name,
+        path,
+        method="GET",
+        body=b"",
+        key=KEY,
+        headers=(),
+        timeout=8.0,
+        deadline_ms=4000,
     ):
         """Send a client's request to a node and return the response."""
         fields = [("host", HOST), ("x-attempt-id", os.urandom(8).hex()), *headers]
-        fields += [("x-deadline-ms", "4000")]
+        fields += [("x-deadline-ms", str(deadline_ms))]
         if key:
             fields.append(("authorization", f"Token {key}"))
         address = self.address(name, "outbound")
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -171,3 +171,36 @@
     writer = BodyWriter(200, [(b"transfer-encoding", b"chunked")], False)
     assert writer.encode(b"x" * 10) == b"a\r\n" + b"x" * 10 + b"\r\n"
     assert writer.end() == b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "start, filler",
+    [
+        (b"HTTP/1.1 200 OK\r\nX-Fill: ", b"a" * 50),
+        (b"HTTP/1.1 200 OK\r\n", b"X-Fill: a\r\n"),
+        (b"HTTP/1.1 102 Processing\r\n\r\n", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=", b"a" * 50),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X: a\r\n"),
+    ],
+    ids=["header", "headers", "informational", "chunk-extension", "trailers"],
+)
+@pytest.mark.parametrize("part_size", [1, 50])
+def test_bytes_without_end_are_an_error_in_bounded_memory(start, filler, part_size):
+    """A server in trouble may send such bytes for as long as the client reads."""
+    reader = ResponseReader(1000)
+    reader.feed(start)
+    stream = filler * 400
+    with pytest.raises(FramingError):
+        for offset in range(0, len(stream), part_size):
+            reader.feed(stream[offset : offset + part_size])
+            while isinstance(reader.next_event(), ResponseHead):
+                pass
+    assert sum(len(name) + len(value) for name, value in reader.headers) <= 1000
+
+
+def test_body_in_small_chunks_that_trickles_in_is_no_error():
+    reader = ResponseReader(1000)
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    stream = head + b"1\r\na\r\n" * 600 + b"0\r\n\r\n"
+    events = read(reader, *(stream[i : i + 1] for i in range(len(stream))))
+    assert body(events) == b"a" * 600 and events[-1] is END
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,12 +1,15 @@
 """End-to-end tests of mesh nodes as real processes with platform stand-ins."""
 
 import json
+import resource
 import signal
 import time
+from pathlib import Path
 
 import pytest
 
-from .platform_harness import Platform, configuration, route
+from .failing_node import COMPONENTS
+from .platform_harness import Platform, configuration, route, wait
 
 
 @pytest.fixture
@@ -16,6 +19,13 @@
         yield platform
 
 
+def resident_megabytes(platform, name):
+    """Return the resident memory of a node in megabytes."""
+    pid = platform.processes[name].process.pid
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / (1 << 20)
+
+
 def start_two_hosts(platform, *yard_arguments):
     platform.start_host("h1", "desk")
     platform.start_host("h2", "yard", *yard_arguments)
@@ -386,3 +396,79 @@
     platform.processes["h2"].kill()
     statuses = [platform.send("h1", f"/inner/{index}").status for index in range(20)]
     assert statuses.count(200) >= 19
+
+
+def test_errors_in_background_components_stop_neither_node_nor_requests(platform):
+    """One unexpected error must not take the whole process down."""
+    platform.start_host("h1", "desk")
+    platform.start_node("h2", "yard", program="tests.failing_node")
+    platform.start_endpoint("h2", "yard", "--work", "0.4")
+    platform.wait_until_served("h1", "/inner/x")
+    responses = []
+
+    def all_failed():
+        responses.append(platform.send("h1", f"/order/{len(responses)}", "POST"))
+        failed = {line["part"] for line in platform.log_lines("h2", "part_failed")}
+        return len(failed) >= len(COMPONENTS)
+
+    platform.wait_for(all_failed, "every component has failed once", 20.0)
+    assert platform.processes["h2"].process.poll() is None
+    for response in responses:
+        assert response.complete and response.status in (200, 503)
+    served = sum(response.status == 200 for response in responses)
+    assert served >= len(responses) - 1
+    assert platform.wait_until_served("h1", "/inner/y", 5.0)
+    assert platform.wait_until_served("h2", "/inner/z", 5.0)
+
+
+@pytest.mark.parametrize("part", ["header", "trickle", "extension", "garbage"])
+def test_bytes_without_end_instead_of_a_response_are_cut_off(platform, part):
+    start_two_hosts(platform)
+    platform.configure_target("h2", mode=f"endless-{part}")
+    started_at = time.monotonic()
+    response = platform.send("h1", "/order/1", "POST", deadline_ms=1500)
+    assert response.status in (502, 504) and response.complete
+    assert "x-response-signature" not in response.headers
+    assert time.monotonic() - started_at < 2.5
+    assert len(platform.runs("h2", "/order/1")) == 1
+    assert resident_megabytes(platform, "h2") < 100
+    platform.configure_target("h2", mode="none")
+    assert platform.wait_until_served("h1", "/inner/y", 5.0)
+
+
+@pytest.mark.parametrize("part", ["chunks", "trailers", "unframed"])
+def test_body_without_end_is_never_complete(platform, part):
+    start_two_hosts(platform)
+    platform.configure_target("h2", mode=f"endless-{part}")
+    started_at = time.monotonic()
+    response = platform.send("h1", "/order/1", "POST", deadline_ms=1500)
+    assert response.status in (502, 504) or not response.complete
+    assert time.monotonic() - started_at < 2.5
+    for name in ("h1", "h2"):
+        assert resident_megabytes(platform, name) < 100
+    platform.configure_target("h2", mode="none")
+    assert platform.wait_until_served("h1", "/inner/y", 5.0)
+
+
+def test_response_without_an_id_on_a_used_connection_is_not_forwarded(platform):
+    """It may be a late second copy of the response to an earlier request."""
+    start_two_hosts(platform)
+    assert platform.send("h1", "/order/1", "POST").status == 200
+    platform.configure_target("h2", mode="anonymous")
+    response = platform.send("h1", "/order/2", "POST")
+    assert response.status == 502
+    assert "x-response-signature" not in response.headers
+
+
+@pytest.mark.parametrize("paused", ["h1", "h2"])
+def test_paused_node_runs_no_request_whose_deadline_has_passed(platform, paused):
+    """The time that the caller gave has passed while the request waited unread."""
+    start_two_hosts(platform)
+    assert platform.send("h1", "/order/1", "POST").status == 200
+    platform.processes[paused].signal(signal.SIGSTOP)
+    response = platform.send_in_background("h1", "/order/2", "POST", deadline_ms=1000)
+    wait(2.0)
+    platform.processes[paused].signal(signal.SIGCONT)
+    assert response.result(8.0).status in (502, 503, 504)
+    assert platform.wait_until_served("h1", "/inner/y", 5.0)
+    assert not platform.runs("h2", "/order/2")
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -11,9 +11,11 @@
 from carawaywheel.mesh.configuration import Account
 from carawaywheel.mesh.directory import Directory
 from carawaywheel.mesh.quotas import (
+    CACHED_TOKEN_SECONDS,
     LEASE_SECONDS,
     NODE_EXPIRY_SECONDS,
     SLOT_COUNT,
+    AccountGrant,
     Quotas,
     TokenGrant,
     TokenRequest,
@@ -54,7 +56,7 @@
         grant = decode_message(
             encode_message(self.nodes[owner].grant(received, self.now))
         )
-        quotas.apply_grant(grant, self.now)
+        quotas.apply_grant(grant, self.now, self.now)
 
     def acquire(self, name):
         quotas = self.nodes[name]
@@ -266,3 +268,46 @@
 
 TestRates = RateMachine.TestCase
 TestRates.settings = settings(max_examples=60, stateful_step_count=40)
+
+
+class SilentSocket:
+    """Datagram socket whose datagrams the test answers itself."""
+
+    address = "10.0.0.1:1"
+
+    def __init__(self):
+        self.handlers = {}
+        self.sent = []
+
+    async def send(self, kind, data, address):
+        self.sent.append(decode_message(data))
+
+
+async def receive_grants(delays):
+    """Request a token; return the tokens held after grants with these delays."""
+    clock = ManualClock(100.0)
+    sock = SilentSocket()
+    quotas = Quotas(NODES[0])
+    quotas.configure({ACCOUNT.name: ACCOUNT})
+    owner = next(n for n in NODES if n == slot_owner(hash_slot(ACCOUNT.name), NODES))
+    quotas.set_nodes(NODES, [owner])
+    journal = SimpleNamespace(count=lambda *arguments: None)
+    limiter = RateLimiter(quotas, sock, None, journal, clock)
+    cache = quotas.token_cache(ACCOUNT, clock.now())
+    await limiter.send_request(cache.slot, {ACCOUNT.name: 3})
+    (request,) = sock.sent
+    lent = {ACCOUNT.name: AccountGrant(3, 0.0)}
+    grant = encode_message(TokenGrant(request.sequence, request.slot, lent))
+    for delay in delays:
+        clock.advance(delay)
+        await limiter.receive(grant, ("10.0.0.2", 1))
+    return cache.tokens if clock.now() <= cache.tokens_until else 0
+
+
+def test_repeated_grant_counts_once():
+    assert curio.run(receive_grants, [0.01, 0.01]) == 3
+
+
+def test_grant_that_arrives_after_a_pause_is_not_used():
+    """A paused node must not use tokens that expired while it stood still."""
+    assert curio.run(receive_grants, [CACHED_TOKEN_SECONDS + 0.1]) == 0
