Let a few readers follow the store for all nodes

Cause: every node polled both tables of the store, so that each change of one host cost a call of every node, N squared calls at a start. Ruled out: gossip of the former node (a second membership beside the store's), polls at longer intervals (changes come late, and the square stays). Change: nodes rank the hosts alike and ask two readers for changes by datagram; a node reads the store while others ask it, announces changes at once and hands out larger ones over HTTP. Silent readers and those without the store are passed over. A page of records is one update of the router, a suspension touches one target. Records of earlier starts are superseded and written again. Directory, store and follower move to mesh/replication.

--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -17,7 +17,6 @@
 from ..streaming import TruncatedResponseError
 from .callgraph import CallGraph
 from .configuration import Account, RouteKind
-from .directory import Directory
 from .execution import TargetRunner
 from .journal import Journal
 from .messages import Call, CallerMetadata
@@ -25,6 +24,7 @@
 from .peers import PeerClient
 from .policy import AdmissionPolicy
 from .ratelimiter import RateLimiter
+from .replication.directory import Directory
 from .requests import AdmittedRequest, RequestProgress, http_status
 from .responses import (
     BufferedResponse,
--- a/src/carawaywheel/mesh/inbound.py
+++ b/src/carawaywheel/mesh/inbound.py
@@ -55,7 +55,7 @@
     async def serve_call(self, connection: ServerExchange, request: Request) -> None:
         """Execute a call of another node at the local target."""
         call = decode_call(request.header(CALL_HEADER), connection.peer)
-        self.peer_monitor.observe_version(call.version)
+        self.peer_monitor.observe_caller(connection.peer, call.version)
         body = await connection.read_body(MAX_BODY_BYTES)
         result = await self.runner.run(call, request, forwarded_headers(request), body)
         refusal = result if isinstance(result, Refusal) else None
--- a/src/carawaywheel/mesh/links.py
+++ b/src/carawaywheel/mesh/links.py
@@ -355,7 +355,7 @@
     ) -> None:
         """Execute one call and send its response."""
         call = frame.call
-        self.peer_monitor.observe_version(call.version)
+        self.peer_monitor.observe_caller(connection.peer, call.version)
         try:
             request = Request(frame.method, frame.target, frame.headers)
             result = await self.runner.run(call, request, frame.headers, frame.body)
--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -1,50 +1,59 @@
 """Monitoring of peers: reachability, readiness and configuration versions.
 
 Replies carry the configuration version of the replying node. A node that sees a newer
-version reads the store at once; one that sees an older version pushes its own state to
-that peer. A host that is unreachable, or whose target accepts no work, is suspended: it
-gets no requests until a background probe succeeds.
+version fetches it; one that keeps seeing an older version pushes its own state to that
+peer. A host that is unreachable, or whose target accepts no work, is suspended: it gets
+no requests until a background probe succeeds.
 """
 
-from typing import Any
+from typing import Any, NamedTuple
 
 import curio
 import msgspec
 
 from ..clock import Clock
-from ..errors import PeerError, PolicyError, ProtocolError
+from ..errors import PeerError, PolicyError, ProtocolError, RecordError
 from ..http import Request
 from ..platform.configuration import decode_configuration
 from ..pool import ConnectionPool
 from ..routing import Router
 from ..serverexchange import JSON_HEADER, ServerExchange
 from .configuration import MeshConfiguration
-from .directory import Directory, HostRecord
 from .journal import Journal
 from .messages import CallReply
+from .replication.directory import (
+    Directory,
+    HostRecord,
+    check_record,
+    routing_candidate,
+)
+from .replication.messages import MeshState, state_decoder
 from .settings import CONNECT_TIMEOUT_SECONDS
+from .target import Phase
 
 STATE_PATH = "/-/state"
+# Followed by the version and the offset that the fetching node knows.
+CHANGES_PATH_PREFIX = "/-/changes/"
 MAX_STATE_BYTES = 4 * 1024 * 1024
+STATE_HEADER = (b"content-type", b"application/msgpack")
+OWN_ORIGIN = "self"
 PROBE_INTERVAL_SECONDS = 0.4
 PROBE_TIMEOUT_SECONDS = 0.6
 # Upper bound of the backoff between probes of an unreachable host.
 MAX_PROBE_INTERVAL_SECONDS = 2.0
 MIN_PUSH_INTERVAL_SECONDS = 1.0
-
-
-class MeshState(msgspec.Struct):
-    """State that one node sends to another.
-
-    Attributes:
-        configuration: The configuration document as published; empty for none.
-        hosts: Host records.
-        hosts_known: Whether the sender has read the records of all hosts.
-    """
-
-    configuration: bytes
-    hosts: list[HostRecord]
-    hosts_known: bool = False
+# Time for a large configuration on a narrow link.
+FETCH_TIMEOUT_SECONDS = 2.0
+# Time for which a peer must be seen with an older configuration before the newer one is
+# pushed to it: usually it learns of it by itself.
+OUTDATED_PATIENCE_SECONDS = 1.5
+# Age from which such an observation no longer counts.
+OUTDATED_AGE_SECONDS = 0.5
+# Peers that a record is sent to at the same time.
+BROADCAST_WIDTH = 32
+# Records of one change that are logged one by one.
+MAX_LOGGED_HOSTS = 4
+OK_STATUS = 200
 
 
 class ProbeReply(msgspec.Struct):
@@ -74,19 +83,32 @@
         self.reason = reason
 
 
+class OutdatedPeer(NamedTuple):
+    """A peer with an older configuration than this node.
+
+    Attributes:
+        first_seen_at: Time at which it was first seen with one, in seconds.
+        last_seen_at: Time at which it was last seen with one, in seconds.
+    """
+
+    first_seen_at: float
+    last_seen_at: float
+
+
 class PeerMonitor:
     """Tracks the reachability, readiness and configuration versions of peers.
 
     Attributes:
         own_address: Address of this node.
-        newest_version: Highest configuration version that a peer has reported.
-        newer_available: Set when a peer has a newer version, until the store is read.
         suspended: Suspensions by host address.
         pushed_at: Time of the last state push to each host, in seconds.
         outdated: Hosts with an older configuration version than this node.
+        generation: Number of changes of the reachable hosts and their phases.
         serving: Returns whether the local target accepts new work.
         on_configuration_changed: Called with each configuration that takes effect.
-        on_hosts_changed: Called when host records or suspensions change.
+        on_hosts_changed: Called when host records or the reachable hosts change.
+        on_own_record: Called with a record of this host that another node has told.
+        on_newer_version: Called with the address of a peer and its newer version.
     """
 
     def __init__(
@@ -103,27 +125,47 @@
         self.journal = journal
         self.clock = clock
         self.pool = ConnectionPool(CONNECT_TIMEOUT_SECONDS)
-        self.newest_version = 0
-        self.newer_available = curio.Event()
         self.suspended: dict[str, Suspension] = {}
         self.pushed_at: dict[str, float] = {}
-        self.outdated: set[str] = set()
+        self.outdated: dict[str, OutdatedPeer] = {}
+        self.generation = 0
         self.serving: Any = lambda: False
         self.on_configuration_changed: Any = lambda configuration: None
         self.on_hosts_changed: Any = lambda: None
+        self.on_own_record: Any = lambda record: None
+        self.on_newer_version: Any = lambda address, version: None
 
     def observe_reply(self, address: str, reply: CallReply) -> None:
         """Process the version and readiness that a reply carries."""
-        self.observe_version(reply.version)
-        if reply.version < self.directory.configuration_version:
-            self.outdated.add(address)
+        self.observe_version(address, reply.version)
         if not reply.serving:
             self.suspend(address, "takes no work")
 
-    def observe_version(self, version: int) -> None:
+    def observe_version(self, address: str, version: int) -> None:
         """Process the configuration version of a peer."""
-        if version > max(self.newest_version, self.directory.configuration_version):
-            self.newest_version = version
+        own_version = self.directory.configuration_version
+        if version > own_version:
+            self.on_newer_version(address, version)
+        elif version < own_version:
+            now = self.clock.now()
+            seen = self.outdated.get(address)
+            if seen is None or now - seen.last_seen_at > OUTDATED_PATIENCE_SECONDS:
+                # A peer without any configuration cannot serve.
+                first_seen_at = now if version else now - OUTDATED_PATIENCE_SECONDS
+                seen = OutdatedPeer(first_seen_at, now)
+            self.outdated[address] = seen._replace(last_seen_at=now)
+        elif self.outdated:
+            self.outdated.pop(address, None)
+
+    def observe_caller(self, peer: str, version: int) -> None:
+        """Process the configuration version of a peer that calls.
+
+        Args:
+            peer: Its address with the port that it calls from.
+            version: The version.
+        """
+        port = self.own_address.rpartition(":")[2]
+        self.observe_version(f"{peer.rpartition(':')[0]}:{port}", version)
 
     def report_unreachable(self, address: str) -> None:
         """Suspend a host to which no connection could be opened."""
@@ -136,13 +178,22 @@
         now = self.clock.now()
         self.suspended[address] = Suspension(now + PROBE_INTERVAL_SECONDS, reason)
         self.journal.write("host_suspended", host=address, reason=reason)
-        self.update_router()
+        self.router.remove_candidate(address)
+        self.update_reachable()
 
     def resume(self, address: str) -> None:
         """End the suspension of a host."""
         if self.suspended.pop(address, None) is not None:
             self.journal.write("host_resumed", host=address)
-            self.update_router()
+            record = self.directory.hosts.get(address)
+            if record is not None:
+                self.router.set_candidate(routing_candidate(record))
+            self.update_reachable()
+
+    def update_reachable(self) -> None:
+        """Note that the reachable hosts have changed."""
+        self.generation += 1
+        self.on_hosts_changed()
 
     def update_router(self) -> None:
         """Pass the targets of all hosts that are not suspended to the router."""
@@ -152,7 +203,7 @@
             if candidate.address not in self.suspended
         ]
         self.router.set_candidates(candidates, self.clock.now())
-        self.on_hosts_changed()
+        self.update_reachable()
 
     def reachable_hosts(self) -> list[str]:
         """Return the addresses of all hosts that are not suspended as unreachable."""
@@ -163,24 +214,64 @@
             or self.suspended[address].reason == "takes no work"
         )
 
-    def merge_host(self, record: HostRecord) -> None:
-        """Merge the record of a host if it is newer."""
+    def merge_hosts(
+        self, changes: list[tuple[int, HostRecord]], hosts_offset: int, origin: str
+    ) -> None:
+        """Merge the records of hosts that are newer, as one change.
+
+        Args:
+            changes: Offsets of the records in the store, 0 if not known, and records.
+            hosts_offset: Offset up to which all records are known now.
+            origin: Who told the records.
+        """
+        merged = [
+            record
+            for offset, record in changes
+            if self.merge_host(offset, record, origin)
+        ]
+        directory = self.directory
+        directory.hosts_offset = max(directory.hosts_offset, hosts_offset)
+        if not merged:
+            return
+        for record in merged[:MAX_LOGGED_HOSTS]:
+            self.journal.write(
+                "host",
+                host=record.address,
+                id=record.node_id,
+                service=record.service,
+                phase=record.phase,
+                order=record.revision,
+                origin=origin,
+            )
+        if len(merged) > MAX_LOGGED_HOSTS:
+            self.journal.write(
+                "hosts",
+                changed=len(merged),
+                known=len(directory.hosts),
+                offset=directory.hosts_offset,
+                origin=origin,
+            )
+        self.update_router()
+
+    def merge_host(self, offset: int, record: HostRecord, origin: str) -> bool:
+        """Merge the record of a host; return whether it was newer."""
+        try:
+            check_record(record)
+        except RecordError as error:
+            self.journal.write("host_invalid", error=str(error), origin=origin)
+            return False
+        if record.address == self.own_address and origin != OWN_ORIGIN:
+            self.on_own_record(record)
+            return False
         former = self.directory.hosts.get(record.address)
+        if offset:
+            self.directory.record_offset(record.address, offset)
         if not self.directory.merge(record):
-            return
-        self.journal.write(
-            "host",
-            host=record.address,
-            id=record.node_id,
-            service=record.service,
-            phase=record.phase,
-            order=record.revision,
-        )
-        if former is None or former.incarnation != record.incarnation:
+            return False
+        restarted = former is None or former.incarnation != record.incarnation
+        if restarted or record.phase == Phase.READY:
             self.suspended.pop(record.address, None)
-        elif record.phase == 0 and record.address in self.suspended:
-            self.suspended.pop(record.address)
-        self.update_router()
+        return True
 
     def mark_hosts_known(self) -> None:
         """Record that the records of all other hosts have been read."""
@@ -221,6 +312,9 @@
         Raises:
             ProtocolError: If the request is neither, or the state is malformed.
         """
+        if request.path.startswith(CHANGES_PATH_PREFIX):
+            await self.send_changes(connection, request)
+            return
         if request.path != STATE_PATH:
             raise ProtocolError(
                 f"expected a call or a request for {STATE_PATH}",
@@ -236,57 +330,119 @@
         content = msgspec.json.encode(reply)
         await connection.respond(200, [JSON_HEADER], content)
 
+    async def send_changes(self, connection: ServerExchange, request: Request) -> None:
+        """Send what a peer does not know yet.
+
+        Raises:
+            ProtocolError: If the path does not tell what the peer knows.
+        """
+        await connection.read_body(0)
+        known = request.path.removeprefix(CHANGES_PATH_PREFIX).split("/")
+        if len(known) != 2 or not all(value.isdecimal() for value in known):
+            raise ProtocolError(
+                f"expected {CHANGES_PATH_PREFIX}VERSION/OFFSET, got {request.path}",
+                "read head",
+                connection.peer,
+            )
+        content = self.encode_state(int(known[0]), int(known[1]))
+        await connection.respond(OK_STATUS, [STATE_HEADER], content)
+
     def merge_state(self, body: bytes, peer: str) -> None:
-        """Merge the state that a peer has pushed.
+        """Merge the state that a peer has told.
 
         Raises:
             ProtocolError: If the body is malformed; ``peer`` holds the peer's address.
         """
         try:
-            state = msgspec.msgpack.decode(body, type=MeshState)
+            state = state_decoder.decode(body)
         except msgspec.DecodeError as error:
             raise ProtocolError(str(error), "take state", peer) from error
         if state.configuration:
             self.receive_configuration(state.configuration, peer)
-        for record in state.hosts:
-            self.merge_host(record)
+        offsets = state.offsets
+        if len(offsets) != len(state.hosts):
+            offsets = [0] * len(state.hosts)
+        changes = list(zip(offsets, state.hosts, strict=True))
+        hosts_offset = state.hosts_offset if state.hosts_known else 0
+        self.merge_hosts(changes, hosts_offset, peer)
         if state.hosts_known:
             self.mark_hosts_known()
 
-    def encode_state(self) -> bytes:
-        """Return the encoded state of this node."""
-        configuration = self.directory.configuration
-        source = configuration.source if configuration else b""
+    def encode_state(self, version: int = 0, offset: int = 0) -> bytes:
+        """Encode the state of this node.
+
+        Args:
+            version: Configuration version that the receiver has.
+            offset: Offset up to which it knows all host records.
+        """
+        directory = self.directory
+        configuration = directory.configuration
+        source = b""
+        if configuration is not None and configuration.version > version:
+            source = configuration.source
+        changes = directory.changes_since(offset)
         return msgspec.msgpack.encode(
             MeshState(
                 source,
-                list(self.directory.hosts.values()),
-                self.directory.hosts_known,
+                [record for _, record in changes],
+                directory.hosts_known,
+                [offset for offset, _ in changes],
+                directory.hosts_offset,
             )
         )
 
+    async def fetch_state(self, address: str) -> bool:
+        """Fetch what this node does not know yet from a peer.
+
+        Returns:
+            Whether the peer has told it.
+        """
+        directory = self.directory
+        path = (
+            f"{CHANGES_PATH_PREFIX}{directory.configuration_version}"
+            f"/{directory.hosts_offset}"
+        )
+        try:
+            content = await curio.timeout_after(
+                FETCH_TIMEOUT_SECONDS, self.exchange, address, "GET", path, b""
+            )
+            self.merge_state(content, address)
+        except (PeerError, ProtocolError, curio.TaskTimeout) as error:
+            self.journal.count("fetch_failed", type(error).__name__)
+            return False
+        return True
+
     async def run(self) -> None:
         """Probe suspended hosts and push state to outdated ones until cancelled."""
         while True:
             await curio.sleep(PROBE_INTERVAL_SECONDS / 2)
             now = self.clock.now()
-            if (
-                self.newest_version > self.directory.configuration_version
-                and not self.newer_available.is_set()
-            ):
-                await self.newer_available.set()
             due = [
                 address
                 for address, suspension in self.suspended.items()
                 if suspension.next_probe_at <= now
             ]
-            outdated, self.outdated = self.outdated, set()
+            outdated = self.take_outdated(now)
             async with curio.TaskGroup() as group:
                 for address in due:
                     await group.spawn(self.probe, address)
-                for address in outdated - set(due):
+                for address in outdated:
                     await group.spawn(self.push_state, address)
 
+    def take_outdated(self, now: float) -> list[str]:
+        """Return the peers that have had an older configuration for long."""
+        own_version = self.directory.configuration_version
+        due = [
+            address
+            for address, seen in self.outdated.items()
+            if seen.last_seen_at - seen.first_seen_at >= OUTDATED_PATIENCE_SECONDS
+            and now - seen.last_seen_at <= OUTDATED_AGE_SECONDS
+            and own_version
+        ]
+        for address in due:
+            del self.outdated[address]
+        return due
+
     async def probe(self, address: str) -> None:
         """Probe a suspended host; end its suspension if its target accepts work."""
         suspension = self.suspended.get(address)
@@ -301,7 +457,8 @@
             return
         suspension.reason = "takes no work"
         suspension.next_probe_at = self.clock.now() + PROBE_INTERVAL_SECONDS
-        if reply.version < self.directory.configuration_version:
+        self.observe_version(address, reply.version)
+        if not reply.version and self.directory.configuration_version:
             await self.push_state(address)
         if reply.serving:
             self.resume(address)
@@ -318,40 +475,60 @@
         self.journal.write("state_passed_on", host=address)
         await self.try_exchange(address, "POST", self.encode_state())
 
-    async def broadcast_state(self) -> None:
-        """Push this node's state to all reachable hosts while the store is down."""
-        async with curio.TaskGroup() as group:
-            for address in self.reachable_hosts():
-                if address != self.own_address:
-                    await group.spawn(
-                        self.try_exchange, address, "POST", self.encode_state()
-                    )
+    async def broadcast_record(self, record: HostRecord) -> None:
+        """Send one record to all reachable hosts while the store is down."""
+        state = msgspec.msgpack.encode(MeshState(b"", [record]))
+        addresses = [
+            address for address in self.reachable_hosts() if address != self.own_address
+        ]
+        for start in range(0, len(addresses), BROADCAST_WIDTH):
+            async with curio.TaskGroup() as group:
+                for address in addresses[start : start + BROADCAST_WIDTH]:
+                    await group.spawn(self.send_record, address, state)
+
+    async def send_record(self, address: str, state: bytes) -> None:
+        """Send a record to a host and process the version in its reply."""
+        reply = await self.try_exchange(address, "POST", state)
+        if reply is not None:
+            self.observe_version(address, reply.version)
 
     async def try_exchange(
         self, address: str, method: str, body: bytes
     ) -> ProbeReply | None:
         """Send a probe or a state; return None if the exchange fails or times out."""
-        headers = [
-            (b"host", address.encode()),
-            (b"content-length", str(len(body)).encode()),
-        ]
         try:
-            return await curio.timeout_after(
-                PROBE_TIMEOUT_SECONDS, self.exchange, address, method, headers, body
+            content = await curio.timeout_after(
+                PROBE_TIMEOUT_SECONDS, self.exchange, address, method, STATE_PATH, body
             )
+            return msgspec.json.decode(content, type=ProbeReply)
         except (PeerError, curio.TaskTimeout, msgspec.DecodeError) as error:
             self.journal.count("check_failed", type(error).__name__)
             return None
 
     async def exchange(
-        self, address: str, method: str, headers: Any, body: bytes
-    ) -> ProbeReply:
-        """Run one exchange on a new connection; a pooled one may be broken."""
+        self, address: str, method: str, path: str, body: bytes
+    ) -> bytes:
+        """Run one exchange on a new connection; a pooled one may be broken.
+
+        Returns:
+            The body of the response.
+
+        Raises:
+            PeerError: If the exchange failed or the status is not 200.
+        """
+        headers = [
+            (b"host", address.encode()),
+            (b"content-length", str(len(body)).encode()),
+        ]
         connection = await self.pool.connect(address)
         try:
-            await connection.send(method, STATE_PATH, headers, body)
+            await connection.send(method, path, headers, body)
             response = await connection.receive_head()
             content = await response.read(MAX_STATE_BYTES)
         finally:
             await self.pool.discard(connection)
-        return msgspec.json.decode(content, type=ProbeReply)
+        if response.status != OK_STATUS:
+            raise PeerError(
+                f"expected status 200, got {response.status}", path, address, True
+            )
+        return content
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -25,10 +25,8 @@
 from ..sockets import open_listener, split_address
 from .callgraph import CallGraph
 from .configuration import InputLimits, MeshConfiguration
-from .directory import Directory, HostRecord
 from .entry import EntryHandler
 from .execution import TargetRunner
-from .follower import StoreSync
 from .health import HeartbeatHandler, ReadinessHandler
 from .inbound import PeerHandler
 from .journal import Journal
@@ -37,6 +35,8 @@
 from .monitor import PeerMonitor
 from .quotas import Quotas
 from .ratelimiter import RateLimiter
+from .replication.directory import Directory, HostRecord
+from .replication.synchronizer import StateSynchronizer
 from .settings import HostSettings
 from .shedding import AdmissionLevelTable
 from .stalls import StallDetector
@@ -118,20 +118,22 @@
             0,
         )
         self.directory.merge(record)
-        self.store_sync = StoreSync(
+        host, port = split_address(settings.listen.datagrams)
+        self.datagram_socket = DatagramSocket(host, port, Signer(DATAGRAM_SECRET))
+        self.synchronizer = StateSynchronizer(
             MetadataStore(settings.store.address, STORE_TIMEOUT_SECONDS),
             (CONFIGURATION_TABLE, HOST_TABLE),
             CONFIGURATION_KEY,
             self.directory,
             self.peer_monitor,
             record,
+            self.datagram_socket,
+            settings.first_start,
             self.journal,
             self.clock,
             self.rng,
         )
         self.quotas = Quotas(own_address)
-        host, port = split_address(settings.listen.datagrams)
-        self.datagram_socket = DatagramSocket(host, port, Signer(DATAGRAM_SECRET))
         self.rate_limiter = RateLimiter(
             self.quotas,
             self.datagram_socket,
@@ -224,7 +226,7 @@
         """Update the known nodes and the number of targets that share retry budgets."""
         self.rate_limiter.refresh_nodes()
         self.runner.set_target_count(
-            self.directory.count_ready_targets(self.settings.service)
+            len(self.directory.ready_addresses(self.settings.service))
         )
 
     async def publish_target(self) -> None:
@@ -232,7 +234,7 @@
         phase = self.target.phase
         heartbeat = self.target.heartbeat
         stopped = self.stopping or phase is None
-        await self.store_sync.publish(
+        await self.synchronizer.publish(
             int(Phase.GONE) if stopped or phase is None else int(phase),
             heartbeat.slots if heartbeat else 0,
         )
@@ -250,10 +252,11 @@
             self.datagram_socket.run,
             self.rate_limiter.run,
             self.peer_monitor.run,
-            self.store_sync.configuration_follower.run,
-            self.store_sync.host_follower.run,
-            self.store_sync.run_writes,
-            self.store_sync.run_refreshes,
+            self.synchronizer.run,
+            self.synchronizer.configuration_follower.run,
+            self.synchronizer.host_follower.run,
+            self.synchronizer.run_writes,
+            self.synchronizer.run_fetches,
             self.runner.run_polling,
             self.link_server.run,
             self.run_flushes,
--- a/src/carawaywheel/mesh/directory.py
+++ b/src/carawaywheel/mesh/replication/directory.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from ..errors import RecordError
-from ..routing import Candidate, TargetState
-from .configuration import MeshConfiguration
-from .target import Phase
+from ...errors import RecordError
+from ...routing import Candidate, TargetState
+from ..configuration import MeshConfiguration
+from ..target import Phase
 
 STATE_BY_PHASE = {
     Phase.READY: TargetState.READY,
@@ -66,9 +66,28 @@
             "decode host",
             key,
         )
+    check_record(record)
     return record
 
 
+def check_record(record: HostRecord) -> None:
+    """Check that the values of a record can be used.
+
+    Raises:
+        RecordError: If the address or the phase is not valid; ``peer`` holds the
+            address.
+    """
+    host, _, port = record.address.rpartition(":")
+    if not host or not port.isdecimal():
+        raise RecordError(
+            f"address {record.address!r} is not ip:port", "check host", record.address
+        )
+    if record.phase not in STATE_BY_PHASE:
+        raise RecordError(
+            f"phase {record.phase} is unknown", "check host", record.address
+        )
+
+
 class Directory:
     """The newest configuration and the newest record of each host.
 
@@ -77,12 +96,17 @@
         hosts: Host records by address.
         hosts_known: Whether the records of all hosts have been read from the store or
             received from a peer that had read them.
+        hosts_offset: Offset in the store up to which all records are known.
+        offsets: Offset in the store of the newest record of each host, by address; a
+            record that only its node has told has none.
     """
 
     def __init__(self) -> None:
         self.hosts_known = False
         self.configuration: MeshConfiguration | None = None
         self.hosts: dict[str, HostRecord] = {}
+        self.hosts_offset = 0
+        self.offsets: dict[str, int] = {}
 
     @property
     def configuration_version(self) -> int:
@@ -104,25 +128,46 @@
         self.hosts[record.address] = record
         return True
 
+    def record_offset(self, address: str, offset: int) -> None:
+        """Note the offset in the store at which a record of a host was read."""
+        if offset >= self.offsets.get(address, 0):
+            self.offsets[address] = offset
+
+    def changes_since(self, offset: int) -> list[tuple[int, HostRecord]]:
+        """Return the records that changed in the store at an offset or later.
+
+        From offset 0 on, these are all records, also those that are not known to be in
+        the store.
+        """
+        offsets = self.offsets
+        return [
+            (offsets.get(address, 0), record)
+            for address, record in self.hosts.items()
+            if offsets.get(address, 0) >= offset
+        ]
+
     def candidates(self) -> list[Candidate]:
         """Return the targets of all hosts as routing candidates."""
+        return [routing_candidate(record) for record in self.hosts.values()]
+
+    def ready_addresses(self, service: str) -> list[str]:
+        """Return the addresses of the targets of a service that accept new work."""
         return [
-            Candidate(
-                record.address,
-                record.node_id,
-                record.service,
-                record.address,
-                record.domain,
-                max(1, record.slots),
-                STATE_BY_PHASE[Phase(record.phase)],
-                0.0,
-            )
+            record.address
             for record in self.hosts.values()
+            if record.service == service and record.phase == Phase.READY
         ]
 
-    def count_ready_targets(self, service: str) -> int:
-        """Return how many targets of a service accept new work."""
-        return sum(
-            record.service == service and record.phase == Phase.READY
-            for record in self.hosts.values()
-        )
+
+def routing_candidate(record: HostRecord) -> Candidate:
+    """Return the target of a host as a routing candidate."""
+    return Candidate(
+        record.address,
+        record.node_id,
+        record.service,
+        record.address,
+        record.domain,
+        max(1, record.slots),
+        STATE_BY_PHASE[Phase(record.phase)],
+        0.0,
+    )
--- /dev/null
+++ b/src/carawaywheel/mesh/replication/follower.py
@@ -0,0 +1,144 @@
+"""Reading of one table of the platform's store, for as long as a node is a reader."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from ...clock import Clock
+from ...errors import LogError
+from ..journal import Journal
+from .store import KeyValue, Store
+
+# Time that a slow store may take to answer, beyond the wait of a long poll.
+SLOW_ANSWER_SECONDS = 1.5
+# Pause after reading a whole table, in which a node finds out whether it needs to read
+# on.
+SETTLE_SECONDS = 1.0
+MIN_BACKOFF_SECONDS = 0.25
+MAX_BACKOFF_SECONDS = 2.0
+
+
+class TableFollower:
+    """Reads a table of the store and follows its changes while it is active.
+
+    Attributes:
+        table: Name of the table.
+        apply: Awaited with the items of each response and the offset after them.
+        offset: Offset of the next change; None if it is not known.
+        wait: Seconds that a request waits for changes. A connection on which the store
+            lost a response shows only at the end of that time.
+        pause: Seconds between a response with changes and the next request, so that
+            changes in quick succession share a request.
+        active: Whether the table is followed.
+        contact_at: Time of the last response in seconds.
+        failing: Whether the last request failed.
+    """
+
+    def __init__(
+        self,
+        table: str,
+        store: Store,
+        apply: Callable[[list[KeyValue], int], Awaitable[None]],
+        wait: float,
+        pause: float,
+        journal: Journal,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.table = table
+        self.store = store
+        self.apply = apply
+        self.wait = wait
+        self.pause = pause
+        self.journal = journal
+        self.clock = clock
+        self.rng = rng
+        self.offset: int | None = None
+        self.active = False
+        self.activated = curio.Event()
+        self.contact_at = float("-inf")
+        self.failing = False
+
+    def is_in_touch(self, now: float) -> bool:
+        """Return whether the store has responded within the last seconds."""
+        return now - self.contact_at <= self.contact_seconds
+
+    @property
+    def contact_seconds(self) -> float:
+        """Time without a response after which the store counts as out of touch."""
+        return self.wait + SLOW_ANSWER_SECONDS
+
+    async def set_active(self, active: bool) -> None:
+        """Start or stop to follow the table; a request in flight is completed."""
+        if active == self.active:
+            return
+        self.active = active
+        if active:
+            await self.activated.set()
+        else:
+            self.activated.clear()
+
+    async def run(self) -> None:
+        """Follow the table whenever the follower is active, until cancelled."""
+        backoff = MIN_BACKOFF_SECONDS
+        while True:
+            await self.activated.wait()
+            try:
+                pause = await self.poll()
+            except LogError as error:
+                self.record_availability(error)
+                await curio.sleep(backoff * self.rng.uniform(0.5, 1.0))
+                backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+                continue
+            backoff = MIN_BACKOFF_SECONDS
+            self.record_availability(None)
+            await curio.sleep(pause)
+
+    async def poll(self) -> float:
+        """Read the whole table, or wait for its next changes.
+
+        Returns:
+            Seconds to pause before the next request.
+
+        Raises:
+            LogError: If the store failed or timed out.
+        """
+        if self.offset is None:
+            await self.read_all()
+            return SETTLE_SECONDS
+        page = await self.store.poll_changes(self.table, self.offset, self.wait)
+        self.contact_at = self.clock.now()
+        if page is None:
+            self.offset = None
+            return 0.0
+        await self.accept(page.items, page.offset)
+        return self.pause if page.items else 0.0
+
+    async def read_all(self) -> None:
+        """Read and apply the newest value of each key.
+
+        Raises:
+            LogError: If the store failed or timed out.
+        """
+        page = await self.store.read_all(self.table)
+        self.contact_at = self.clock.now()
+        await self.accept(page.items, page.offset)
+
+    async def accept(self, items: list[KeyValue], offset: int) -> None:
+        """Apply items; the next request asks for those after them."""
+        self.offset = max(offset, self.offset or 0)
+        await self.apply(items, offset)
+
+    def skip_to(self, offset: int) -> None:
+        """Continue from an offset if all changes before it are known."""
+        if offset and (self.offset is None or offset > self.offset):
+            self.offset = offset
+
+    def record_availability(self, error: LogError | None) -> None:
+        """Log when the store becomes unavailable or available again."""
+        if (error is not None) == self.failing:
+            return
+        self.failing = error is not None
+        event = "store_lost" if error else "store_regained"
+        self.journal.write(event, table=self.table, error=str(error or ""))
--- a/src/carawaywheel/mesh/store.py
+++ b/src/carawaywheel/mesh/replication/store.py
@@ -10,10 +10,12 @@
     Attributes:
         key: The key.
         value: The value; empty if the key was deleted.
+        offset: Offset of the change in its table.
     """
 
     key: str
     value: bytes
+    offset: int
 
 
 class TablePage(NamedTuple):
--- /dev/null
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -0,0 +1,401 @@
+"""Synchronization of a node's directory with the platform's store and other nodes.
+
+A node writes its own record to the store and learns the changes of all others from two
+readers, or from the store itself while it is a reader. Queries and small changes are
+datagrams; larger changes are fetched over HTTP.
+"""
+
+import random
+from typing import NamedTuple
+
+import curio
+
+from ...clock import Clock
+from ...datagrams import Address, DatagramHandler, DatagramSocket
+from ...errors import LogError, RecordError
+from ..journal import Journal
+from ..monitor import OWN_ORIGIN, PeerMonitor
+from ..target import Phase
+from .directory import Directory, HostRecord, decode_record, encode_record
+from .follower import (
+    MAX_BACKOFF_SECONDS,
+    MIN_BACKOFF_SECONDS,
+    TableFollower,
+)
+from .messages import (
+    MAX_DATAGRAM_HOSTS,
+    Query,
+    Status,
+    decode_message,
+    encode,
+)
+from .readers import ReaderChoice, ReaderHost, rank_readers
+from .store import KeyValue, Store
+
+DATAGRAM_KIND = b"s"
+# Each of the two readers is asked at every second tick. Readers announce changes at
+# once; queries repair what was lost and show that the reader lives.
+TICK_SECONDS = 0.4
+# Time for which a node stays a reader after the last query: some lost queries.
+READER_SECONDS = 3.0
+# Each poll costs a request, but a configuration must be in force within about two
+# seconds, also after the store has lost a response. Changes of hosts come in bursts and
+# concern only the choice of targets.
+CONFIGURATION_WAIT_SECONDS = 2.5
+CONFIGURATION_PAUSE_SECONDS = 0.1
+HOST_WAIT_SECONDS = 6.0
+HOST_PAUSE_SECONDS = 0.3
+# When all nodes start at once, the host records are read once most of them are written.
+FIRST_START_SECONDS = 2.5
+# Spreads what many nodes do at the same event.
+SPREAD_SECONDS = 0.3
+REPEAT_BROADCAST_SECONDS = 2.0
+
+
+class KnownFollower(NamedTuple):
+    """A node that asks this one for changes.
+
+    Attributes:
+        asked_at: Time of its last query in seconds.
+        hosts_offset: Offset up to which it knows all host records.
+    """
+
+    asked_at: float
+    hosts_offset: int
+
+
+class StateSynchronizer(DatagramHandler):
+    """Keeps the directory of a node in step with the store.
+
+    Attributes:
+        own_record: Newest record of this node's host.
+        published: Whether this record must be in the store.
+        stored_record: Record that the store has accepted last; None for none.
+        configuration_follower: Follower of the operator's table.
+        host_follower: Follower of the host records.
+        choices: The readers that this node asks.
+        followers: Nodes that ask this one, by address.
+        sources: Nodes to fetch changes from, with their configuration version and the
+            offset up to which they know all host records.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        tables: tuple[str, str],
+        configuration_key: str,
+        directory: Directory,
+        peer_monitor: PeerMonitor,
+        own_record: HostRecord,
+        sock: DatagramSocket,
+        first_start: bool,
+        journal: Journal,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.store = store
+        self.configuration_key = configuration_key
+        self.host_table = tables[1]
+        self.directory = directory
+        self.peer_monitor = peer_monitor
+        self.own_record = own_record
+        self.sock = sock
+        self.port = int(sock.address.rpartition(":")[2])
+        self.first_start = first_start
+        self.journal = journal
+        self.clock = clock
+        self.rng = rng
+        self.published = False
+        self.stored_record: HostRecord | None = None
+        self.record_changed = curio.Event()
+        self.broadcast_at = float("-inf")
+        self.configuration_follower = TableFollower(
+            tables[0],
+            store,
+            self.apply_operator_items,
+            CONFIGURATION_WAIT_SECONDS,
+            CONFIGURATION_PAUSE_SECONDS,
+            journal,
+            clock,
+            rng,
+        )
+        self.host_follower = TableFollower(
+            tables[1],
+            store,
+            self.apply_host_items,
+            HOST_WAIT_SECONDS,
+            HOST_PAUSE_SECONDS,
+            journal,
+            clock,
+            rng,
+        )
+        self.choices = [ReaderChoice(own_record.address, rng) for _ in range(2)]
+        self.ranked_generation = -1
+        self.became_reader_at = float("-inf")
+        self.followers: dict[str, KnownFollower] = {}
+        self.announced: tuple[int, int] = (0, 0)
+        self.sources: dict[str, tuple[int, int]] = {}
+        self.source_added = curio.Event()
+        sock.handlers[DATAGRAM_KIND] = self
+        peer_monitor.on_own_record = self.supersede_former
+        peer_monitor.on_newer_version = self.add_source
+
+    async def apply_operator_items(self, items: list[KeyValue], offset: int) -> None:
+        """Apply values of the operator's table."""
+        for item in items:
+            if item.key == self.configuration_key and item.value:
+                self.peer_monitor.receive_configuration(item.value, "store")
+        await self.announce_changes()
+
+    async def apply_host_items(self, items: list[KeyValue], offset: int) -> None:
+        """Apply host records; skip malformed ones."""
+        changes = []
+        for item in items:
+            if not item.value:
+                continue
+            try:
+                changes.append((item.offset, decode_record(item.key, item.value)))
+            except RecordError as error:
+                self.journal.write("host_invalid", error=str(error))
+        self.peer_monitor.merge_hosts(changes, offset, "store")
+        self.peer_monitor.mark_hosts_known()
+        await self.announce_changes()
+        if self.ranked_generation < 0:
+            for choice in self.choices:
+                await self.follow(choice, self.clock.now())
+
+    def supersede_former(self, record: HostRecord) -> None:
+        """Supersede a record of an earlier start of this node.
+
+        The time of day, from which incarnations come, may have stepped back.
+        """
+        if record.revision < self.own_record.revision or record == self.own_record:
+            return
+        self.journal.write("record_superseded", former=record.revision)
+        self.own_record = self.own_record._replace(
+            incarnation=record.incarnation + 1, sequence=0
+        )
+        self.peer_monitor.merge_hosts([(0, self.own_record)], 0, OWN_ORIGIN)
+
+    async def publish(self, phase: int, slots: int) -> None:
+        """Publish a change of the local target."""
+        self.own_record = self.own_record._replace(
+            phase=phase, slots=slots, sequence=self.own_record.sequence + 1
+        )
+        self.published = True
+        self.peer_monitor.merge_hosts([(0, self.own_record)], 0, OWN_ORIGIN)
+        await self.record_changed.set()
+
+    async def run_writes(self) -> None:
+        """Write this node's record after each change until cancelled."""
+        while True:
+            await self.record_changed.wait()
+            self.record_changed.clear()
+            backoff = MIN_BACKOFF_SECONDS
+            while self.stored_record != self.own_record:
+                written = self.own_record
+                try:
+                    await self.store.put(
+                        self.host_table, written.address, encode_record(written)
+                    )
+                except LogError as error:
+                    self.journal.write("host_not_written", error=str(error))
+                    await self.broadcast_record(written)
+                    await curio.sleep(backoff * self.rng.uniform(0.5, 1.0))
+                    backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+                    continue
+                self.stored_record = written
+
+    async def broadcast_record(self, record: HostRecord) -> None:
+        """Tell the other nodes a record that the store does not take."""
+        now = self.clock.now()
+        if now - self.broadcast_at < REPEAT_BROADCAST_SECONDS:
+            return
+        self.broadcast_at = now
+        await self.peer_monitor.broadcast_record(record)
+
+    async def run(self) -> None:
+        """Ask the readers at intervals, and read while asked, until cancelled."""
+        if self.first_start:
+            self.first_start = False
+            await curio.sleep(FIRST_START_SECONDS + self.rng.random() * SPREAD_SECONDS)
+        turn = 0
+        while True:
+            now = self.clock.now()
+            await self.follow(self.choices[turn % len(self.choices)], now)
+            turn += 1
+            if self.published and self.stored_record != self.own_record:
+                await self.record_changed.set()
+            if self.sources:
+                await self.source_added.set()
+            await curio.sleep(TICK_SECONDS)
+
+    async def follow(self, choice: ReaderChoice, now: float) -> None:
+        """Choose readers, and ask one of them."""
+        self.rank(now)
+        for each in self.choices:
+            each.update(now)
+        await self.update_role(now)
+        await self.ask(choice, now)
+
+    def rank(self, now: float) -> None:
+        """Rank the readers again if hosts have changed."""
+        generation = self.peer_monitor.generation
+        if generation == self.ranked_generation or not self.directory.hosts_known:
+            return
+        self.ranked_generation = generation
+        own = self.own_record
+        records = map(self.directory.hosts.get, self.peer_monitor.reachable_hosts())
+        hosts = [
+            ReaderHost(record.address, record.domain)
+            for record in records
+            if record is not None and record.phase == Phase.READY
+        ]
+        rankings = rank_readers(hosts, own.address, own.domain)
+        for choice, ranking in zip(self.choices, rankings, strict=True):
+            choice.set_ranking(ranking, now)
+
+    async def update_role(self, now: float) -> None:
+        """Read the store while this node or others need it."""
+        self.followers = {
+            address: follower
+            for address, follower in self.followers.items()
+            if now - follower.asked_at <= READER_SECONDS
+        }
+        directory = self.directory
+        urgent = directory.configuration is None
+        is_reader = (
+            any(choice.is_own_turn for choice in self.choices)
+            or bool(self.followers)
+            or all(choice.is_given_up(now, urgent) for choice in self.choices)
+        )
+        if directory.hosts_known and is_reader != self.configuration_follower.active:
+            self.journal.write(
+                "reader" if is_reader else "reader_ended",
+                followers=len(self.followers),
+                chosen=[choice.current for choice in self.choices],
+            )
+            self.became_reader_at = now
+            self.host_follower.skip_to(directory.hosts_offset)
+        # A node that has just started needs the hosts to find a reader.
+        await self.host_follower.set_active(is_reader or not directory.hosts_known)
+        await self.configuration_follower.set_active(
+            is_reader and directory.hosts_known
+        )
+
+    def is_in_touch(self, now: float) -> bool:
+        """Return whether this node reads the store, or has just begun to try."""
+        return all(
+            now - self.became_reader_at <= follower.contact_seconds
+            or follower.is_in_touch(now)
+            for follower in (self.configuration_follower, self.host_follower)
+        )
+
+    async def ask(self, choice: ReaderChoice, now: float) -> None:
+        """Send a query to a reader."""
+        if not choice.current or choice.is_own_turn:
+            return
+        choice.record_query(now)
+        query = Query(
+            self.own_record.address,
+            self.directory.configuration_version,
+            self.directory.hosts_offset,
+        )
+        await self.send(choice.current, query)
+
+    async def send(self, address: str, message: Query | Status) -> None:
+        """Send a message to the node at an address."""
+        host = address.rpartition(":")[0]
+        await self.sock.send(DATAGRAM_KIND, encode(message), f"{host}:{self.port}")
+
+    async def receive(self, data: bytes, sender: Address) -> None:
+        """Handle a datagram; see the base class."""
+        message = decode_message(data)
+        now = self.clock.now()
+        if isinstance(message, Query):
+            self.followers[message.sender] = KnownFollower(now, message.hosts_offset)
+            await self.update_role(now)
+            await self.send_status(message.sender, message.hosts_offset, now)
+            self.add_source(message.sender, message.version, message.hosts_offset)
+        elif isinstance(message, Status):
+            await self.receive_status(message, now)
+        else:
+            self.journal.count("datagram_invalid")
+
+    async def receive_status(self, status: Status, now: float) -> None:
+        """Apply the changes that a reader tells, or fetch them if they are many."""
+        for choice in self.choices:
+            choice.record_reply(status.sender, status.in_touch, now)
+        directory = self.directory
+        if status.hosts and status.since <= directory.hosts_offset:
+            self.peer_monitor.merge_hosts(
+                status.hosts, status.hosts_offset, status.sender
+            )
+        self.add_source(status.sender, status.version, status.hosts_offset)
+        if self.sources:
+            await self.source_added.set()
+        await self.announce_changes()
+
+    async def send_status(self, address: str, since: int, now: float) -> None:
+        """Send the state of this reader, with the changes since an offset if few."""
+        directory = self.directory
+        changes = directory.changes_since(since) if since else []
+        if len(changes) > MAX_DATAGRAM_HOSTS:
+            changes = []
+        status = Status(
+            self.own_record.address,
+            self.is_in_touch(now),
+            directory.configuration_version,
+            directory.hosts_offset,
+            since,
+            changes,
+        )
+        await self.send(address, status)
+
+    async def announce_changes(self) -> None:
+        """Tell the followers at once that there are changes."""
+        now = self.clock.now()
+        state = self.directory.configuration_version, self.directory.hosts_offset
+        if state == self.announced:
+            return
+        self.announced = state
+        for address, follower in list(self.followers.items()):
+            await self.send_status(address, follower.hosts_offset, now)
+            # If this status is lost, the next one tells the follower of the gap.
+            self.followers[address] = follower._replace(hosts_offset=state[1])
+
+    def add_source(self, address: str, version: int, hosts_offset: int = 0) -> None:
+        """Note a node to fetch from if it knows more than this one."""
+        if self.is_behind(version, hosts_offset):
+            self.sources[address] = (version, hosts_offset)
+
+    def is_behind(self, version: int, hosts_offset: int) -> bool:
+        """Return whether a node with this knowledge knows more than this one."""
+        directory = self.directory
+        return (
+            version > directory.configuration_version
+            or hosts_offset > directory.hosts_offset
+        )
+
+    async def run_fetches(self) -> None:
+        """Fetch changes from nodes that know more, until cancelled."""
+        while True:
+            await self.source_added.wait()
+            self.source_added.clear()
+            while self.sources:
+                address, (version, hosts_offset) = self.sources.popitem()
+                if self.is_behind(version, hosts_offset):
+                    await self.fetch(address, version)
+
+    async def fetch(self, address: str, version: int) -> None:
+        """Fetch changes from a node, or its configuration from the store."""
+        if await self.peer_monitor.fetch_state(address):
+            await self.announce_changes()
+            return
+        if version <= self.directory.configuration_version:
+            return
+        try:
+            await self.configuration_follower.read_all()
+        except LogError as error:
+            self.journal.count("refresh_failed", error.step)
+            await curio.sleep(MIN_BACKOFF_SECONDS)
--- a/src/carawaywheel/mesh/settings.py
+++ b/src/carawaywheel/mesh/settings.py
@@ -66,6 +66,7 @@
         listen: Addresses on which the node listens.
         store: Connection to the platform's store.
         bounds: Bounds that the installation sets.
+        first_start: Whether all nodes start for the first time, at the same moment.
         memory_bytes: Memory limit of the process.
     """
 
@@ -76,4 +77,5 @@
     listen: Listeners
     store: StoreSettings
     bounds: Bounds
+    first_start: bool
     memory_bytes: int
--- a/src/carawaywheel/platform/settings.py
+++ b/src/carawaywheel/platform/settings.py
@@ -53,6 +53,7 @@
     port_range: list[int]
     service: str = ""
     app_addr: str = ""
+    first_start: bool = False
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
 
@@ -67,14 +68,20 @@
         with open(path, "rb") as file:
             document = tomllib.load(file)
         return decode_host_settings(msgspec.convert(document, WireSettings))
-    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+    except (OSError, ValueError, msgspec.ValidationError) as error:
         raise SettingsError(str(error), "read settings", path) from error
 
 
 def decode_host_settings(wire: WireSettings) -> HostSettings:
-    """Translate the fields of the file into the settings of a node."""
+    """Translate the fields of the file into the settings of a node.
+
+    Raises:
+        ValueError: If a value cannot be used; the message names its place.
+    """
     bounds = wire.bounds
     ports = wire.port_range
+    if not ports:
+        raise ValueError("no port is given - at `$.port_range`")
     has_metrics = len(ports) == 2 and ports[0] <= METRICS_PORT <= ports[1]
     return HostSettings(
         node_id=wire.node_name,
@@ -97,5 +104,6 @@
             bounds.budget_window_s,
             bounds.budget_slack,
         ),
+        first_start=wire.first_start,
         memory_bytes=int(wire.limits.memory_mb * MEGABYTE),
     )
--- a/src/carawaywheel/platform/store.py
+++ b/src/carawaywheel/platform/store.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..errors import LogError, PeerError
-from ..mesh.store import KeyValue, Store, TablePage
+from ..mesh.replication.store import KeyValue, Store, TablePage
 from ..pool import ConnectionPool, Response
 
 CONFIGURATION_TABLE = "keyed.op"
@@ -26,6 +26,7 @@
 
     key: str
     value: str = ""
+    offset: int = 0
 
 
 class WireNewest(msgspec.Struct):
@@ -58,7 +59,7 @@
     async def read_all(self, table: str) -> TablePage:
         """Read the newest value of each key of a table; see the base class."""
         request_target = f"/api/log-newest?topic={table}&part=0"
-        items: list[KeyValue] = []
+        items: list[WireItem] = []
         offset: int | None = None
         after = ""
         while True:
@@ -67,13 +68,12 @@
             )
             self.check_status(response, "read newest")
             page = self.decode_page(content)
-            for item in page.items:
-                items.append(KeyValue(item.key, base64.b64decode(item.value)))
+            items += page.items
             # The pages are not one snapshot; starting from the offset of the first page
             # reads the changes made in the meantime again.
             offset = page.end_offset if offset is None else offset
             if not page.has_more or not page.items:
-                return TablePage(items, offset)
+                return TablePage(list(map(self.decode_item, items)), offset)
             after = f"&after={quote(page.items[-1].key, safe='')}"
 
     async def poll_changes(
@@ -156,6 +156,19 @@
         except (msgspec.DecodeError, ValueError) as error:
             raise LogError(str(error), "read newest", self.address, True) from error
 
+    def decode_item(self, item: WireItem) -> KeyValue:
+        """Decode a key with its value.
+
+        Raises:
+            LogError: If the value is not base64; the step names the key.
+        """
+        try:
+            value = base64.b64decode(item.value, validate=True)
+        except ValueError as error:
+            step = f"decode value of {item.key}"
+            raise LogError(str(error), step, self.address, True) from error
+        return KeyValue(item.key, value, item.offset)
+
     def decode_records(self, content: bytes, offset: int) -> TablePage:
         """Decode a batch of records, each preceded by its length in four bytes.
 
@@ -176,9 +189,9 @@
                 cursor + LENGTH_PREFIX.size : cursor + LENGTH_PREFIX.size + size
             ]
             cursor += LENGTH_PREFIX.size + size
-            offset += 1
             if record:
                 value_start = 1 + record[0]
                 key = record[1:value_start].decode("utf-8", "replace")
-                items.append(KeyValue(key, record[value_start:]))
+                items.append(KeyValue(key, record[value_start:], offset))
+            offset += 1
         return TablePage(items, offset)
--- a/src/carawaywheel/routing.py
+++ b/src/carawaywheel/routing.py
@@ -161,6 +161,24 @@
         self.targets = targets
         self._rebuild_pools()
 
+    def set_candidate(self, candidate: Candidate) -> None:
+        """Add a candidate or replace the one with its id."""
+        former = self.targets.get(candidate.target_id)
+        former_service = former.candidate.service if former else candidate.service
+        self.targets[candidate.target_id] = self._update_target(candidate)
+        self._rebuild_pool(candidate.service)
+        if former_service != candidate.service:
+            self._rebuild_pool(former_service)
+
+    def remove_candidate(self, target_id: str) -> None:
+        """Remove a candidate; unknown ids are ignored."""
+        target = self.targets.get(target_id)
+        if target is None:
+            return
+        target.candidate = target.candidate._replace(state=TargetState.LEFT)
+        self._remove_if_idle(target)
+        self._rebuild_pool(target.candidate.service)
+
     def choose(
         self, service: str, now: float, exclude: Container[str] = ()
     ) -> Candidate | Refusal:
@@ -272,19 +290,30 @@
                 targets_by_service.setdefault(target.candidate.service, []).append(
                     target
                 )
-        pools: dict[str, ServicePool] = {}
-        for service, targets in targets_by_service.items():
-            pool = self.pools.get(service) or ServicePool(self.settings)
-            pool.targets = targets
-            pool.own_domain_targets = [
-                target for target in targets if target.in_own_domain
-            ]
-            pool.other_domain_targets = [
-                target for target in targets if not target.in_own_domain
-            ]
-            pool.ejector.set_targets([target.candidate.target_id for target in targets])
-            pools[service] = pool
-        self.pools = pools
+        self.pools = {
+            service: self._update_pool(service, targets)
+            for service, targets in targets_by_service.items()
+        }
+
+    def _rebuild_pool(self, service: str) -> None:
+        targets = [
+            target
+            for target in self.targets.values()
+            if target.candidate.service == service
+            and target.candidate.state <= TargetState.READY
+        ]
+        if targets:
+            self.pools[service] = self._update_pool(service, targets)
+        else:
+            self.pools.pop(service, None)
+
+    def _update_pool(self, service: str, targets: list[TrackedTarget]) -> ServicePool:
+        pool = self.pools.get(service) or ServicePool(self.settings)
+        pool.targets = targets
+        pool.own_domain_targets = [t for t in targets if t.in_own_domain]
+        pool.other_domain_targets = [t for t in targets if not t.in_own_domain]
+        pool.ejector.set_targets([target.candidate.target_id for target in targets])
+        return pool
 
     def _remove_if_idle(self, target: TrackedTarget) -> None:
         if target.candidate.state is TargetState.LEFT and not target.in_flight:
--- a/tests/failing_node.py
+++ b/tests/failing_node.py
@@ -9,12 +9,13 @@
 from carawaywheel.datagrams import DatagramSocket
 from carawaywheel.listener import HangupMonitor, Listener
 from carawaywheel.mesh.execution import TargetRunner
-from carawaywheel.mesh.follower import StoreSync, TableFollower
 from carawaywheel.mesh.links import LinkServer
 from carawaywheel.mesh.main import run_mesh_node
 from carawaywheel.mesh.monitor import PeerMonitor
 from carawaywheel.mesh.node import MeshNode
 from carawaywheel.mesh.ratelimiter import RateLimiter
+from carawaywheel.mesh.replication.follower import TableFollower
+from carawaywheel.mesh.replication.synchronizer import StateSynchronizer
 from carawaywheel.mesh.stalls import StallDetector
 from carawaywheel.platform.settings import SETTINGS_FILE_VARIABLE
 
@@ -26,8 +27,9 @@
     (RateLimiter, "run"),
     (PeerMonitor, "run"),
     (TableFollower, "run"),
-    (StoreSync, "run_writes"),
-    (StoreSync, "run_refreshes"),
+    (StateSynchronizer, "run"),
+    (StateSynchronizer, "run_writes"),
+    (StateSynchronizer, "run_fetches"),
     (TargetRunner, "run_polling"),
     (LinkServer, "run"),
     (Listener, "run"),
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -9,7 +9,6 @@
 
 from carawaywheel.clock import ManualClock
 from carawaywheel.mesh.configuration import Account
-from carawaywheel.mesh.directory import Directory
 from carawaywheel.mesh.quotas import (
     CACHED_TOKEN_SECONDS,
     LEASE_SECONDS,
@@ -25,6 +24,7 @@
     slot_owner,
 )
 from carawaywheel.mesh.ratelimiter import RateLimiter
+from carawaywheel.mesh.replication.directory import Directory
 
 NODES = [f"10.0.0.{index}:1" for index in range(1, 6)]
 ACCOUNT = Account("county", None, 50.0, 50.0)
