Give lost owners' slots to others, share the retry slack without a remainder lost

Cause: a node passed its token requests to an owner that was lost for good until a call to that host failed, which never happens where the node does not call its service. The retry slack was divided by the targets and rounded down: to 2 of 2.1 for 71 targets, to 0 for more than 213. A node that restarted without the store was told nothing if nobody called it. Change: an owner that has not replied for 1.2 s is passed over until it replies again; the parts of the slack add up to it; a reader probes a follower that stops asking.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -97,12 +97,18 @@
         self.level_updated_at = clock.now()
         self.configuration_version = 0
         self.ticket_ids = itertools.count()
-        self.set_target_count(1)
+        self.share_retries(1, 0)
 
-    def set_target_count(self, count: int) -> None:
-        """Size the retry budget for one of ``count`` targets of the service."""
+    def share_retries(self, count: int, index: int) -> None:
+        """Size the retry budget for one of the targets of the service.
+
+        Args:
+            count: Number of the targets.
+            index: Index of the local one in an order that all nodes share.
+        """
         bounds = self.settings.bounds
-        retry_floor = int(USED_RETRY_SLACK_SHARE * bounds.retry_slack / max(1, count))
+        slack = int(USED_RETRY_SLACK_SHARE * bounds.retry_slack)
+        retry_floor = equal_part(slack, count, index)
         settings = RetrySettings(
             service_share=bounds.retry_ratio,
             service_window=bounds.retry_window,
@@ -467,6 +473,12 @@
         self.level_updated_at = now
 
 
+def equal_part(total: int, count: int, index: int) -> int:
+    """Return one of ``count`` parts of a total, which differ by at most 1."""
+    count = max(1, count)
+    return total // count + (index < total % count)
+
+
 def queue_importance(call: Call) -> Importance:
     """Return the importance of a call in the queue.
 
--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -463,6 +463,14 @@
         if reply.serving:
             self.resume(address)
 
+    async def check(self, address: str) -> None:
+        """Probe a host that is not suspended; suspend it if it cannot be reached."""
+        reply = await self.try_exchange(address, "GET", b"")
+        if reply is None:
+            self.report_unreachable(address)
+        elif not reply.version and self.directory.configuration_version:
+            await self.push_state(address)
+
     async def push_state(self, address: str) -> None:
         """Push this node's state to a host, at most once per minimum interval."""
         now = self.clock.now()
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -1,5 +1,6 @@
 """Mesh node: its components, sockets and background tasks."""
 
+import bisect
 import gc
 import os
 import random
@@ -223,11 +224,11 @@
         self.quotas.configure(configuration.accounts)
 
     def update_targets(self) -> None:
-        """Update the known nodes and the number of targets that share retry budgets."""
+        """Update the known nodes and the part of the retry budget of this one."""
         self.rate_limiter.refresh_nodes()
-        self.runner.set_target_count(
-            len(self.directory.ready_addresses(self.settings.service))
-        )
+        targets = sorted(self.directory.ready_addresses(self.settings.service))
+        own_index = bisect.bisect_left(targets, self.settings.listen.peers)
+        self.runner.share_retries(len(targets), own_index)
 
     async def publish_target(self) -> None:
         """Publish the state of the local target to the other nodes."""
--- a/src/carawaywheel/mesh/quotas.py
+++ b/src/carawaywheel/mesh/quotas.py
@@ -10,6 +10,7 @@
 cannot reach an owner falls back to its own share.
 """
 
+import functools
 import hashlib
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -146,6 +147,7 @@
     return max(nodes, key=lambda node: rendezvous_score(slot, node), default="")
 
 
+@functools.lru_cache(maxsize=1 << 14)
 def rendezvous_score(slot: int, node: str) -> bytes:
     """Return the score of a node for a slot; the highest score owns the slot."""
     return hashlib.blake2b(f"{slot} {node}".encode(), digest_size=8).digest()
@@ -290,6 +292,7 @@
         nodes_known: Whether the other nodes are known. Until then, each node of a
             starting fleet would regard itself as the only one.
         reachable: The known nodes that can be reached.
+        silent: Addresses of the nodes that do not reply; they own no slot.
         owners: Cached owner of each slot.
         caches: Token caches by account.
         slots: Buckets of each slot, used for the slots that this node owns.
@@ -301,6 +304,7 @@
         self.nodes_known = False
         self.nodes: list[str] = [address]
         self.reachable: list[str] = [address]
+        self.silent: set[str] = set()
         self.owners: dict[int, str] = {}
         self.caches: dict[str, TokenCache] = {}
         self.slots = [SlotBuckets() for _ in range(SLOT_COUNT)]
@@ -327,9 +331,22 @@
         """Return the owner of a slot."""
         owner = self.owners.get(slot)
         if owner is None:
-            owner = self.owners[slot] = slot_owner(slot, self.reachable)
+            replying = (n for n in self.reachable if n not in self.silent)
+            owner = self.owners[slot] = slot_owner(slot, replying)
         return owner
 
+    def pass_over(self, node: str) -> None:
+        """Choose other owners than a node that does not reply."""
+        if node != self.address and node not in self.silent:
+            self.silent.add(node)
+            self.owners.clear()
+
+    def take_back(self, node: str) -> None:
+        """Let a node that replies again own slots."""
+        if node in self.silent:
+            self.silent.discard(node)
+            self.owners.clear()
+
     def token_cache(self, account: Account, now: float) -> TokenCache:
         """Return the token cache of an account, creating it if necessary."""
         cache = self.caches.get(account.name)
--- a/src/carawaywheel/mesh/ratelimiter.py
+++ b/src/carawaywheel/mesh/ratelimiter.py
@@ -25,6 +25,8 @@
 DATAGRAM_KIND = b"q"
 # Several round trips between failure domains.
 REPLY_TIMEOUT_SECONDS = 0.04
+# Time without a reply after which another node owns the slots: four lost reports.
+OWNER_TIMEOUT_SECONDS = 1.2
 # A request whose datagram or reply was lost is sent once more.
 MAX_ATTEMPTS = 2
 
@@ -35,6 +37,8 @@
     Attributes:
         sequence: Sequence number of the newest token request. The first one is random,
             so that no grant for an earlier start of this node is taken.
+        unanswered_since: Time of the oldest report or request without a reply, by the
+            address of its owner, in seconds.
         requested_at: Time of each token request without a grant, in seconds.
         waiting: Number of requests that wait for a grant, by account.
         reply_events: Events that are set when a grant arrives, by account.
@@ -55,6 +59,7 @@
         self.clock = clock
         self.port = int(sock.address.rpartition(":")[2])
         self.sequence = secrets.randbits(32)
+        self.unanswered_since: dict[str, float] = {}
         self.requested_at: dict[int, float] = {}
         self.waiting: Counter[str] = Counter()
         self.reply_events: dict[str, curio.Event] = {}
@@ -124,8 +129,21 @@
         if owner == quotas.address:
             await self.receive_grant(quotas.grant(request, now), now)
         elif owner:
-            address = f"{owner.rpartition(':')[0]}:{self.port}"
-            await self.sock.send(DATAGRAM_KIND, encode_message(request), address)
+            self.unanswered_since.setdefault(owner, now)
+            await self.send(request, owner)
+
+    async def send(self, request: TokenRequest, node: str) -> None:
+        """Send a request or a report to another node."""
+        address = f"{node.rpartition(':')[0]}:{self.port}"
+        await self.sock.send(DATAGRAM_KIND, encode_message(request), address)
+
+    async def probe_silent_nodes(self) -> None:
+        """Report to the nodes that do not reply; a reply shows that they are back."""
+        for node in list(self.quotas.silent):
+            if node not in self.quotas.reachable:
+                self.quotas.take_back(node)
+                continue
+            await self.send(TokenRequest(self.quotas.address, 0, 0, {}), node)
 
     async def receive(self, data: bytes, sender: Address) -> None:
         """Handle a datagram; see the base class."""
@@ -137,8 +155,25 @@
                 DATAGRAM_KIND, encode_message(grant), format_address(sender)
             )
         elif isinstance(message, TokenGrant):
+            self.record_reply(sender)
             await self.receive_grant(message, now)
 
+    def record_reply(self, sender: Address) -> None:
+        """Note that an owner replies."""
+        port = self.quotas.address.rpartition(":")[2]
+        owner = f"{sender[0]}:{port}"
+        self.unanswered_since.pop(owner, None)
+        self.quotas.take_back(owner)
+
+    def pass_over_silent_owners(self) -> None:
+        """Choose other owners than those that have not replied for some time."""
+        now = self.clock.now()
+        for owner, since in list(self.unanswered_since.items()):
+            if now - since > OWNER_TIMEOUT_SECONDS:
+                del self.unanswered_since[owner]
+                self.quotas.pass_over(owner)
+                self.journal.write("owner_silent", host=owner)
+
     async def receive_grant(self, grant: TokenGrant, now: float) -> None:
         """Apply a grant and wake the requests that wait for it.
 
@@ -169,6 +204,8 @@
         while True:
             await curio.sleep(REPORT_INTERVAL_SECONDS)
             self.refresh_nodes()
+            self.pass_over_silent_owners()
             self.forget_expired_requests()
             for slot in range(SLOT_COUNT):
                 await self.send_request(slot, {})
+            await self.probe_silent_nodes()
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -38,6 +38,8 @@
 TICK_SECONDS = 0.4
 # Time for which a node stays a reader after the last query: some lost queries.
 READER_SECONDS = 3.0
+# Time without a query after which a follower may be down: two lost queries.
+LAPSE_SECONDS = 1.7
 # Each poll costs a request, but a configuration must be in force within about two
 # seconds, also after the store has lost a response. Changes of hosts come in bursts and
 # concern only the choice of targets.
@@ -58,10 +60,12 @@
     Attributes:
         asked_at: Time of its last query in seconds.
         hosts_offset: Offset up to which it knows all host records.
+        checked: Whether it was probed since then.
     """
 
     asked_at: float
     hosts_offset: int
+    checked: bool = False
 
 
 class StateSynchronizer(DatagramHandler):
@@ -236,8 +240,19 @@
         for each in self.choices:
             each.update(now)
         await self.update_role(now)
+        await self.check_lapsed_followers(now)
         await self.ask(choice, now)
 
+    async def check_lapsed_followers(self, now: float) -> None:
+        """Probe the followers that have stopped asking.
+
+        One that has restarted while the store is down knows no other node.
+        """
+        for address, follower in list(self.followers.items()):
+            if now - follower.asked_at > LAPSE_SECONDS and not follower.checked:
+                self.followers[address] = follower._replace(checked=True)
+                await curio.spawn(self.peer_monitor.check, address, daemon=True)
+
     def rank(self, now: float) -> None:
         """Rank the readers again if hosts have changed."""
         generation = self.peer_monitor.generation
--- a/src/carawaywheel/mesh/settings.py
+++ b/src/carawaywheel/mesh/settings.py
@@ -66,8 +66,8 @@
         listen: Addresses on which the node listens.
         store: Connection to the platform's store.
         bounds: Bounds that the installation sets.
-        first_start: Whether all nodes start for the first time, at the same moment.
         memory_bytes: Memory limit of the process.
+        first_start: Whether all nodes start for the first time, at the same moment.
     """
 
     node_id: str
@@ -77,5 +77,5 @@
     listen: Listeners
     store: StoreSettings
     bounds: Bounds
-    first_start: bool
     memory_bytes: int
+    first_start: bool = False
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -3,6 +3,7 @@
 Each host runs a mesh node and a target beside it.
 """
 
+import base64
 import json
 import os
 import random
@@ -14,6 +15,7 @@
 from concurrent.futures import Future
 
 import curio
+import msgspec
 
 from standins.caller import request
 from standins.mesh import Mesh
@@ -216,6 +218,23 @@
         threading.Thread(target=run, daemon=True).start()
         return future
 
+    def record_of(self, name):
+        """Return key and fields of the record that a node has written to the store."""
+        path = "/api/log-newest?topic=keyed.hosts&part=0"
+        response = curio.run(request, self.store_address, "GET", path, [], b"", 5.0)
+        for item in json.loads(response.body)["items"]:
+            fields = msgspec.msgpack.decode(base64.b64decode(item["value"]))
+            if fields[0] == name:
+                return item["key"], fields
+        raise LookupError(f"{name} has written no record")
+
+    def put_record(self, key, fields):
+        """Write the record of a node to the store."""
+        value = bytes([len(key)]) + key.encode() + msgspec.msgpack.encode(fields)
+        body = len(value).to_bytes(4) + value
+        path = "/api/log-append?topic=keyed.hosts&part=0"
+        curio.run(request, self.store_address, "POST", path, [], body, 5.0)
+
     def runs(self, name, prefix=""):
         """Return the requests that the target of a host ran."""
         response = curio.run(
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -5,7 +5,7 @@
 from carawaywheel.admission import AdmissionQueue, Admitted, Queued
 from carawaywheel.fairness import Ticket
 from carawaywheel.limits import FixedLimit
-from carawaywheel.mesh.execution import queue_importance
+from carawaywheel.mesh.execution import equal_part, queue_importance
 from carawaywheel.mesh.messages import Call
 from carawaywheel.refusals import Importance, Outcome
 from carawaywheel.settings import AdmissionSettings
@@ -43,3 +43,12 @@
 def test_priority_beyond_the_last_importance_maps_to_the_last():
     assert queue_importance(make_call(7)) is Importance.SHEDDABLE
     assert queue_importance(make_call(0)) is Importance.CRITICAL
+
+
+def test_parts_of_the_retry_slack_add_up_to_it():
+    """Rounded down, the slack of 213 left 2 for each of 71 targets and 0 for 300."""
+    for total in (0, 1, 149, 213):
+        for count in (1, 3, 71, 300):
+            parts = [equal_part(total, count, index) for index in range(count)]
+            assert sum(parts) == total
+            assert max(parts) - min(parts) <= 1
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -13,6 +13,7 @@
     CACHED_TOKEN_SECONDS,
     LEASE_SECONDS,
     NODE_EXPIRY_SECONDS,
+    REPORT_INTERVAL_SECONDS,
     SLOT_COUNT,
     AccountGrant,
     Quotas,
@@ -311,3 +312,31 @@
 def test_grant_that_arrives_after_a_pause_is_not_used():
     """A paused node must not use tokens that expired while it stood still."""
     assert curio.run(receive_grants, [CACHED_TOKEN_SECONDS + 0.1]) == 0
+
+
+def test_owner_that_never_replies_is_passed_over():
+    """An owner that is lost for good must not reduce the rate for long."""
+    clock = ManualClock(100.0)
+    quotas = Quotas(NODES[0])
+    slot = next(s for s in range(SLOT_COUNT) if slot_owner(s, NODES) != NODES[0])
+    lost = slot_owner(slot, NODES)
+    quotas.set_nodes(NODES, NODES)
+    journal = SimpleNamespace(write=lambda *arguments, **fields: None)
+    sock = SilentSocket()
+    limiter = RateLimiter(quotas, sock, None, journal, clock)
+
+    def report(seconds):
+        for _ in range(int(seconds / REPORT_INTERVAL_SECONDS)):
+            curio.run(limiter.send_request, slot, {})
+            clock.advance(REPORT_INTERVAL_SECONDS)
+            limiter.pass_over_silent_owners()
+
+    report(1.0)
+    assert quotas.owner(slot) == lost
+    report(1.0)
+    assert quotas.owner(slot) == slot_owner(slot, [n for n in NODES if n != lost])
+    sock.sent.clear()
+    curio.run(limiter.probe_silent_nodes)
+    assert len(sock.sent) == 1
+    limiter.record_reply((lost.rpartition(":")[0], 1))
+    assert quotas.owner(slot) == lost
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,204 @@
+"""State that nodes share through the store, as real processes with stand-ins."""
+
+import json
+import signal
+
+import curio
+import pytest
+
+from standins.caller import request
+
+from .platform_harness import Platform, configuration, route
+
+ONLY_READ = [route("read", "idempotent", "desk", 1)]
+NAMES = ("h1", "h2", "h3", "h4", "h5")
+
+
+@pytest.fixture
+def platform():
+    with Platform() as platform:
+        platform.publish(configuration(3))
+        yield platform
+
+
+def start_hosts(platform, names=NAMES, through_relays=False):
+    for name in names:
+        store = ""
+        if through_relays:
+            arguments = ["-m", "standins.relay", "--upstream", platform.store_address]
+            relay = platform.start(f"relay-{name}", arguments)
+            store = relay.startup_info["address"]
+        platform.start_node(name, "yard" if name == "h2" else "desk", store)
+        platform.start_endpoint(name, "yard" if name == "h2" else "desk")
+    for name in names:
+        platform.wait_until_served(name, "/inner/x")
+
+
+def set_relay(platform, name, **settings):
+    address = platform.processes[f"relay-{name}"].startup_info["control"]
+    platform.control(address, settings)
+
+
+def store_calls(platform):
+    address = platform.store_address
+    response = curio.run(request, address, "GET", "/counts", [], b"", 5.0)
+    return json.loads(response.body)["calls"]
+
+
+def readers(platform, names=NAMES):
+    """Return the nodes whose last line on the matter says that they read."""
+    lines = {}
+    for name in names:
+        for line in platform.log_lines(name):
+            if line["event"] in ("reader", "reader_ended"):
+                lines[name] = line["event"]
+    return [name for name, event in lines.items() if event == "reader"]
+
+
+def wait_for_readers(platform, names=NAMES):
+    return platform.wait_for(
+        lambda: len(found := readers(platform, names)) == 2 and found,
+        "two nodes read the store",
+    )
+
+
+def is_in_force(platform, name):
+    """Return whether a node knows the configuration with one route."""
+    return platform.send(name, "/order/1", "POST").status == 404
+
+
+def wait_until_in_force(platform, names, seconds):
+    platform.wait_for(
+        lambda: all(is_in_force(platform, name) for name in names),
+        "the new configuration is in force",
+        seconds,
+    )
+
+
+def test_two_nodes_read_the_store_and_all_learn_changes(platform):
+    start_hosts(platform)
+    wait_for_readers(platform)
+    calls = store_calls(platform)
+    platform.publish(configuration(4, ONLY_READ))
+    wait_until_in_force(platform, NAMES, 2.0)
+    for phase in ("draining", "gone"):
+        platform.configure_target("h2", phase=phase)
+    platform.wait_for(
+        lambda: all(
+            any(line["phase"] == 2 for line in platform.log_lines(name, "host"))
+            for name in NAMES
+        ),
+        "all know that the target of h2 is gone",
+        2.0,
+    )
+    # Two writes of h2; the two readers poll two tables a few times.
+    assert store_calls(platform) - calls <= 16
+
+
+def test_change_arrives_although_both_readers_lose_the_store(platform):
+    start_hosts(platform, through_relays=True)
+    for name in wait_for_readers(platform):
+        set_relay(platform, name, cut=True)
+    platform.publish(configuration(4, ONLY_READ))
+    wait_until_in_force(platform, NAMES, 7.0)
+
+
+def test_change_arrives_although_a_reader_hears_nothing_from_the_store(platform):
+    """Its connection stays open, and the other reader goes on."""
+    start_hosts(platform, through_relays=True)
+    silent, _ = wait_for_readers(platform)
+    set_relay(platform, silent, silent=True)
+    platform.publish(configuration(4, ONLY_READ))
+    wait_until_in_force(platform, NAMES, 2.0)
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+def test_change_arrives_although_both_readers_are_lost(platform, number):
+    start_hosts(platform)
+    lost = wait_for_readers(platform)
+    for name in lost:
+        platform.processes[name].signal(number)
+    platform.publish(configuration(4, ONLY_READ))
+    wait_until_in_force(platform, [n for n in NAMES if n not in lost], 7.0)
+
+
+def test_node_started_while_the_store_is_down_learns_all_from_a_peer(platform):
+    start_hosts(platform)
+    platform.publish(configuration(4, ONLY_READ))
+    wait_until_in_force(platform, NAMES, 2.0)
+    platform.control(platform.store_address, {"down": True})
+    platform.processes["h3"].kill()
+    platform.start_node("h3", "desk")
+    platform.wait_until_served("h3", "/read/1", 8.0)
+    assert is_in_force(platform, "h3")
+
+
+def test_withdrawn_key_stays_withdrawn_after_a_restart_without_the_store(platform):
+    start_hosts(platform)
+    withdrawn = [{"name": "mill", "api_keys": ["k2"], "rate_per_s": 0, "burst": 0}]
+    platform.publish(configuration(4, tenants=withdrawn))
+    platform.wait_for(
+        lambda: all(
+            platform.send(name, "/read/1").status == 401
+            and platform.send(name, "/read/1", key="k2").status == 200
+            for name in NAMES
+        ),
+        "the key is withdrawn everywhere",
+    )
+    platform.control(platform.store_address, {"down": True})
+    platform.processes["h3"].kill()
+    platform.start_node("h3", "desk")
+    platform.wait_for(
+        lambda: platform.send("h3", "/read/1", key="k2").status == 200,
+        "the restarted node serves",
+        8.0,
+    )
+    assert platform.send("h3", "/read/1").status == 401
+
+
+def test_record_of_a_former_start_with_a_later_clock_is_superseded(platform):
+    """The time of day stepped back between the two starts of h2."""
+    start_hosts(platform)
+    platform.processes["h2"].kill()
+    address = platform.address("h2", "inbound")
+    key, value = platform.record_of("h2")
+    assert key == address
+    value[4] += 3_600_000
+    value[6] = 2
+    platform.put_record(key, value)
+    platform.wait_for(
+        lambda: platform.send("h1", "/order/1", "POST").status == 503,
+        "h1 knows the record",
+    )
+    platform.start_node("h2", "yard")
+    platform.wait_for(
+        lambda: platform.send("h1", "/order/1", "POST").status == 200,
+        "the restarted node serves",
+        8.0,
+    )
+
+
+def test_nodes_that_know_no_readers_serve_beside_those_that_do(platform):
+    for name in ("h1", "h2", "h3", "h4"):
+        former = name in ("h2", "h3")
+        program = "tests.former_node" if former else "carawaywheel"
+        service = "yard" if name in ("h2", "h4") else "desk"
+        platform.start_node(name, service, program=program)
+        platform.start_endpoint(name, service)
+    for name in ("h1", "h2", "h3", "h4"):
+        platform.wait_until_served(name, "/inner/x")
+        assert platform.send(name, "/order/1", "POST").status == 200
+    platform.configure_target("h4", phase="draining")
+    platform.configure_target("h3", phase="draining")
+    for name in ("h1", "h2"):
+        for drained in ("h3", "h4"):
+            platform.wait_for(
+                lambda name=name, drained=drained: any(
+                    line["id"] == drained and line["phase"] == 1
+                    for line in platform.log_lines(name, "host")
+                ),
+                f"{name} knows that the target of {drained} drains",
+                3.0,
+            )
+    platform.publish(configuration(4, ONLY_READ))
+    wait_until_in_force(platform, ("h1", "h2", "h3", "h4"), 3.0)
