Probe silent readers and missing followers, and give up silent connections early

Targets may never answer a request that they cannot queue; an idempotent one then waited until its deadline. Ruled out: a lapsed follower (no reader knew this node as one). Change: a reader that has lost the store probes the nodes that should ask it; a wait much longer than usual, while later calls are answered, ends an idempotent call's attempt.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -1,6 +1,7 @@
 """Admission of calls to the local target, and their execution there."""
 
 import itertools
+import math
 import random
 from typing import Any
 
@@ -24,6 +25,7 @@
 from .responses import BufferedResponse, CallResult, StreamedResponse, buffer_response
 from .settings import CONNECT_TIMEOUT_SECONDS, HostSettings
 from .shedding import AdmissionLevel, AdmissionLevelTable, offered_load
+from .silence import SilenceDetector
 from .stalls import StallDetector
 from .target import LocalTarget, Phase
 
@@ -57,6 +59,7 @@
     Attributes:
         target: The local target.
         gate: Admission gate of its current incarnation; None before that is known.
+        silence: Tells which connections to this incarnation are silent.
         level: Admission level of the target.
         shutting_down: Whether the node shuts down and admits no more calls.
         active_calls: Calls that wait or run.
@@ -85,6 +88,7 @@
         self.clock = clock
         self.rng = rng
         self.pool = ConnectionPool(CONNECT_TIMEOUT_SECONDS)
+        self.silence = SilenceDetector()
         self.fanout = FanoutEstimator()
         self.level = AdmissionLevel(1.0)
         self.gate: AdmissionGate | None = None
@@ -140,6 +144,7 @@
                 AdmissionSettings(fair=False), limit, heartbeat.slots, self.rng
             )
             self.gate = AdmissionGate(self.target, queue, self.clock)  # type: ignore[arg-type]
+            self.silence = SilenceDetector()
         return self.gate
 
     async def run(
@@ -293,9 +298,7 @@
             PeerError: If the connection failed or carried only late responses.
         """
         for skipped_count in range(MAX_LATE_RESPONSES):
-            response = await self.receive_head(
-                connection, skipped_count and call.idempotent
-            )
+            response = await self.receive_head(call, connection, skipped_count > 0)
             response_attempt_id = decode_target_headers(
                 response.status, response.headers
             ).attempt_id
@@ -318,23 +321,53 @@
         )
 
     async def receive_head(
-        self, connection: ClientConnection, with_timeout: bool | int
+        self, call: Call, connection: ClientConnection, after_late_response: bool
     ) -> Response:
-        """Wait for the head of a response, either with a timeout or indefinitely.
+        """Wait for the head of a response.
+
+        The wait for the response to an idempotent call ends early if it is unusually
+        long, as the call can be repeated. What became of other calls would not be
+        known, so they wait until their deadline.
 
         Raises:
-            PeerError: If the connection failed or the wait timed out.
+            PeerError: If the connection failed or the wait ended early.
         """
-        if not with_timeout:
+        started_at = self.clock.now()
+        number = self.silence.record_request()
+        patience = self.silence.patience(call.route)
+        if not call.idempotent:
+            patience = math.inf
+        elif after_late_response:
+            patience = LATE_RESPONSE_TIMEOUT_SECONDS
+        while True:
+            try:
+                response = await self.receive_head_within(patience, connection)
+            except curio.TaskTimeout as error:
+                self.silence.record_time(call.route, patience)
+                if not after_late_response and not self.silence.is_overtaken(number):
+                    continue
+                self.journal.write(
+                    "silent_connection", request=call.attempt_id, waited=patience
+                )
+                raise connection.request_error(
+                    "no response, while the target answers later calls", "read head"
+                ) from error
+            elapsed = self.clock.now() - started_at
+            self.silence.record_response(number, call.route, elapsed)
+            return response
+
+    async def receive_head_within(
+        self, seconds: float, connection: ClientConnection
+    ) -> Response:
+        """Wait for the head of a response, for a time that may be infinite.
+
+        Raises:
+            PeerError: If the connection failed.
+            curio.TaskTimeout: If the time has passed; the wait may be resumed.
+        """
+        if seconds == math.inf:
             return await connection.receive_head(allow_close_delimited=True)
-        try:
-            return await curio.timeout_after(
-                LATE_RESPONSE_TIMEOUT_SECONDS, connection.receive_head, True
-            )
-        except curio.TaskTimeout as error:
-            raise connection.request_error(
-                "timed out after a late response to an earlier request", "read head"
-            ) from error
+        return await curio.timeout_after(seconds, connection.receive_head, True)
 
     async def read_response(
         self,
--- a/src/carawaywheel/mesh/replication/readers.py
+++ b/src/carawaywheel/mesh/replication/readers.py
@@ -83,14 +83,34 @@
         follows itself first; the others prefer one of their own failure domain.
     """
     ranked = interleave_domains(hosts)
-    reader_count = max(MIN_READERS, -(-len(ranked) // NODES_PER_READER))
-    readers = ranked[:reader_count]
-    spares = [host.address for host in ranked[reader_count:][:MAX_CANDIDATES]]
+    readers = first_readers(ranked)
+    spares = [host.address for host in ranked[len(readers) :][:MAX_CANDIDATES]]
     start = preferred_index(readers, own_address, own_domain)
     addresses = [host.address for host in readers[start:] + readers[:start]]
     return addresses + spares, addresses[1:] + spares + addresses[:1]
 
 
+def first_readers(ranked: list[ReaderHost]) -> list[ReaderHost]:
+    """Return those of the ranked hosts that read unless they fail."""
+    return ranked[: max(MIN_READERS, -(-len(ranked) // NODES_PER_READER))]
+
+
+def expected_followers(hosts: Iterable[ReaderHost], reader: str) -> list[str]:
+    """Return the addresses of the nodes that ask a reader unless it fails."""
+    ranked = interleave_domains(hosts)
+    readers = first_readers(ranked)
+    addresses = [host.address for host in readers]
+    if reader not in addresses:
+        return []
+    expected = []
+    for host in ranked:
+        start = preferred_index(readers, host.address, host.domain)
+        asked = addresses[start], addresses[(start + 1) % len(addresses)]
+        if reader in asked and host.address != reader:
+            expected.append(host.address)
+    return expected
+
+
 def preferred_index(
     readers: list[ReaderHost], own_address: str, own_domain: str
 ) -> int:
@@ -166,11 +186,18 @@
             self.avoided_until[sender] = now + OUT_OF_TOUCH_SECONDS
             self.choose(now)
 
-    def update(self, now: float) -> None:
-        """Pass a silent reader over, and return to preferred ones in time."""
+    def update(self, now: float) -> str:
+        """Pass a silent reader over, and return to preferred ones in time.
+
+        Returns:
+            The reader that is passed over from now on; empty if there is none.
+        """
+        silent = ""
         if self.asked_at is not None and now - self.asked_at > REPLY_TIMEOUT_SECONDS:
-            self.avoided_until[self.current] = now + SILENT_SECONDS
+            silent = self.current
+            self.avoided_until[silent] = now + SILENT_SECONDS
         self.choose(now)
+        return silent
 
     @property
     def is_own_turn(self) -> bool:
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -29,7 +29,7 @@
     decode_message,
     encode,
 )
-from .readers import ReaderChoice, ReaderHost, rank_readers
+from .readers import ReaderChoice, ReaderHost, expected_followers, rank_readers
 from .store import KeyValue, Store
 
 DATAGRAM_KIND = b"s"
@@ -40,6 +40,8 @@
 READER_SECONDS = 3.0
 # Time without a query after which a follower may be down: two lost queries.
 LAPSE_SECONDS = 1.7
+# Interval at which a reader without the store looks for followers that are down.
+CHECK_SECONDS = 2.0
 # Each poll costs a request, but a configuration must be in force within about two
 # seconds, also after the store has lost a response. Changes of hosts come in bursts and
 # concern only the choice of targets.
@@ -60,12 +62,10 @@
     Attributes:
         asked_at: Time of its last query in seconds.
         hosts_offset: Offset up to which it knows all host records.
-        checked: Whether it was probed since then.
     """
 
     asked_at: float
     hosts_offset: int
-    checked: bool = False
 
 
 class StateSynchronizer(DatagramHandler):
@@ -136,6 +136,7 @@
         self.choices = [ReaderChoice(own_record.address, rng) for _ in range(2)]
         self.ranked_generation = -1
         self.became_reader_at = float("-inf")
+        self.check_due_at = 0.0
         self.followers: dict[str, KnownFollower] = {}
         self.announced: tuple[int, int] = (0, 0)
         self.sources: dict[str, tuple[int, int]] = {}
@@ -237,21 +238,43 @@
     async def follow(self, choice: ReaderChoice, now: float) -> None:
         """Choose readers, and ask one of them."""
         self.rank(now)
-        for each in self.choices:
-            each.update(now)
+        silent = {each.update(now) for each in self.choices} - {""}
         await self.update_role(now)
-        await self.check_lapsed_followers(now)
+        if self.has_lost_store() and now >= self.check_due_at:
+            self.check_due_at = now + CHECK_SECONDS
+            silent |= self.missing_followers(now)
+        for address in silent:
+            await curio.spawn(self.peer_monitor.check, address, daemon=True)
         await self.ask(choice, now)
 
-    async def check_lapsed_followers(self, now: float) -> None:
-        """Probe the followers that have stopped asking.
+    def has_lost_store(self) -> bool:
+        """Return whether the last read of a table failed."""
+        return self.configuration_follower.failing or self.host_follower.failing
 
-        One that has restarted while the store is down knows no other node.
+    def missing_followers(self, now: float) -> set[str]:
+        """Return the nodes that should ask this one and do not.
+
+        A node that has restarted while the store is down knows no other node.
         """
-        for address, follower in list(self.followers.items()):
-            if now - follower.asked_at > LAPSE_SECONDS and not follower.checked:
-                self.followers[address] = follower._replace(checked=True)
-                await curio.spawn(self.peer_monitor.check, address, daemon=True)
+        asked_at = {
+            address: follower.asked_at for address, follower in self.followers.items()
+        }
+        return {
+            address
+            for address in expected_followers(
+                self.reader_hosts(), self.own_record.address
+            )
+            if now - asked_at.get(address, 0.0) > LAPSE_SECONDS
+        }
+
+    def reader_hosts(self) -> list[ReaderHost]:
+        """Return the hosts that may read."""
+        records = map(self.directory.hosts.get, self.peer_monitor.reachable_hosts())
+        return [
+            ReaderHost(record.address, record.domain)
+            for record in records
+            if record is not None and record.phase == Phase.READY
+        ]
 
     def rank(self, now: float) -> None:
         """Rank the readers again if hosts have changed."""
@@ -260,13 +283,7 @@
             return
         self.ranked_generation = generation
         own = self.own_record
-        records = map(self.directory.hosts.get, self.peer_monitor.reachable_hosts())
-        hosts = [
-            ReaderHost(record.address, record.domain)
-            for record in records
-            if record is not None and record.phase == Phase.READY
-        ]
-        rankings = rank_readers(hosts, own.address, own.domain)
+        rankings = rank_readers(self.reader_hosts(), own.address, own.domain)
         for choice, ranking in zip(self.choices, rankings, strict=True):
             choice.set_ranking(ranking, now)
 
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -14,6 +14,7 @@
     SILENT_SECONDS,
     ReaderChoice,
     ReaderHost,
+    expected_followers,
     rank_readers,
 )
 
@@ -60,6 +61,17 @@
     assert first[0] == reader != second[0]
 
 
+def test_reader_knows_who_should_ask_it():
+    hosts = make_hosts(100)
+    for reader in {rank_readers(hosts, h.address, h.domain)[0][0] for h in hosts}:
+        followers = {
+            host.address
+            for host in hosts
+            if reader in [r[0] for r in rank_readers(hosts, host.address, host.domain)]
+        }
+        assert set(expected_followers(hosts, reader)) == followers - {reader}
+
+
 def test_order_of_the_hosts_does_not_matter():
     hosts = make_hosts(40)
     shuffled = random.Random(1).sample(hosts, len(hosts))
@@ -81,10 +93,10 @@
 def test_silent_reader_is_passed_over_for_some_time():
     choice = make_choice("a", "b")
     choice.record_query(1.0)
-    choice.update(1.0 + REPLY_TIMEOUT_SECONDS)
+    assert choice.update(1.0 + REPLY_TIMEOUT_SECONDS) == ""
     assert choice.current == "a"
     silent_at = 1.1 + REPLY_TIMEOUT_SECONDS
-    choice.update(silent_at)
+    assert choice.update(silent_at) == "a"
     assert choice.current == "b"
     choice.update(silent_at + SILENT_SECONDS)
     assert choice.current == "a"
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -8,7 +8,7 @@
 
 from standins.caller import request
 
-from .platform_harness import Platform, configuration, route
+from .platform_harness import Platform, configuration, route, wait
 
 ONLY_READ = [route("read", "idempotent", "desk", 1)]
 NAMES = ("h1", "h2", "h3", "h4", "h5")
@@ -122,15 +122,20 @@
     wait_until_in_force(platform, [n for n in NAMES if n not in lost], 7.0)
 
 
-def test_node_started_while_the_store_is_down_learns_all_from_a_peer(platform):
+@pytest.mark.parametrize("role", ["reader", "follower"])
+def test_node_started_while_the_store_is_down_learns_all_from_a_peer(platform, role):
+    """It knows no other node, and no request may lead anybody to it."""
     start_hosts(platform)
+    found = wait_for_readers(platform)
+    name = next(n for n in NAMES if n != "h2" and (n in found) == (role == "reader"))
     platform.publish(configuration(4, ONLY_READ))
     wait_until_in_force(platform, NAMES, 2.0)
     platform.control(platform.store_address, {"down": True})
-    platform.processes["h3"].kill()
-    platform.start_node("h3", "desk")
-    platform.wait_until_served("h3", "/read/1", 8.0)
-    assert is_in_force(platform, "h3")
+    platform.processes[name].kill()
+    wait(2.0)
+    platform.start_node(name, "desk")
+    platform.wait_until_served(name, "/read/1", 8.0)
+    assert is_in_force(platform, name)
 
 
 def test_withdrawn_key_stays_withdrawn_after_a_restart_without_the_store(platform):
