--- a/bench/faults.py
+++ b/bench/faults.py
@@ -56,6 +56,107 @@
 )
 
 
+class ReportedFault(NamedTuple):
+    """A fault that operators of similar systems have met.
+
+    Attributes:
+        fault: What went wrong there.
+        answer: Whether it can happen here, and what prevents it.
+        tests: Tests that show it.
+    """
+
+    fault: str
+    answer: str
+    tests: tuple[str, ...]
+
+
+REPORTED_FAULTS = (
+    ReportedFault(
+        "A second copy of an answer came late, on a connection that was in use again",
+        "It could, if the copy carried no attempt id: it was taken on a connection "
+        "that earlier requests had used. Now such an answer fails its request; one "
+        "with another id is skipped, and idle connections that have received bytes are "
+        "closed.",
+        (
+            "tests/test_mesh.py::"
+            "test_response_without_an_id_on_a_used_connection_is_not_forwarded",
+            "tests/test_mesh.py::test_bad_response_is_never_forwarded_as_complete",
+        ),
+    ),
+    ReportedFault(
+        "A planned stop under load cut off requests that had just been accepted",
+        "Not found. The stop is announced first, requests that still come are served, "
+        "and the process ends when nothing is in flight or the grace time is over.",
+        ("tests/test_mesh.py::test_graceful_stop_completes_requests_in_flight",),
+    ),
+    ReportedFault(
+        "After a restart, a server that had left or a withdrawn key was in use again",
+        "A server could: a heartbeat from before it began to leave, delivered late to "
+        "the restarted node, made it ready. Now the node's own record in the store "
+        "tells, and a second heartbeat must confirm it; if the store is away at that "
+        "moment the node does not know. A node whose clock had stepped back between "
+        "two starts kept its former phase at the others; its record is superseded now. "
+        "A withdrawn key stays out: configurations never step back.",
+        (
+            "tests/test_replication.py::"
+            "test_leaving_target_is_not_used_after_a_restart_of_its_node",
+            "tests/test_replication.py::"
+            "test_record_of_a_former_start_with_a_later_clock_is_superseded",
+            "tests/test_replication.py::"
+            "test_withdrawn_key_stays_withdrawn_after_a_restart_without_the_store",
+        ),
+    ),
+    ReportedFault(
+        "One malformed message or unexpected error took a whole process down",
+        "It could: any error in a background component ended the node. Now the "
+        "component is restarted, with a log line and a counter, and requests go on. "
+        "Records with a phase or an address that cannot be used are skipped.",
+        (
+            "tests/test_mesh.py::"
+            "test_errors_in_background_components_stop_neither_node_nor_requests",
+            "tests/test_quotas.py::test_malformed_message_is_ignored",
+        ),
+    ),
+    ReportedFault(
+        "A paused process acted on a permission that had run out meanwhile",
+        "It could: time that a request spent unread in a paused process still counted "
+        "as left, at the entry and beside the target, and granted tokens were dated by "
+        "their arrival. Now both are dated from before the pause.",
+        (
+            "tests/test_mesh.py::"
+            "test_paused_node_runs_no_request_whose_deadline_has_passed",
+            "tests/test_quotas.py::test_grant_that_arrives_after_a_pause_is_not_used",
+            "tests/test_stalls.py::"
+            "test_input_read_after_a_stall_may_be_as_old_as_the_stall",
+        ),
+    ),
+    ReportedFault(
+        "An answer that broke off halfway reached the caller as a complete success",
+        "Not found, but for an answer without a length whose server is killed, which "
+        "nobody can tell from its end.",
+        (
+            "tests/test_mesh.py::"
+            "test_truncated_large_response_is_not_forwarded_as_complete",
+            "tests/test_mesh.py::test_bad_response_is_never_forwarded_as_complete",
+        ),
+    ),
+    ReportedFault(
+        "A server in trouble sent bytes without end",
+        "Trailers, chunk extensions and informational answers were read without a "
+        "bound, and a body went on to the caller for as long as it came. Now bytes "
+        "that are neither head nor body are bounded, and a body ends with the caller's "
+        "deadline, visibly incomplete.",
+        (
+            "tests/test_mesh.py::"
+            "test_bytes_without_end_instead_of_a_response_are_cut_off",
+            "tests/test_mesh.py::test_body_without_end_is_never_complete",
+            "tests/test_framing.py::"
+            "test_bytes_without_end_are_an_error_in_bounded_memory",
+        ),
+    ),
+)
+
+
 class ExclusionReason(NamedTuple):
     """Reason why some faults cannot happen in some steps.
 
@@ -258,6 +359,11 @@
         lines.append(f"{number}. `{test}` ({invariants})")
     lines += ["", "## Why a fault cannot happen", ""]
     lines += [f"- ({reason.code}) {reason.text}" for reason in EXCLUSION_REASONS]
+    lines += ["", "## Faults that operators of similar systems have met", ""]
+    lines += ["| fault | can it happen here | tests |", "| --- | --- | --- |"]
+    for reported in REPORTED_FAULTS:
+        test_names = ", ".join(f"`{test}`" for test in reported.tests)
+        lines.append(f"| {reported.fault} | {reported.answer} | {test_names} |")
     return "\n".join(lines) + "\n"
 
 
--- a/tests/test_fault_coverage.py
+++ b/tests/test_fault_coverage.py
@@ -2,6 +2,8 @@
 import sys
 from pathlib import Path
 
+from bench import faults
+
 ROOT = Path(__file__).parent.parent
 
 
@@ -15,3 +17,10 @@
         timeout=60,
     )
     assert result.returncode == 0, result.stdout + result.stderr
+
+
+def test_tests_of_reported_faults_exist():
+    for reported in faults.REPORTED_FAULTS:
+        for test in reported.tests:
+            path, _, name = test.partition("::")
+            assert f"def {name}(" in (faults.ROOT / path).read_text()
