Simulate how changes reach all nodes, for 15 to 1,000 of them

Cause: times and calls at 1,000 nodes could not be told before a run of that size. Change: python -m bench.mesh runs the real choice of readers, synchronizer and directory of all nodes on a manual clock, with a lossy network and a store that counts calls.

--- /dev/null
+++ b/bench/mesh.py
@@ -0,0 +1,423 @@
+"""Simulates how changes of the shared state reach all mesh nodes, and what they cost.
+
+The real choice of readers, synchronizer and directory of every node run in one process
+on a manual clock, with a simulated store and network. Requests, routing and rates are
+left out.
+
+Run ``python -m bench.mesh --seed 7``.
+"""
+
+import heapq
+import json
+import random
+import statistics
+from collections import Counter
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any, NamedTuple
+
+import curio
+import typer
+
+from carawaywheel.clock import ManualClock
+from carawaywheel.errors import LogError
+from carawaywheel.mesh.monitor import PeerMonitor
+from carawaywheel.mesh.replication.directory import Directory, HostRecord, encode_record
+from carawaywheel.mesh.replication.follower import TableFollower
+from carawaywheel.mesh.replication.store import KeyValue, Store, TablePage
+from carawaywheel.mesh.replication.synchronizer import TICK_SECONDS, StateSynchronizer
+from carawaywheel.mesh.target import Phase
+
+TABLES = ("configuration", "hosts")
+CONFIGURATION_KEY = "config"
+SIZES = (15, 196, 1000)
+DOMAINS = 5
+SERVICES = 4
+PORT = 7000
+STEP_SECONDS = 0.02
+DELAY_SECONDS = 0.003
+DATAGRAM_LOSS = 0.01
+HEADER_BYTES = 28  # IP and UDP
+HEARTBEAT_SECONDS = 1.5
+RESTART_SECONDS = 1.5
+START_SPREAD_SECONDS = 0.3
+# Size of the configuration document, for the bytes of its spread.
+CONFIGURATION_BYTES = 40_000
+
+
+class SimulatedStore(Store):
+    """The store, with the number of its calls.
+
+    Attributes:
+        tables: Changes of each table, as keys and values.
+        calls: Calls so far.
+    """
+
+    def __init__(self) -> None:
+        self.tables: dict[str, list[tuple[str, bytes]]] = {name: [] for name in TABLES}
+        self.calls = 0
+
+    async def read_all(self, table: str) -> TablePage:
+        """Return the newest value of each key; see the base class."""
+        self.calls += 1
+        newest = {
+            key: KeyValue(key, value, offset)
+            for offset, (key, value) in enumerate(self.tables[table])
+        }
+        return TablePage(list(newest.values()), len(self.tables[table]))
+
+    async def poll_changes(
+        self, table: str, offset: int, wait: float
+    ) -> TablePage | None:
+        """Return the changes from an offset on; see the base class."""
+        self.calls += 1
+        changes = enumerate(self.tables[table][offset:], offset)
+        items = [KeyValue(key, value, number) for number, (key, value) in changes]
+        return TablePage(items, len(self.tables[table]))
+
+    async def put(self, table: str, key: str, value: bytes) -> None:
+        """Write a value; see the base class."""
+        self.calls += 1
+        self.tables[table].append((key, value))
+
+
+class SimulatedSocket:
+    """Datagram socket of one node; see ``DatagramSocket``."""
+
+    def __init__(self, fleet: "SimulatedFleet", address: str) -> None:
+        self.fleet = fleet
+        self.address = address
+        self.handlers: dict[bytes, Any] = {}
+
+    async def send(self, kind: bytes, data: bytes, address: str) -> None:
+        """Send a datagram, which may be lost."""
+        self.fleet.send(self.address, kind, data, address)
+
+
+class SimulatedMonitor(PeerMonitor):
+    """Peer monitor whose exchanges are simulated."""
+
+    fleet: "SimulatedFleet"
+
+    def update_router(self) -> None:
+        """Only note that the hosts have changed."""
+        self.update_reachable()
+
+    async def fetch_state(self, address: str) -> bool:
+        """Fetch changes from a peer; see the base class."""
+        peer = self.fleet.nodes.get(address)
+        if peer is None:
+            return False
+        directory = self.directory
+        state = peer.monitor.encode_state(
+            directory.configuration_version, directory.hosts_offset
+        )
+        self.fleet.bytes_sent += len(state)
+        self.fleet.fetches += 1
+        self.merge_state(state, address)
+        return True
+
+    async def check(self, address: str) -> None:
+        """Suspend a host that is lost; see the base class."""
+        if address not in self.fleet.nodes:
+            self.report_unreachable(address)
+
+
+class SimulatedNode:
+    """One node with its real state components.
+
+    Attributes:
+        due_at: Time at which it chooses and asks readers next, in seconds.
+        published_at: Time of the first heartbeat of its target, in seconds.
+        poll_due_at: Time at which each follower may poll next, by table.
+        polling_since: Time since which each follower waits for changes, by table.
+    """
+
+    def __init__(
+        self, fleet: "SimulatedFleet", number: int, first_start: bool, now: float
+    ) -> None:
+        rng = fleet.rng
+        self.address = node_address(number)
+        record = HostRecord(
+            f"h{number}",
+            self.address,
+            f"zone-{number % DOMAINS}",
+            f"service-{number % SERVICES}",
+            int(now * 1000),
+            0,
+            int(Phase.GONE),
+            0,
+        )
+        journal: Any = SimpleNamespace(
+            write=lambda event, **fields: fleet.events.update([event]),
+            count=lambda *arguments: None,
+        )
+        router: Any = SimpleNamespace(remove_candidate=lambda address: None)
+        directory = Directory()
+        directory.merge(record)
+        self.monitor = SimulatedMonitor(
+            self.address, directory, router, journal, fleet.clock
+        )
+        self.monitor.fleet = fleet
+        sock: Any = SimulatedSocket(fleet, self.address)
+        self.synchronizer = StateSynchronizer(
+            fleet.store,
+            TABLES,
+            CONFIGURATION_KEY,
+            directory,
+            self.monitor,
+            record,
+            sock,
+            False,
+            journal,
+            fleet.clock,
+            rng,
+        )
+        self.sock = sock
+        start_delay = 2.5 + rng.random() * 0.3 if first_start else 0.0
+        self.due_at = now + start_delay
+        self.published_at = now + rng.random() * HEARTBEAT_SECONDS
+        self.turn = 0
+        self.poll_due_at = dict.fromkeys(TABLES, 0.0)
+        self.polling_since = dict.fromkeys(TABLES, now)
+
+    @property
+    def directory(self) -> Directory:
+        """What the node knows."""
+        return self.monitor.directory
+
+    async def step(self, fleet: "SimulatedFleet", now: float) -> None:
+        """Do what is due."""
+        synchronizer = self.synchronizer
+        if now >= self.published_at and not synchronizer.published:
+            await self.publish(fleet, Phase.READY)
+        if now >= self.due_at:
+            self.due_at = now + TICK_SECONDS
+            choices = synchronizer.choices
+            await synchronizer.follow(choices[self.turn % len(choices)], now)
+            self.turn += 1
+        for follower in (
+            synchronizer.configuration_follower,
+            synchronizer.host_follower,
+        ):
+            await self.poll(fleet, follower, now)
+        await synchronizer.fetch_changes()
+
+    async def poll(
+        self, fleet: "SimulatedFleet", follower: TableFollower, now: float
+    ) -> None:
+        """Poll a table if the follower is active and a long poll would return."""
+        table = follower.table
+        if not follower.active or now < self.poll_due_at[table]:
+            self.polling_since[table] = now
+            return
+        has_news = follower.offset is None or follower.offset < len(
+            fleet.store.tables[table]
+        )
+        if not has_news and now - self.polling_since[table] < follower.wait:
+            return
+        try:
+            pause = await follower.poll()
+        except LogError:
+            pause = 1.0
+        self.poll_due_at[table] = now + pause
+        self.polling_since[table] = now
+
+    async def publish(self, fleet: "SimulatedFleet", phase: Phase) -> None:
+        """Write the own record, as after a heartbeat of the target."""
+        await self.synchronizer.publish(int(phase), 10)
+        record = self.synchronizer.own_record
+        await fleet.store.put(TABLES[1], self.address, encode_record(record))
+        self.synchronizer.stored_record = record
+
+
+class SimulatedFleet:
+    """Nodes on a simulated network.
+
+    Attributes:
+        nodes: Nodes that run, by address.
+        events: Number of each event that the nodes have logged.
+        datagrams: Datagrams sent so far.
+        fetches: Fetches over HTTP so far.
+        bytes_sent: Bytes between nodes so far.
+    """
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.size = size
+        self.rng = random.Random(seed)
+        self.clock = ManualClock(1000.0)
+        self.store = SimulatedStore()
+        self.nodes: dict[str, SimulatedNode] = {}
+        self.in_flight: list[tuple[float, int, str, str, bytes, bytes]] = []
+        self.sent_count = 0
+        self.events: Counter[str] = Counter()
+        self.datagrams = 0
+        self.fetches = 0
+        self.bytes_sent = 0
+
+    def start(self, number: int, first_start: bool) -> None:
+        """Start a node."""
+        node = SimulatedNode(self, number, first_start, self.clock.now())
+        self.nodes[node.address] = node
+
+    def send(self, sender: str, kind: bytes, data: bytes, address: str) -> None:
+        """Put a datagram on the network."""
+        self.datagrams += 1
+        self.bytes_sent += len(kind) + len(data) + HEADER_BYTES
+        if self.rng.random() < DATAGRAM_LOSS:
+            return
+        self.sent_count += 1
+        arrival = self.clock.now() + DELAY_SECONDS
+        heapq.heappush(
+            self.in_flight, (arrival, self.sent_count, sender, address, kind, data)
+        )
+
+    async def run(
+        self, seconds: float, until: Callable[[], bool] | None = None
+    ) -> None:
+        """Advance the time, at most until a condition holds."""
+        end = self.clock.now() + seconds
+        while self.clock.now() < end and not (until and until()):
+            now = self.clock.advance(STEP_SECONDS)
+            while self.in_flight and self.in_flight[0][0] <= now:
+                _, _, sender, address, kind, data = heapq.heappop(self.in_flight)
+                node = self.nodes.get(address)
+                if node is not None:
+                    ip, _, port = sender.rpartition(":")
+                    await node.sock.handlers[kind].receive(data, (ip, int(port)))
+            for node in list(self.nodes.values()):
+                await node.step(self, now)
+            # Lets the tasks run that nodes have started.
+            await curio.sleep(0)
+
+    def publish_configuration(self, version: int) -> None:
+        """Write a configuration as the operator does."""
+        filler = "x" * CONFIGURATION_BYTES
+        service = {"name": filler}
+        document = {"version": f"r{version}", "services": [service]}
+        value = json.dumps(document).encode()
+        self.store.tables[TABLES[0]].append((CONFIGURATION_KEY, value))
+
+    async def times_to_learn(
+        self, is_known: Callable[[Directory], bool], limit: float
+    ) -> list[float]:
+        """Return the seconds until each node knows something, at most a limit."""
+        start = self.clock.now()
+        learned: dict[str, float] = {}
+
+        def all_know() -> bool:
+            for address, node in self.nodes.items():
+                if address not in learned and is_known(node.directory):
+                    learned[address] = self.clock.now() - start
+            return len(learned) == len(self.nodes)
+
+        await self.run(limit, all_know)
+        return sorted(learned.get(address, limit) for address in self.nodes)
+
+    def readers(self) -> list[str]:
+        """Return the nodes that read the store."""
+        return [
+            address
+            for address, node in self.nodes.items()
+            if node.synchronizer.configuration_follower.active
+        ]
+
+
+class Row(NamedTuple):
+    """Cost and times of one part of a run.
+
+    Attributes:
+        nodes: Size of the fleet.
+        part: What happened.
+        median: Seconds until half of the nodes knew.
+        p99: Seconds until 99 in 100 knew.
+        last: Seconds until all knew.
+        calls: Calls to the store for each node.
+        datagrams: Datagrams for each node.
+        kilobytes: Kilobytes between nodes for each node.
+    """
+
+    nodes: int
+    part: str
+    median: float
+    p99: float
+    last: float
+    calls: float
+    datagrams: float
+    kilobytes: float
+
+
+def node_address(number: int) -> str:
+    """Return the address of a node."""
+    return f"10.{number % DOMAINS}.{number // 250}.{number % 250}:{PORT}"
+
+
+async def simulate(size: int, seed: int) -> list[Row]:
+    """Run all parts with one fleet.
+
+    Args:
+        size: Number of nodes.
+        seed: Seed of all random choices.
+    """
+    fleet = SimulatedFleet(size, seed)
+    rows = []
+
+    async def measure(part: str, is_known: Callable[[Directory], bool]) -> None:
+        before = fleet.store.calls, fleet.datagrams, fleet.bytes_sent
+        times = await fleet.times_to_learn(is_known, 20.0)
+        # Also counts what follows, such as readers that take over.
+        await fleet.run(max(0.0, 5.0 - times[-1]))
+        rows.append(
+            Row(
+                size,
+                part,
+                statistics.median(times),
+                times[int(0.99 * (len(times) - 1))],
+                times[-1],
+                (fleet.store.calls - before[0]) / size,
+                (fleet.datagrams - before[1]) / size,
+                (fleet.bytes_sent - before[2]) / size / 1000,
+            )
+        )
+
+    for number in range(size):
+        fleet.start(number, first_start=True)
+    await measure("start", lambda d: len(d.hosts) == size and d.hosts_known)
+    fleet.publish_configuration(1)
+    await measure("first configuration", lambda d: d.configuration_version == 1)
+    await measure("nothing, 5 s", lambda d: True)
+    fleet.publish_configuration(2)
+    await measure("configuration", lambda d: d.configuration_version == 2)
+    changed = fleet.nodes[node_address(size // 2)]
+    await changed.publish(fleet, Phase.DRAINING)
+    await measure(
+        "one host", lambda d: d.hosts[changed.address].phase == Phase.DRAINING
+    )
+    lost = fleet.readers()
+    for address in lost:
+        del fleet.nodes[address]
+    fleet.publish_configuration(3)
+    await measure("readers lost", lambda d: d.configuration_version == 3)
+    fleet.nodes.clear()
+    await fleet.run(RESTART_SECONDS)
+    for number in range(size):
+        fleet.start(number, first_start=False)
+    await measure("all restart", lambda d: d.configuration_version == 3)
+    return rows
+
+
+def main(seed: int = 7, size: list[int] | None = None) -> None:
+    """Print a table of times and costs for each size of the fleet."""
+    heading: tuple[str, ...] = ("nodes", "part", "median s", "99% s", "last s")
+    heading += ("calls", "datagrams", "KB")
+    print("| " + " | ".join(heading) + " |")
+    print("|" + " --- |" * len(heading))
+    for nodes in size or SIZES:
+        for row in curio.run(simulate, nodes, seed):
+            times = f"{row.median:.2f} | {row.p99:.2f} | {row.last:.2f}"
+            cost = f"{row.calls:.2f} | {row.datagrams:.1f} | {row.kilobytes:.1f}"
+            print(f"| {row.nodes} | {row.part} | {times} | {cost} |", flush=True)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -420,10 +420,14 @@
         while True:
             await self.source_added.wait()
             self.source_added.clear()
-            while self.sources:
-                address, (version, hosts_offset) = self.sources.popitem()
-                if self.is_behind(version, hosts_offset):
-                    await self.fetch(address, version)
+            await self.fetch_changes()
+
+    async def fetch_changes(self) -> None:
+        """Fetch changes from all nodes that are known to know more."""
+        while self.sources:
+            address, (version, hosts_offset) = self.sources.popitem()
+            if self.is_behind(version, hosts_offset):
+                await self.fetch(address, version)
 
     async def fetch(self, address: str, version: int) -> None:
         """Fetch changes from a node, or its configuration from the store."""
