Split the client of state and the receiving of responses from long modules

Change: stateclient sends probes, pushes and fetches; receiving waits for the head of a target's response. No decision changed.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -1,7 +1,6 @@
 """Admission of calls to the local target, and their execution there."""
 
 import itertools
-import math
 import random
 from typing import Any
 
@@ -22,10 +21,10 @@
 from .callgraph import CallGraph, FanoutEstimator
 from .journal import Journal
 from .messages import Call, CallReply, ServiceDemand, TargetRequestMetadata
+from .receiving import ResponseReceiver
 from .responses import BufferedResponse, CallResult, StreamedResponse, buffer_response
 from .settings import CONNECT_TIMEOUT_SECONDS, HostSettings
 from .shedding import AdmissionLevel, AdmissionLevelTable, offered_load
-from .silence import SilenceDetector
 from .stalls import StallDetector
 from .target import LocalTarget, Phase
 
@@ -44,11 +43,6 @@
 # Weight of one response in the moving average: it takes about 20 responses to tell a
 # target that sheds load from a single rejection.
 ACCEPT_RATIO_SMOOTHING = 0.05
-# Responses to earlier requests that are skipped on one connection.
-MAX_LATE_RESPONSES = 3
-# Time to wait after a late response for that to an idempotent request: several times
-# the usual service time.
-LATE_RESPONSE_TIMEOUT_SECONDS = 1.0
 # Share of the retry slack that nodes use, since their counts of targets lag a little.
 USED_RETRY_SLACK_SHARE = 0.7
 
@@ -59,7 +53,7 @@
     Attributes:
         target: The local target.
         gate: Admission gate of its current incarnation; None before that is known.
-        silence: Tells which connections to this incarnation are silent.
+        receiver: Waits for responses of this incarnation.
         level: Admission level of the target.
         shutting_down: Whether the node shuts down and admits no more calls.
         active_calls: Calls that wait or run.
@@ -88,7 +82,7 @@
         self.clock = clock
         self.rng = rng
         self.pool = ConnectionPool(CONNECT_TIMEOUT_SECONDS)
-        self.silence = SilenceDetector()
+        self.receiver = ResponseReceiver(journal, clock)
         self.fanout = FanoutEstimator()
         self.level = AdmissionLevel(1.0)
         self.gate: AdmissionGate | None = None
@@ -144,7 +138,7 @@
                 AdmissionSettings(fair=False), limit, heartbeat.slots, self.rng
             )
             self.gate = AdmissionGate(self.target, queue, self.clock)  # type: ignore[arg-type]
-            self.silence = SilenceDetector()
+            self.receiver = ResponseReceiver(self.journal, self.clock)
         return self.gate
 
     async def run(
@@ -270,7 +264,7 @@
         self.fanout.record_request(call.route, call.is_retry or call.caused_by_retry)
         try:
             await connection.send(request.method, request.target, headers, body)
-            response = await self.receive_response(call, connection)
+            response = await self.receiver.receive_response(call, connection)
             return await self.read_response(call, connection, response, release_slot)
         except PeerError as error:
             await self.pool.discard(connection)
@@ -289,86 +283,6 @@
             )
         self.unreachable_until = now + UNREACHABLE_COOLDOWN_SECONDS
 
-    async def receive_response(
-        self, call: Call, connection: ClientConnection
-    ) -> Response:
-        """Wait for the head of the response, skipping late ones to earlier requests.
-
-        Raises:
-            PeerError: If the connection failed or carried only late responses.
-        """
-        for skipped_count in range(MAX_LATE_RESPONSES):
-            response = await self.receive_head(call, connection, skipped_count > 0)
-            response_attempt_id = decode_target_headers(
-                response.status, response.headers
-            ).attempt_id
-            if response_attempt_id == call.attempt_id:
-                return response
-            if not response_attempt_id:
-                if not connection.reused:
-                    return response
-                self.journal.write("answer_without_id", request=call.attempt_id)
-                break
-            self.journal.write(
-                "late_answer", request=call.attempt_id, answered=response_attempt_id
-            )
-            complete, _ = await buffer_response(response)
-            if not complete:
-                break
-            connection.skip_stale_response()
-        raise connection.request_error(
-            "the response belongs to another request", "read head"
-        )
-
-    async def receive_head(
-        self, call: Call, connection: ClientConnection, after_late_response: bool
-    ) -> Response:
-        """Wait for the head of a response.
-
-        The wait for the response to an idempotent call ends early if it is unusually
-        long, as the call can be repeated. What became of other calls would not be
-        known, so they wait until their deadline.
-
-        Raises:
-            PeerError: If the connection failed or the wait ended early.
-        """
-        started_at = self.clock.now()
-        number = self.silence.record_request()
-        patience = self.silence.patience(call.route)
-        if not call.idempotent:
-            patience = math.inf
-        elif after_late_response:
-            patience = LATE_RESPONSE_TIMEOUT_SECONDS
-        while True:
-            try:
-                response = await self.receive_head_within(patience, connection)
-            except curio.TaskTimeout as error:
-                self.silence.record_time(call.route, patience)
-                if not after_late_response and not self.silence.is_overtaken(number):
-                    continue
-                self.journal.write(
-                    "silent_connection", request=call.attempt_id, waited=patience
-                )
-                raise connection.request_error(
-                    "no response, while the target answers later calls", "read head"
-                ) from error
-            elapsed = self.clock.now() - started_at
-            self.silence.record_response(number, call.route, elapsed)
-            return response
-
-    async def receive_head_within(
-        self, seconds: float, connection: ClientConnection
-    ) -> Response:
-        """Wait for the head of a response, for a time that may be infinite.
-
-        Raises:
-            PeerError: If the connection failed.
-            curio.TaskTimeout: If the time has passed; the wait may be resumed.
-        """
-        if seconds == math.inf:
-            return await connection.receive_head(allow_close_delimited=True)
-        return await curio.timeout_after(seconds, connection.receive_head, True)
-
     async def read_response(
         self,
         call: Call,
--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -12,10 +12,9 @@
 import msgspec
 
 from ..clock import Clock
-from ..errors import PeerError, PolicyError, ProtocolError, RecordError
+from ..errors import PolicyError, ProtocolError, RecordError
 from ..http import Request
 from ..platform.configuration import decode_configuration
-from ..pool import ConnectionPool
 from ..routing import Router
 from ..serverexchange import JSON_HEADER, ServerExchange
 from .configuration import MeshConfiguration
@@ -28,22 +27,22 @@
     routing_candidate,
 )
 from .replication.messages import MeshState, state_decoder
-from .settings import CONNECT_TIMEOUT_SECONDS
+from .stateclient import (
+    CHANGES_PATH_PREFIX,
+    MAX_STATE_BYTES,
+    OK_STATUS,
+    STATE_PATH,
+    ProbeReply,
+    StateClient,
+)
 from .target import Phase
 
-STATE_PATH = "/-/state"
-# Followed by the version and the offset that the fetching node knows.
-CHANGES_PATH_PREFIX = "/-/changes/"
-MAX_STATE_BYTES = 4 * 1024 * 1024
 STATE_HEADER = (b"content-type", b"application/msgpack")
 OWN_ORIGIN = "self"
 PROBE_INTERVAL_SECONDS = 0.4
-PROBE_TIMEOUT_SECONDS = 0.6
 # Upper bound of the backoff between probes of an unreachable host.
 MAX_PROBE_INTERVAL_SECONDS = 2.0
 MIN_PUSH_INTERVAL_SECONDS = 1.0
-# Time for a large configuration on a narrow link.
-FETCH_TIMEOUT_SECONDS = 2.0
 # Time for which a peer must be seen with an older configuration before the newer one is
 # pushed to it: usually it learns of it by itself.
 OUTDATED_PATIENCE_SECONDS = 1.5
@@ -53,19 +52,6 @@
 BROADCAST_WIDTH = 32
 # Records of one change that are logged one by one.
 MAX_LOGGED_HOSTS = 4
-OK_STATUS = 200
-
-
-class ProbeReply(msgspec.Struct):
-    """Reply to a probe.
-
-    Attributes:
-        version: Configuration version of the replying node.
-        serving: Whether the target accepts new work.
-    """
-
-    version: int
-    serving: bool
 
 
 class Suspension:
@@ -124,7 +110,7 @@
         self.router = router
         self.journal = journal
         self.clock = clock
-        self.pool = ConnectionPool(CONNECT_TIMEOUT_SECONDS)
+        self.state_client = StateClient(journal)
         self.suspended: dict[str, Suspension] = {}
         self.pushed_at: dict[str, float] = {}
         self.outdated: dict[str, OutdatedPeer] = {}
@@ -398,17 +384,15 @@
             Whether the peer has told it.
         """
         directory = self.directory
-        path = (
-            f"{CHANGES_PATH_PREFIX}{directory.configuration_version}"
-            f"/{directory.hosts_offset}"
+        content = await self.state_client.fetch(
+            address, directory.configuration_version, directory.hosts_offset
         )
+        if content is None:
+            return False
         try:
-            content = await curio.timeout_after(
-                FETCH_TIMEOUT_SECONDS, self.exchange, address, "GET", path, b""
-            )
             self.merge_state(content, address)
-        except (PeerError, ProtocolError, curio.TaskTimeout) as error:
-            self.journal.count("fetch_failed", type(error).__name__)
+        except ProtocolError as error:
+            self.journal.write("state_invalid", host=address, error=str(error))
             return False
         return True
 
@@ -448,7 +432,7 @@
         suspension = self.suspended.get(address)
         if suspension is None:
             return
-        reply = await self.try_exchange(address, "GET", b"")
+        reply = await self.state_client.probe(address)
         backoff = min(suspension.interval * 1.5, MAX_PROBE_INTERVAL_SECONDS)
         suspension.interval = backoff
         suspension.next_probe_at = self.clock.now() + backoff
@@ -465,7 +449,7 @@
 
     async def check(self, address: str) -> None:
         """Probe a host that is not suspended; suspend it if it cannot be reached."""
-        reply = await self.try_exchange(address, "GET", b"")
+        reply = await self.state_client.probe(address)
         if reply is None:
             self.report_unreachable(address)
         elif not reply.version and self.directory.configuration_version:
@@ -481,7 +465,7 @@
             return
         self.pushed_at[address] = now
         self.journal.write("state_passed_on", host=address)
-        await self.try_exchange(address, "POST", self.encode_state())
+        await self.state_client.push(address, self.encode_state())
 
     async def broadcast_record(self, record: HostRecord) -> None:
         """Send one record to all reachable hosts while the store is down."""
@@ -496,47 +480,6 @@
 
     async def send_record(self, address: str, state: bytes) -> None:
         """Send a record to a host and process the version in its reply."""
-        reply = await self.try_exchange(address, "POST", state)
+        reply = await self.state_client.push(address, state)
         if reply is not None:
             self.observe_version(address, reply.version)
-
-    async def try_exchange(
-        self, address: str, method: str, body: bytes
-    ) -> ProbeReply | None:
-        """Send a probe or a state; return None if the exchange fails or times out."""
-        try:
-            content = await curio.timeout_after(
-                PROBE_TIMEOUT_SECONDS, self.exchange, address, method, STATE_PATH, body
-            )
-            return msgspec.json.decode(content, type=ProbeReply)
-        except (PeerError, curio.TaskTimeout, msgspec.DecodeError) as error:
-            self.journal.count("check_failed", type(error).__name__)
-            return None
-
-    async def exchange(
-        self, address: str, method: str, path: str, body: bytes
-    ) -> bytes:
-        """Run one exchange on a new connection; a pooled one may be broken.
-
-        Returns:
-            The body of the response.
-
-        Raises:
-            PeerError: If the exchange failed or the status is not 200.
-        """
-        headers = [
-            (b"host", address.encode()),
-            (b"content-length", str(len(body)).encode()),
-        ]
-        connection = await self.pool.connect(address)
-        try:
-            await connection.send(method, path, headers, body)
-            response = await connection.receive_head()
-            content = await response.read(MAX_STATE_BYTES)
-        finally:
-            await self.pool.discard(connection)
-        if response.status != OK_STATUS:
-            raise PeerError(
-                f"expected status 200, got {response.status}", path, address, True
-            )
-        return content
