Wait for the hosts that a test needs, not for a number of log lines

Cause: a node that has not heard from its target may be known before it is ready, with a line of its own, so that the third line need not be that of h3. Change: the tests wait until h1 knows the named targets as ready. Bounds are as they were.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -26,6 +26,17 @@
     return pages * resource.getpagesize() / (1 << 20)
 
 
+def wait_until_known(platform, *names):
+    """Wait until h1 knows that the targets of hosts are ready."""
+
+    def known():
+        lines = platform.log_lines("h1", "host")
+        ready = {line["id"] for line in lines if line["phase"] == 0}
+        return ready.issuperset(names)
+
+    platform.wait_for(known, f"{names} are known")
+
+
 def start_two_hosts(platform, *yard_arguments):
     platform.start_host("h1", "desk")
     platform.start_host("h2", "yard", *yard_arguments)
@@ -61,7 +72,7 @@
 def test_non_idempotent_request_with_lost_response_is_not_retried(platform):
     start_two_hosts(platform)
     platform.start_host("h3", "yard")
-    platform.wait_for(lambda: len(platform.log_lines("h1", "host")) >= 3, "h3 is known")
+    wait_until_known(platform, "h3")
     for name in ("h2", "h3"):
         platform.configure_target(name, mode="lost")
     response = platform.send("h1", "/order/1", "POST")
@@ -74,7 +85,7 @@
 def test_idempotent_request_with_bad_response_is_retried(platform, mode):
     start_two_hosts(platform)
     platform.start_host("h3", "desk")
-    platform.wait_for(lambda: platform.log_lines("h1", "host")[2:], "h3 is known")
+    wait_until_known(platform, "h3")
     platform.configure_target("h3", mode=mode)
     for index in range(12):
         response = platform.send("h1", f"/read/{index}")
@@ -86,7 +97,7 @@
     """A target that fails half of its requests still passes its health checks."""
     start_two_hosts(platform)
     platform.start_host("h3", "desk")
-    platform.wait_for(lambda: platform.log_lines("h1", "host")[2:], "h3 is known")
+    wait_until_known(platform, "h3")
     platform.configure_target("h3", mode="fail")
     responses = [platform.send("h2", f"/read/{index}") for index in range(16)]
     assert [response.status for response in responses] == [200] * 16
@@ -141,7 +152,7 @@
     start_two_hosts(platform)
     for name in ("h3", "h4", "h5"):
         platform.start_host(name, "yard")
-    platform.wait_for(lambda: platform.log_lines("h1", "host")[4:], "all are known")
+    wait_until_known(platform, "h3", "h4", "h5")
     for name in ("h2", "h3", "h4", "h5"):
         platform.configure_target(name, mode="shed")
     for index in range(60):
@@ -169,7 +180,7 @@
     """Otherwise each request waits for a connection that cannot be opened."""
     start_two_hosts(platform)
     platform.start_host("h3", "yard")
-    platform.wait_for(lambda: platform.log_lines("h1", "host")[2:], "h3 is known")
+    wait_until_known(platform, "h3")
     platform.wait_until_served("h3", "/order/1")
     platform.processes["target-h2"].kill()
     results = [platform.send("h1", f"/order/{i}", "POST").status for i in range(30)]
@@ -181,7 +192,7 @@
 def test_draining_target_gets_no_new_requests(platform):
     start_two_hosts(platform)
     platform.start_host("h3", "yard")
-    platform.wait_for(lambda: platform.log_lines("h1", "host")[2:], "h3 is known")
+    wait_until_known(platform, "h3")
     platform.configure_target("h2", phase="draining")
     runs_before = len(platform.runs("h2"))
     for index in range(10):
@@ -392,7 +403,7 @@
 def test_killed_node_fails_only_its_own_requests(platform):
     start_two_hosts(platform)
     platform.start_host("h3", "yard")
-    platform.wait_for(lambda: platform.log_lines("h1", "host")[2:], "h3 is known")
+    wait_until_known(platform, "h3")
     platform.processes["h2"].kill()
     statuses = [platform.send("h1", f"/inner/{index}").status for index in range(20)]
     assert statuses.count(200) >= 19
@@ -478,7 +489,7 @@
     """A target that cannot queue a request may never answer on that connection."""
     start_two_hosts(platform, "--slots", "20", "--work", "0.1")
     platform.start_host("h3", "yard", "--work", "0.1")
-    platform.wait_for(lambda: platform.log_lines("h1", "host")[2:], "h3 is known")
+    wait_until_known(platform, "h3")
     for index in range(20):
         assert platform.send("h1", f"/inner/{index}").status == 200
     platform.configure_target("h2", mode="mute", room=1)
