Take back the early end of silent connections; pass on at once that a reader is lost

Change: the detector of silence is reverted, a failed try. A reader whose poll fails or is overdue says so at once, its followers ask the next one at once; polls of the configuration wait 1 s instead of 2.5 s.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -53,7 +53,6 @@
     Attributes:
         target: The local target.
         gate: Admission gate of its current incarnation; None before that is known.
-        receiver: Waits for responses of this incarnation.
         level: Admission level of the target.
         shutting_down: Whether the node shuts down and admits no more calls.
         active_calls: Calls that wait or run.
@@ -82,7 +81,7 @@
         self.clock = clock
         self.rng = rng
         self.pool = ConnectionPool(CONNECT_TIMEOUT_SECONDS)
-        self.receiver = ResponseReceiver(journal, clock)
+        self.receiver = ResponseReceiver(journal)
         self.fanout = FanoutEstimator()
         self.level = AdmissionLevel(1.0)
         self.gate: AdmissionGate | None = None
@@ -138,7 +137,6 @@
                 AdmissionSettings(fair=False), limit, heartbeat.slots, self.rng
             )
             self.gate = AdmissionGate(self.target, queue, self.clock)  # type: ignore[arg-type]
-            self.receiver = ResponseReceiver(self.journal, self.clock)
         return self.gate
 
     async def run(
--- a/src/carawaywheel/mesh/receiving.py
+++ b/src/carawaywheel/mesh/receiving.py
@@ -1,16 +1,12 @@
 """Receiving of the head of a target's response to one call."""
 
-import math
-
 import curio
 
-from ..clock import Clock
 from ..platform.headers import decode_target_headers
 from ..pool import ClientConnection, Response
 from .journal import Journal
 from .messages import Call
 from .responses import buffer_response
-from .silence import SilenceDetector
 
 # Responses to earlier requests that are skipped on one connection.
 MAX_LATE_RESPONSES = 3
@@ -20,16 +16,10 @@
 
 
 class ResponseReceiver:
-    """Waits for responses of one incarnation of a target.
-
-    Attributes:
-        silence: Tells which connections to the target are silent.
-    """
+    """Waits for the responses of the local target."""
 
-    def __init__(self, journal: Journal, clock: Clock) -> None:
+    def __init__(self, journal: Journal) -> None:
         self.journal = journal
-        self.clock = clock
-        self.silence = SilenceDetector()
 
     async def receive_response(
         self, call: Call, connection: ClientConnection
@@ -40,7 +30,9 @@
             PeerError: If the connection failed or carried only late responses.
         """
         for skipped_count in range(MAX_LATE_RESPONSES):
-            response = await self.receive_head(call, connection, skipped_count > 0)
+            response = await self.receive_head(
+                connection, skipped_count > 0 and call.idempotent
+            )
             response_attempt_id = decode_target_headers(
                 response.status, response.headers
             ).attempt_id
@@ -63,50 +55,20 @@
         )
 
     async def receive_head(
-        self, call: Call, connection: ClientConnection, after_late_response: bool
-    ) -> Response:
-        """Wait for the head of a response.
-
-        The wait for the response to an idempotent call ends early if it is unusually
-        long, as the call can be repeated. What became of other calls would not be
-        known, so they wait until their deadline.
-
-        Raises:
-            PeerError: If the connection failed or the wait ended early.
-        """
-        started_at = self.clock.now()
-        number = self.silence.record_request()
-        patience = self.silence.patience(call.route)
-        if not call.idempotent:
-            patience = math.inf
-        elif after_late_response:
-            patience = LATE_RESPONSE_TIMEOUT_SECONDS
-        while True:
-            try:
-                response = await self.receive_head_within(patience, connection)
-            except curio.TaskTimeout as error:
-                self.silence.record_time(call.route, patience)
-                if not after_late_response and not self.silence.is_overtaken(number):
-                    continue
-                self.journal.write(
-                    "silent_connection", request=call.attempt_id, waited=patience
-                )
-                raise connection.request_error(
-                    "no response, while the target answers later calls", "read head"
-                ) from error
-            elapsed = self.clock.now() - started_at
-            self.silence.record_response(number, call.route, elapsed)
-            return response
-
-    async def receive_head_within(
-        self, seconds: float, connection: ClientConnection
+        self, connection: ClientConnection, with_timeout: bool
     ) -> Response:
-        """Wait for the head of a response, for a time that may be infinite.
+        """Wait for the head of a response, either with a timeout or indefinitely.
 
         Raises:
-            PeerError: If the connection failed.
-            curio.TaskTimeout: If the time has passed; the wait may be resumed.
+            PeerError: If the connection failed or the wait timed out.
         """
-        if seconds == math.inf:
+        if not with_timeout:
             return await connection.receive_head(allow_close_delimited=True)
-        return await curio.timeout_after(seconds, connection.receive_head, True)
+        try:
+            return await curio.timeout_after(
+                LATE_RESPONSE_TIMEOUT_SECONDS, connection.receive_head, True
+            )
+        except curio.TaskTimeout as error:
+            raise connection.request_error(
+                "timed out after a late response to an earlier request", "read head"
+            ) from error
--- a/src/carawaywheel/mesh/replication/follower.py
+++ b/src/carawaywheel/mesh/replication/follower.py
@@ -10,8 +10,8 @@
 from ..journal import Journal
 from .store import KeyValue, Store
 
-# Time that a slow store may take to answer, beyond the wait of a long poll.
-SLOW_ANSWER_SECONDS = 1.5
+# Time beyond the wait of a long poll after which its response is overdue.
+OVERDUE_SECONDS = 0.5
 # Pause after reading a whole table, in which a node finds out whether it needs to read
 # on.
 SETTLE_SECONDS = 1.0
@@ -31,8 +31,10 @@
         pause: Seconds between a response with changes and the next request, so that
             changes in quick succession share a request.
         active: Whether the table is followed.
+        activated_at: Time at which the follower became active, in seconds.
         contact_at: Time of the last response in seconds.
         failing: Whether the last request failed.
+        on_availability_changed: Awaited when this has changed.
     """
 
     def __init__(
@@ -57,17 +59,15 @@
         self.offset: int | None = None
         self.active = False
         self.activated = curio.Event()
+        self.activated_at = float("-inf")
         self.contact_at = float("-inf")
         self.failing = False
+        self.on_availability_changed: Callable[[], Awaitable[None]] | None = None
 
     def is_in_touch(self, now: float) -> bool:
-        """Return whether the store has responded within the last seconds."""
-        return now - self.contact_at <= self.contact_seconds
-
-    @property
-    def contact_seconds(self) -> float:
-        """Time without a response after which the store counts as out of touch."""
-        return self.wait + SLOW_ANSWER_SECONDS
+        """Return whether the store responds, or may still do so in time."""
+        heard_at = max(self.contact_at, self.activated_at)
+        return not self.failing and now - heard_at <= self.wait + OVERDUE_SECONDS
 
     async def set_active(self, active: bool) -> None:
         """Start or stop to follow the table; a request in flight is completed."""
@@ -75,6 +75,8 @@
             return
         self.active = active
         if active:
+            self.activated_at = self.clock.now()
+            self.failing = False
             await self.activated.set()
         else:
             self.activated.clear()
@@ -87,12 +89,12 @@
             try:
                 pause = await self.poll()
             except LogError as error:
-                self.record_availability(error)
+                await self.record_availability(error)
                 await curio.sleep(backoff * self.rng.uniform(0.5, 1.0))
                 backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
                 continue
             backoff = MIN_BACKOFF_SECONDS
-            self.record_availability(None)
+            await self.record_availability(None)
             await curio.sleep(pause)
 
     async def poll(self) -> float:
@@ -135,10 +137,12 @@
         if offset and (self.offset is None or offset > self.offset):
             self.offset = offset
 
-    def record_availability(self, error: LogError | None) -> None:
+    async def record_availability(self, error: LogError | None) -> None:
         """Log when the store becomes unavailable or available again."""
         if (error is not None) == self.failing:
             return
         self.failing = error is not None
         event = "store_lost" if error else "store_regained"
         self.journal.write(event, table=self.table, error=str(error or ""))
+        if self.on_availability_changed is not None:
+            await self.on_availability_changed()
--- a/src/carawaywheel/mesh/replication/readers.py
+++ b/src/carawaywheel/mesh/replication/readers.py
@@ -26,7 +26,7 @@
 OUT_OF_TOUCH_SECONDS = 2.0
 # Time without a usable reader after which a node reads the store itself. Spread widely,
 # because all nodes lose their readers at once when the store is down.
-MIN_PATIENCE_SECONDS = 1.0
+MIN_PATIENCE_SECONDS = 0.5
 MAX_PATIENCE_SECONDS = 6.0
 URGENT_PATIENCE_SECONDS = 0.3
 
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -44,9 +44,10 @@
 # Interval at which a reader without the store looks for followers that are down.
 CHECK_SECONDS = 2.0
 # Each poll costs a request, but a configuration must be in force within about two
-# seconds, also after the store has lost a response. Changes of hosts come in bursts and
-# concern only the choice of targets.
-CONFIGURATION_WAIT_SECONDS = 2.5
+# seconds, also if the store falls silent to its readers in the meantime: they notice it
+# at the end of a poll. Changes of hosts come in bursts and concern only the choice of
+# targets.
+CONFIGURATION_WAIT_SECONDS = 1.0
 CONFIGURATION_PAUSE_SECONDS = 0.1
 HOST_WAIT_SECONDS = 6.0
 HOST_PAUSE_SECONDS = 0.3
@@ -136,13 +137,14 @@
             clock,
             rng,
         )
+        for follower in (self.configuration_follower, self.host_follower):
+            follower.on_availability_changed = self.announce_changes
         self.choices = [ReaderChoice(own_record.address, rng) for _ in range(2)]
         self.ranked_generation = -1
         self.on_former_leaving: Callable[[], None] = lambda: None
-        self.became_reader_at = float("-inf")
         self.check_due_at = 0.0
         self.followers: dict[str, KnownFollower] = {}
-        self.announced: tuple[int, int] = (0, 0)
+        self.announced: tuple[int, int, bool] = (0, 0, False)
         self.sources: dict[str, tuple[int, int]] = {}
         self.source_added = curio.Event()
         sock.handlers[DATAGRAM_KIND] = self
@@ -245,12 +247,16 @@
         """Choose readers, and ask one of them."""
         self.rank(now)
         silent = {each.update(now) for each in self.choices} - {""}
+        if self.has_lost_store():
+            for each in self.choices:
+                each.record_reply(self.own_record.address, False, now)
         await self.update_role(now)
         if self.has_lost_store() and now >= self.check_due_at:
             self.check_due_at = now + CHECK_SECONDS
             silent |= self.missing_followers(now)
         for address in silent:
             await curio.spawn(self.peer_monitor.check, address, daemon=True)
+        await self.announce_changes()
         await self.ask(choice, now)
 
     def has_lost_store(self) -> bool:
@@ -313,7 +319,6 @@
                 followers=len(self.followers),
                 chosen=[choice.current for choice in self.choices],
             )
-            self.became_reader_at = now
             self.host_follower.skip_to(directory.hosts_offset)
         # A node that has just started needs the hosts to find a reader.
         await self.host_follower.set_active(is_reader or not directory.hosts_known)
@@ -323,11 +328,9 @@
 
     def is_in_touch(self, now: float) -> bool:
         """Return whether this node reads the store, or has just begun to try."""
-        return all(
-            now - self.became_reader_at <= follower.contact_seconds
-            or follower.is_in_touch(now)
-            for follower in (self.configuration_follower, self.host_follower)
-        )
+        return self.configuration_follower.is_in_touch(
+            now
+        ) and self.host_follower.is_in_touch(now)
 
     async def ask(self, choice: ReaderChoice, now: float) -> None:
         """Send a query to a reader."""
@@ -363,7 +366,11 @@
     async def receive_status(self, status: Status, now: float) -> None:
         """Apply the changes that a reader tells, or fetch them if they are many."""
         for choice in self.choices:
+            former = choice.current
             choice.record_reply(status.sender, status.in_touch, now)
+            if choice.current != former:
+                await self.update_role(now)
+                await self.ask(choice, now)
         directory = self.directory
         if status.hosts and status.since <= directory.hosts_offset:
             self.peer_monitor.merge_hosts(
@@ -391,9 +398,14 @@
         await self.send(address, status)
 
     async def announce_changes(self) -> None:
-        """Tell the followers at once that there are changes."""
+        """Tell the followers at once of changes, or that the store is lost."""
         now = self.clock.now()
-        state = self.directory.configuration_version, self.directory.hosts_offset
+        directory = self.directory
+        state = (
+            directory.configuration_version,
+            directory.hosts_offset,
+            self.is_in_touch(now),
+        )
         if state == self.announced:
             return
         self.announced = state
