Count a reader as out of touch while a response is overdue, not between requests

Cause: the time since the last response was compared with the wait of a long poll, so that each pause after a read of a whole table made all readers look lost for a moment; all nodes then read the configuration themselves. Ruled out: the simulated network (it loses one datagram in 100, and the moments recur after each whole read). Change: the follower notes when the request in flight was sent.

--- a/src/carawaywheel/mesh/replication/follower.py
+++ b/src/carawaywheel/mesh/replication/follower.py
@@ -31,8 +31,7 @@
         pause: Seconds between a response with changes and the next request, so that
             changes in quick succession share a request.
         active: Whether the table is followed.
-        activated_at: Time at which the follower became active, in seconds.
-        contact_at: Time of the last response in seconds.
+        asked_at: Time of the request in flight in seconds; None between requests.
         failing: Whether the last request failed.
         on_availability_changed: Awaited when this has changed.
     """
@@ -59,15 +58,15 @@
         self.offset: int | None = None
         self.active = False
         self.activated = curio.Event()
-        self.activated_at = float("-inf")
-        self.contact_at = float("-inf")
+        self.asked_at: float | None = None
         self.failing = False
         self.on_availability_changed: Callable[[], Awaitable[None]] | None = None
 
     def is_in_touch(self, now: float) -> bool:
         """Return whether the store responds, or may still do so in time."""
-        heard_at = max(self.contact_at, self.activated_at)
-        return not self.failing and now - heard_at <= self.wait + OVERDUE_SECONDS
+        asked_at = self.asked_at
+        overdue = asked_at is not None and now - asked_at > self.wait + OVERDUE_SECONDS
+        return self.active and not self.failing and not overdue
 
     async def set_active(self, active: bool) -> None:
         """Start or stop to follow the table; a request in flight is completed."""
@@ -75,7 +74,6 @@
             return
         self.active = active
         if active:
-            self.activated_at = self.clock.now()
             self.failing = False
             await self.activated.set()
         else:
@@ -109,8 +107,11 @@
         if self.offset is None:
             await self.read_all()
             return SETTLE_SECONDS
-        page = await self.store.poll_changes(self.table, self.offset, self.wait)
-        self.contact_at = self.clock.now()
+        self.asked_at = self.clock.now()
+        try:
+            page = await self.store.poll_changes(self.table, self.offset, self.wait)
+        finally:
+            self.asked_at = None
         if page is None:
             self.offset = None
             return 0.0
@@ -123,8 +124,11 @@
         Raises:
             LogError: If the store failed or timed out.
         """
-        page = await self.store.read_all(self.table)
-        self.contact_at = self.clock.now()
+        self.asked_at = self.clock.now()
+        try:
+            page = await self.store.read_all(self.table)
+        finally:
+            self.asked_at = None
         await self.accept(page.items, page.offset)
 
     async def accept(self, items: list[KeyValue], offset: int) -> None:
