Log the requests that the end of a stop cuts off

Cause: the tasks of these requests are cancelled after the last lines are written. Change: a stop whose grace time is over cancels the requests first; each writes `cut_off` with its id and whether it may have run. `stop` and `stopped` count the calls at the local target besides the requests of callers. No decision is changed.

--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -93,6 +93,11 @@
             self.hung_up.discard(fd)
             await self.tasks[fd].cancel(blocking=False)
 
+    async def cancel_busy(self) -> None:
+        """Cancel the tasks of all connections on which a request runs."""
+        for fd in list(self.busy):
+            await self.tasks[fd].cancel(blocking=False)
+
 
 class Listener:
     """A listening socket and the connections accepted on it.
--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -69,7 +69,11 @@
 
 
 class EntryHandler(RequestHandler):
-    """Admits requests and forwards them to the node beside a target."""
+    """Admits requests and forwards them to the node beside a target.
+
+    Attributes:
+        cutting_off: Whether the process is about to exit and cancels what still runs.
+    """
 
     def __init__(
         self,
@@ -98,6 +102,7 @@
         self.journal = journal
         self.clock = clock
         self.rng = rng
+        self.cutting_off = False
         port = split_address(settings.listen.links)[1]
         self.peer_client = PeerClient(port)
         self.policy = AdmissionPolicy(
@@ -491,9 +496,9 @@
     def log_abandoned(
         self, caller: CallerMetadata, progress: RequestProgress, started_at: float
     ) -> None:
-        """Log a request that was abandoned before its response, as by a disconnect."""
+        """Log a request that ends without a response, as by a disconnect."""
         self.journal.write(
-            "abandoned",
+            "cut_off" if self.cutting_off else "abandoned",
             request=caller.attempt_id,
             ran=progress.ran.value,
             waited=round(self.clock.now() - started_at, 3),
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -52,6 +52,9 @@
 DRAIN_ANNOUNCEMENT_SECONDS = 2.6
 # The process exits this long before the end of the grace period in any case.
 STOP_MARGIN_SECONDS = 0.7
+# Time for cancelled requests to be logged before the process exits: some turns of the
+# event loop.
+CANCEL_SECONDS = 0.1
 STORE_TIMEOUT_SECONDS = 1.5
 # A client that observes the idle timeout must never find its connection closed.
 IDLE_MARGIN_SECONDS = 5.0
@@ -334,7 +337,7 @@
         """
         started = self.clock.now()
         self.stopping = True
-        self.journal.write("stop", running=len(self.hangup_monitor.busy))
+        self.log_running("stop")
         self.runner.shutting_down = True
         for name in ("callers", "peers"):
             self.listeners[name].drain()
@@ -343,7 +346,18 @@
         remaining = self.settings.bounds.grace - STOP_MARGIN_SECONDS
         remaining -= self.clock.now() - started
         await curio.ignore_after(max(0.0, remaining), self.wait_until_idle)
-        self.journal.write("stopped", running=len(self.hangup_monitor.busy))
+        self.log_running("stopped")
+        self.entry.cutting_off = True
+        await self.hangup_monitor.cancel_busy()
+        await curio.ignore_after(CANCEL_SECONDS, self.wait_until_idle)
+
+    def log_running(self, event: str) -> None:
+        """Log an event of the stop with what is still in flight."""
+        self.journal.write(
+            event,
+            running=len(self.hangup_monitor.busy),
+            calls=self.runner.active_calls,
+        )
 
     async def wait_until_idle(self) -> None:
         """Wait until no request is in flight, then close the idle connections."""
