--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,14 +1,89 @@
 """Graceful stops of mesh nodes, as callers and targets see them."""
 
+import http.client
+import os
 import signal
+import threading
+import time
+from typing import NamedTuple
 
 import pytest
 
-from .platform_harness import Platform, configuration, route
+from .platform_harness import HOST, KEY, Platform, configuration, route
 
 GRACE_SECONDS = 6.0
 
 
+class Sent(NamedTuple):
+    """A request that a caller has sent.
+
+    Attributes:
+        path: Its path, which no other request has.
+        at: Unix time in seconds.
+        status: Status of the response; 0 if the connection was closed without one.
+    """
+
+    path: str
+    at: float
+    status: int
+
+
+class Caller:
+    """Sends requests one after another, on one connection as long as it stays open.
+
+    Attributes:
+        sent: Requests that were sent, with their responses.
+    """
+
+    def __init__(self, address, prefix):
+        self.prefix = prefix
+        self.sent = []
+        self.connection = http.client.HTTPConnection(address, timeout=10.0)
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        """Send requests until the node no longer accepts connections."""
+        while self.is_connected():
+            self.send(f"{self.prefix}{len(self.sent)}")
+
+    def is_connected(self):
+        """Return whether the connection is open, or could be opened again."""
+        try:
+            if self.connection.sock is None:
+                self.connection.connect()
+        except OSError:
+            return False
+        return True
+
+    def send(self, path):
+        """Send one request and read its response."""
+        sent_at, status = time.time(), 0
+        headers = {"host": HOST, "authorization": f"Token {KEY}"}
+        headers |= {"x-attempt-id": os.urandom(8).hex(), "x-deadline-ms": "5000"}
+        try:
+            self.connection.request("POST", path, b"x", headers)
+            response = self.connection.getresponse()
+            response.read()
+            status = response.status
+        except (OSError, http.client.HTTPException):
+            self.connection.close()
+        self.sent.append(Sent(path, sent_at, status))
+
+
+def start_callers(platform, name, count):
+    """Start callers of a node."""
+    address = platform.address(name, "outbound")
+    return [Caller(address, f"/order/{number}-") for number in range(count)]
+
+
+def all_sent(callers):
+    """Return the requests of callers, which must have ended."""
+    for caller in callers:
+        caller.thread.join(GRACE_SECONDS)
+    return [sent for caller in callers for sent in caller.sent]
+
+
 @pytest.fixture
 def platform():
     with Platform() as platform:
@@ -37,3 +112,13 @@
     (line,) = platform.log_lines("h1", "cut_off")
     assert line["request"] == run["headers"]["x-attempt-id"]
     assert line["ran"] == "unknown"
+
+
+def test_stop_under_load_cuts_off_no_request_that_was_passed_on(platform):
+    platform.configure_target("h2", work=0.4)
+    callers = start_callers(platform, "h1", 4)
+    platform.wait_for(lambda: all(caller.sent for caller in callers), "all are served")
+    stop(platform, "h1")
+    ran = {run["path"] for run in platform.runs("h2", "/order/")}
+    unserved = [sent for sent in all_sent(callers) if sent.status != 200]
+    assert [sent for sent in unserved if sent.path in ran] == []
