Refuse new requests once a stop has been announced

Cause: nothing ended the intake of a stopping node. It exited in a moment without requests in flight, and clients that keep sending leave none: they do so on kept connections, and where fewer than half of the nodes of a failure domain are ready. Then the end of the grace time cut off whatever was read last. Ruled out: a late start of the stop (`stop` is logged 14 ms after SIGTERM), and requests from before SIGTERM that did not end (all were sent 4.1 to 5.3 s after it). Change: after the announcement of 2.6 s, or half of a short grace time, new requests get 503, not run, with Retry-After and Connection: close, and the process exits as soon as nothing is in flight. Calls of the local target are still served while a request is in flight there. `refusing` in the log.

--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -43,6 +43,9 @@
 RATE_RETRY_SECONDS = 1.0
 NO_TARGET_RETRY_SECONDS = 0.5
 NOT_READY_RETRY_SECONDS = 1.0
+# A stopping process has ended its requests after some tenths of a second, and takes
+# requests again about a second after its exit.
+STOPPING_RETRY_SECONDS = 1.5
 # Response status of a target that failed while it ran a request.
 TARGET_ERROR_STATUS = 500
 
@@ -72,6 +75,7 @@
     """Admits requests and forwards them to the node beside a target.
 
     Attributes:
+        refusing: Whether the process is about to stop and takes no new requests.
         cutting_off: Whether the process is about to exit and cancels what still runs.
     """
 
@@ -102,6 +106,7 @@
         self.journal = journal
         self.clock = clock
         self.rng = rng
+        self.refusing = False
         self.cutting_off = False
         port = split_address(settings.listen.links)[1]
         self.peer_client = PeerClient(port)
@@ -134,6 +139,10 @@
         admitted = self.policy.admit(
             configuration, connection.peer, request, caller, sent_at
         )
+        if isinstance(admitted, AdmittedRequest) and self.is_too_late(admitted):
+            admitted = Refusal(
+                Reason.SHUTTING_DOWN, Ran.NOT_RUN, STOPPING_RETRY_SECONDS, STEP
+            )
         if isinstance(admitted, Refusal):
             await self.refuse(connection, caller, admitted, started_at)
             return
@@ -168,6 +177,15 @@
                 waited=round(self.clock.now() - started_at, 3),
             )
 
+    def is_too_late(self, admitted: AdmittedRequest) -> bool:
+        """Return whether a request comes too late before the process stops.
+
+        A call of the local target does not, while a request for which it may be made is
+        in flight there.
+        """
+        is_needed = admitted.from_target and self.runner.active_calls > 0
+        return self.refusing and not is_needed
+
     async def deliver(
         self,
         connection: ServerExchange,
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -40,6 +40,7 @@
 from .replication.synchronizer import StateSynchronizer
 from .settings import HostSettings
 from .shedding import AdmissionLevelTable
+from .shutdown import schedule_stop
 from .stalls import StallDetector
 from .supervisor import Component, Supervisor
 from .target import LocalTarget, Phase
@@ -47,11 +48,6 @@
 FLUSH_INTERVAL_SECONDS = 0.1
 SETTINGS_CHECK_SECONDS = 1.0
 IDLE_POLL_SECONDS = 0.05
-# Time between the request to stop and the wait for idleness, in which clients and nodes
-# learn of the stop: two failed readiness checks at one per second, and a margin.
-DRAIN_ANNOUNCEMENT_SECONDS = 2.6
-# The process exits this long before the end of the grace period in any case.
-STOP_MARGIN_SECONDS = 0.7
 # Time for cancelled requests to be logged before the process exits: some turns of the
 # event loop.
 CANCEL_SECONDS = 0.1
@@ -332,19 +328,23 @@
     async def stop(self) -> None:
         """Stop without aborting requests that end within the grace period.
 
-        The stop is announced to clients and nodes first; requests that they still send
-        in the meantime are served.
+        The stop is announced to clients and nodes first, and requests that they still
+        send in the meantime are served. After that new requests are refused: with
+        clients that keep sending there would be no moment without one in flight, and
+        the end of the grace period would cut off the last ones.
         """
         started = self.clock.now()
+        schedule = schedule_stop(self.settings.bounds.grace)
         self.stopping = True
         self.log_running("stop")
         self.runner.shutting_down = True
         for name in ("callers", "peers"):
             self.listeners[name].drain()
         await self.supervisor.attempt(self.publish_target)
-        await curio.sleep(DRAIN_ANNOUNCEMENT_SECONDS)
-        remaining = self.settings.bounds.grace - STOP_MARGIN_SECONDS
-        remaining -= self.clock.now() - started
+        await curio.sleep(schedule.refuse_after)
+        self.entry.refusing = True
+        self.log_running("refusing")
+        remaining = started + schedule.end_after - self.clock.now()
         await curio.ignore_after(max(0.0, remaining), self.wait_until_idle)
         self.log_running("stopped")
         self.entry.cutting_off = True
--- /dev/null
+++ b/src/carawaywheel/mesh/shutdown.py
@@ -0,0 +1,36 @@
+"""Times of a graceful stop."""
+
+from typing import NamedTuple
+
+# Time in which clients and nodes learn of the stop: two failed readiness checks at one
+# per second, and a margin.
+ANNOUNCEMENT_SECONDS = 2.6
+# The process exits this long before the end of the grace period in any case.
+STOP_MARGIN_SECONDS = 0.7
+# Longest part of the stop that the announcement may take, so that a short grace period
+# leaves time for the requests that were accepted meanwhile.
+MAX_ANNOUNCEMENT_SHARE = 0.5
+
+
+class StopSchedule(NamedTuple):
+    """Times of a graceful stop in seconds after its begin.
+
+    Attributes:
+        refuse_after: Until then new requests of callers are served, from then on they
+            are refused.
+        end_after: The process exits then, even if requests are still in flight.
+    """
+
+    refuse_after: float
+    end_after: float
+
+
+def schedule_stop(grace: float) -> StopSchedule:
+    """Return the times of a stop.
+
+    Args:
+        grace: Seconds after which the platform kills the process.
+    """
+    end_after = max(0.0, grace - STOP_MARGIN_SECONDS)
+    announcement = min(ANNOUNCEMENT_SECONDS, end_after * MAX_ANNOUNCEMENT_SHARE)
+    return StopSchedule(announcement, end_after)
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -36,6 +36,8 @@
         identity: Instance id.
         phase: Phase in its heartbeats; ``gone`` once it has deregistered.
         service_time: Seconds that a request takes.
+        call: Host and path of the sub-call of each request; empty for none.
+        call_delay: Seconds between the start of a request and its sub-call.
         mode: Fault of its responses; empty for none.
         max_running: Highest number of requests that ran at the same time.
         rejected: Requests that were shed.
@@ -48,6 +50,8 @@
         self.started_at_ms = int(time.time() * 1000)
         self.phase = "ready"
         self.service_time = options.work
+        self.call = options.call
+        self.call_delay = 0.0
         self.mode = ""
         self.sequence = 0
         self.running = 0
@@ -85,7 +89,7 @@
         self.running += 1
         self.max_running = max(self.max_running, self.running)
         try:
-            call_succeeded = not self.options.call or await self.make_call()
+            call_succeeded = not self.call or await self.make_call()
             await curio.sleep(self.service_time)
         finally:
             self.running -= 1
@@ -94,7 +98,8 @@
 
     async def make_call(self) -> bool:
         """Make the sub-call of a request; return whether it succeeded."""
-        host, path = self.options.call.split("/", 1)
+        await curio.sleep(self.call_delay)
+        host, path = self.call.split("/", 1)
         headers = [
             ("host", host),
             ("x-attempt-id", f"call-{self.identity}-{len(self.runs)}"),
@@ -145,6 +150,8 @@
         """Apply the settings of a control request; a new phase is sent at once."""
         self.mode = settings.get("mode", self.mode)
         self.service_time = settings.get("work", self.service_time)
+        self.call = settings.get("call", self.call)
+        self.call_delay = settings.get("call_delay", self.call_delay)
         self.identity = settings.get("identity", self.identity)
         if "phase" in settings:
             self.phase = settings["phase"]
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from carawaywheel.mesh.shutdown import schedule_stop
+
 from .platform_harness import HOST, KEY, Platform, configuration, route
 
 GRACE_SECONDS = 6.0
@@ -88,6 +90,7 @@
 def platform():
     with Platform() as platform:
         routes = [
+            route("read", "idempotent", "desk", 1, timeout_s=9.0),
             route("order", "non_idempotent", "yard", 0, timeout_s=9.0),
             route("inner", "idempotent", "yard", 2),
         ]
@@ -95,6 +98,7 @@
         platform.start_host("h1", "desk")
         platform.start_host("h2", "yard")
         platform.wait_until_served("h1", "/inner/x")
+        platform.wait_until_served("h2", "/read/x")
         yield platform
 
 
@@ -122,3 +126,38 @@
     ran = {run["path"] for run in platform.runs("h2", "/order/")}
     unserved = [sent for sent in all_sent(callers) if sent.status != 200]
     assert [sent for sent in unserved if sent.path in ran] == []
+
+
+def test_stopping_node_refuses_new_requests_and_exits_when_idle(platform):
+    """Otherwise callers that keep sending hold it up until the grace time is over."""
+    callers = start_callers(platform, "h1", 4)
+    platform.wait_for(lambda: all(caller.sent for caller in callers), "all are served")
+    stop(platform, "h1")
+    stopped = time.time()
+    requests = all_sent(callers)
+    (begun,) = platform.log_lines("h1", "stop")
+    schedule = schedule_stop(GRACE_SECONDS)
+    assert stopped - begun["time"] < schedule.refuse_after + 1.0
+    announced = [sent for sent in requests if sent.at < begun["time"] + 2.0]
+    assert {sent.status for sent in announced} == {200}
+    last = platform.log_lines("h1", "refused")[-1]
+    assert last["reason"] == "shutting_down" and last["ran"] == "not_run"
+
+
+def test_calls_for_requests_in_flight_are_served_by_a_stopping_node(platform):
+    call_delay = schedule_stop(GRACE_SECONDS).refuse_after + 0.5
+    platform.configure_target(
+        "h1", call=f"{HOST}/inner/deep", call_delay=call_delay, work=0.1
+    )
+    response = platform.send_in_background("h2", "/read/1", deadline_ms=9000)
+    platform.wait_for(lambda: platform.runs("h1", "/read/1"), "it runs")
+    stop(platform, "h1")
+    assert response.result(8.0).status == 200
+    assert len(platform.runs("h2", "/inner/deep")) == 1
+
+
+@pytest.mark.parametrize("grace", [0.0, 0.5, 2.0, 6.0, 10.0, 60.0])
+def test_announcement_leaves_time_for_the_requests_accepted_meanwhile(grace):
+    schedule = schedule_stop(grace)
+    assert 0.0 <= schedule.refuse_after <= schedule.end_after <= grace
+    assert schedule.end_after - schedule.refuse_after >= schedule.end_after / 2
