Never call a request not run whose large response could not be fetched

What callers saw: 503 with "ran": "not_run" for an upload that its target had run, or a second run of it at another target. Found while a stop was played beside a large response. Cause: a response too large for a frame is fetched over HTTP after the call has run. If that connection could not be opened, as the node had just exited, the error said that nothing was sent, which is true of the fetch and not of the call. Change: a failed fetch counts as a call that may have run. With real processes, h2 exiting before the fetch: the caller got 503 not_run, step connect.

--- a/src/carawaywheel/mesh/peers.py
+++ b/src/carawaywheel/mesh/peers.py
@@ -75,9 +75,15 @@
         """Fetch a response that was too large for a frame.
 
         Raises:
-            PeerError: If the exchange failed or the node no longer retains it.
+            PeerError: If the exchange failed or the node no longer retains it; the call
+                itself has run.
         """
-        connection = await self.pool.acquire(address)
+        try:
+            connection = await self.pool.acquire(address)
+        except PeerError as error:
+            raise PeerError(
+                error.message, "fetch rest", address, maybe_sent=True
+            ) from error
         try:
             request_headers = [(b"host", address.encode())]
             await connection.send(
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -36,6 +36,7 @@
         identity: Instance id.
         phase: Phase in its heartbeats; ``gone`` once it has deregistered.
         service_time: Seconds that a request takes.
+        response_bytes: Size of the body of its responses, if larger than the usual one.
         call: Host and path of the sub-call of each request; empty for none.
         call_delay: Seconds between the start of a request and its sub-call.
         mode: Fault of its responses; empty for none.
@@ -50,6 +51,7 @@
         self.started_at_ms = int(time.time() * 1000)
         self.phase = "ready"
         self.service_time = options.work
+        self.response_bytes = options.bytes
         self.call = options.call
         self.call_delay = 0.0
         self.mode = ""
@@ -122,7 +124,7 @@
         """
         mode = mode or self.mode
         content = json.dumps({"id": self.identity, "path": request.path}).encode()
-        content = content.ljust(self.options.bytes)
+        content = content.ljust(self.response_bytes)
         headers = [
             attempt_header(request),
             ("x-response-signature", RESPONSE_SIGNATURE),
@@ -150,6 +152,7 @@
         """Apply the settings of a control request; a new phase is sent at once."""
         self.mode = settings.get("mode", self.mode)
         self.service_time = settings.get("work", self.service_time)
+        self.response_bytes = settings.get("bytes", self.response_bytes)
         self.call = settings.get("call", self.call)
         self.call_delay = settings.get("call_delay", self.call_delay)
         self.identity = settings.get("identity", self.identity)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -92,6 +92,7 @@
         routes = [
             route("read", "idempotent", "desk", 1, timeout_s=9.0),
             route("order", "non_idempotent", "yard", 0, timeout_s=9.0),
+            route("bundle", "upload", "yard", 1, timeout_s=9.0),
             route("inner", "idempotent", "yard", 2),
         ]
         platform.publish(configuration(3, routes))
