Wait at a stop for responses that other nodes have yet to receive

What callers saw: 502 for an upload that its target had run to its end, when the node beside that target stopped. Cause: a stopping node counted the requests on its connections and the calls at its target. A large response that waits to be fetched by the entry node, and bytes of a response that a link has not sent, counted as nothing in flight. Ruled out: the announcement (no new call arrives after it).

--- a/src/carawaywheel/mesh/links.py
+++ b/src/carawaywheel/mesh/links.py
@@ -63,6 +63,11 @@
         self.writable = curio.Event()
         self.broken = False
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether bytes wait to be sent on a connection that has not failed."""
+        return bool(self.unsent or self.sending) and not self.broken
+
     async def write(self, frame: Frame) -> None:
         """Send a frame, or queue what the socket does not accept.
 
@@ -77,7 +82,7 @@
                 self.peer,
                 maybe_sent=False,
             )
-        if self.unsent or self.sending:
+        if self.has_unsent_bytes:
             self.unsent += data
             return
         try:
@@ -286,6 +291,8 @@
 
     Attributes:
         retain_response: Retains a large response and returns the name to fetch it by.
+        connections: Links that are being served.
+        calls_in_progress: Calls whose response is not written yet.
     """
 
     def __init__(
@@ -301,6 +308,15 @@
         self.peer_monitor = peer_monitor
         self.journal = journal
         self.retain_response = retain_response
+        self.connections: set[FrameConnection] = set()
+        self.calls_in_progress = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the responses to all calls have been sent."""
+        return not self.calls_in_progress and not any(
+            connection.has_unsent_bytes for connection in self.connections
+        )
 
     async def run(self) -> None:
         """Accept links until cancelled."""
@@ -321,6 +337,7 @@
         decoder = FrameDecoder(connection.peer)
         writer_task = await curio.spawn(connection.run_writes, daemon=True)
         tasks_by_number: dict[int, Any] = {}
+        self.connections.add(connection)
         try:
             while (frames := await connection.read(decoder)) is not None:
                 for frame in frames:
@@ -329,6 +346,7 @@
             self.journal.write("bad_frame", peer=connection.peer, error=error.message)
         finally:
             connection.broken = True
+            self.connections.discard(connection)
             await writer_task.cancel()
             for task in list(tasks_by_number.values()):
                 await task.cancel(blocking=False)
@@ -356,6 +374,7 @@
         """Execute one call and send its response."""
         call = frame.call
         self.peer_monitor.observe_caller(connection.peer, call.version)
+        self.calls_in_progress += 1
         try:
             request = Request(frame.method, frame.target, frame.headers)
             result = await self.runner.run(call, request, frame.headers, frame.body)
@@ -373,6 +392,7 @@
             connection.broken = True
             await connection.sock.close()
         finally:
+            self.calls_in_progress -= 1
             tasks_by_number.pop(frame.number, None)
 
     async def make_response(
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -177,17 +177,17 @@
     def build_listeners(self) -> None:
         """Open the listening sockets and build their handlers."""
         listen = self.settings.listen
-        peers = PeerHandler(self.runner, self.peer_monitor, self.journal)
+        self.peers = PeerHandler(self.runner, self.peer_monitor, self.journal)
         self.link_server = LinkServer(
             open_listener(*split_address(listen.links)),
             self.runner,
             self.peer_monitor,
             self.journal,
-            peers.retain_response,
+            self.peers.retain_response,
         )
         handlers: dict[str, tuple[str, Any]] = {
             "callers": (listen.callers, self.entry),
-            "peers": (listen.peers, peers),
+            "peers": (listen.peers, self.peers),
             "ready": (listen.ready, ReadinessHandler(self.is_ready)),
             "heartbeats": (
                 listen.heartbeats,
@@ -359,9 +359,18 @@
             calls=self.runner.active_calls,
         )
 
+    def is_idle(self) -> bool:
+        """Return whether no request, call or response is in flight."""
+        return (
+            not self.hangup_monitor.busy
+            and not self.runner.active_calls
+            and not self.peers.retained_responses
+            and self.link_server.is_idle
+        )
+
     async def wait_until_idle(self) -> None:
         """Wait until no request is in flight, then close the idle connections."""
-        while self.hangup_monitor.busy or self.runner.active_calls:
+        while not self.is_idle():
             await curio.sleep(IDLE_POLL_SECONDS)
         for listener in self.listeners.values():
             listener.close_idle_connections()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -11,7 +11,7 @@
 
 from carawaywheel.mesh.shutdown import schedule_stop
 
-from .platform_harness import HOST, KEY, Platform, configuration, route
+from .platform_harness import HOST, KEY, Platform, configuration, route, wait
 
 GRACE_SECONDS = 6.0
 
@@ -157,6 +157,21 @@
     assert len(platform.runs("h2", "/inner/deep")) == 1
 
 
+def test_large_response_is_fetched_from_a_stopping_node(platform):
+    refuse_after = schedule_stop(GRACE_SECONDS).refuse_after
+    platform.configure_target("h2", work=refuse_after + 0.3, bytes=1_500_000)
+    response = platform.send_in_background("h1", "/bundle/1", "POST", b"x")
+    platform.wait_for(lambda: platform.runs("h2", "/bundle/1"), "it runs")
+    platform.processes["h2"].signal(signal.SIGTERM)
+    wait(refuse_after)
+    platform.processes["h1"].signal(signal.SIGSTOP)
+    wait(0.8)
+    platform.processes["h1"].signal(signal.SIGCONT)
+    result = response.result(8.0)
+    assert result.status == 200 and result.complete
+    assert platform.processes["h2"].process.wait(GRACE_SECONDS) == 0
+
+
 @pytest.mark.parametrize("grace", [0.0, 0.5, 2.0, 6.0, 10.0, 60.0])
 def test_announcement_leaves_time_for_the_requests_accepted_meanwhile(grace):
     schedule = schedule_stop(grace)
