Split the sending of admitted requests from the entry

What chooses targets and tries them moves to sender.py as it is; the entry keeps admission, rates, deadlines and responses.

--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -38,6 +38,7 @@
 from .ratelimiter import RateLimiter
 from .replication.directory import Directory, HostRecord
 from .replication.synchronizer import StateSynchronizer
+from .sender import RequestSender
 from .settings import HostSettings
 from .shedding import AdmissionLevelTable
 from .shutdown import schedule_stop
@@ -159,17 +160,27 @@
         )
         self.peer_monitor.on_hosts_changed = self.update_targets
         self.peer_monitor.serving = lambda: self.runner.current_gate() is not None
-        self.entry = EntryHandler(
+        self.sender = RequestSender(
             self.settings,
             self.directory,
             self.router,
             self.runner,
-            self.rate_limiter,
             call_graph,
             levels,
             self.peer_monitor,
             self.journal,
             self.clock,
+        )
+        self.entry = EntryHandler(
+            self.settings,
+            self.directory,
+            self.sender,
+            self.runner,
+            self.rate_limiter,
+            call_graph,
+            levels,
+            self.journal,
+            self.clock,
             self.stalls,
             self.rng,
         )
@@ -313,7 +324,8 @@
             return
         self.journal.write("reload", changed=settings != self.settings)
         self.settings = settings._replace(listen=self.settings.listen)
-        self.runner.settings = self.entry.settings = self.settings
+        for component in (self.runner, self.sender, self.entry):
+            component.settings = self.settings
 
     async def wait_for_stop(self) -> None:
         """Reload on SIGHUP; stop gracefully on the other signals."""
--- /dev/null
+++ b/src/carawaywheel/mesh/sender.py
@@ -0,0 +1,265 @@
+"""Sending of admitted requests to targets, with retries where they are safe."""
+
+import curio
+
+from ..clock import Clock
+from ..errors import PeerError, ProtocolError
+from ..http import Request
+from ..refusals import Outcome, Ran, Reason, Refusal
+from ..routing import Candidate, Router
+from ..sockets import split_address
+from .callgraph import CallGraph
+from .configuration import RouteKind
+from .execution import TargetRunner
+from .journal import Journal
+from .messages import Call
+from .monitor import PeerMonitor
+from .peers import PeerClient
+from .replication.directory import Directory
+from .requests import AdmittedRequest, RequestProgress
+from .responses import BufferedResponse, CallResult
+from .settings import HostSettings
+from .shedding import AdmissionLevelTable
+
+# Attempts of one request that may be refused without having run; each costs a round
+# trip.
+MAX_REFUSALS = 4
+# Retry-After of a request for which no target is known.
+NO_TARGET_RETRY_SECONDS = 0.5
+# Response status of a target that failed while it ran a request.
+TARGET_ERROR_STATUS = 500
+
+OUTCOME_BY_REASON = {
+    Reason.OVERLOAD: Outcome.SHED,
+    Reason.QUEUE_FULL: Outcome.SHED,
+    Reason.DEADLINE: Outcome.SHED,
+    Reason.TARGET_SHED: Outcome.SHED,
+    Reason.RETRIES_SPENT: Outcome.SHED,
+    Reason.CANCELLED: Outcome.CANCELLED,
+}
+# Refusals by one target after which another target may be tried.
+REROUTABLE_REASONS = frozenset(
+    {
+        Reason.QUEUE_FULL,
+        Reason.TARGET_SHED,
+        Reason.NO_TARGET,
+        Reason.SHUTTING_DOWN,
+        Reason.PEER_FAILED,
+        Reason.TARGET_FAILED,
+        Reason.STALE_NODE,
+    }
+)
+
+
+class RequestSender:
+    """Chooses targets for admitted requests and sends them to the nodes beside them."""
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        directory: Directory,
+        router: Router,
+        runner: TargetRunner,
+        call_graph: CallGraph,
+        levels: AdmissionLevelTable,
+        peer_monitor: PeerMonitor,
+        journal: Journal,
+        clock: Clock,
+    ) -> None:
+        self.settings = settings
+        self.directory = directory
+        self.router = router
+        self.runner = runner
+        self.call_graph = call_graph
+        self.levels = levels
+        self.peer_monitor = peer_monitor
+        self.journal = journal
+        self.clock = clock
+        self.peer_client = PeerClient(split_address(settings.listen.links)[1])
+
+    async def send_with_retries(
+        self,
+        admitted: AdmittedRequest,
+        request: Request,
+        body: bytes,
+        progress: RequestProgress,
+    ) -> CallResult:
+        """Try targets until one responds or no further attempt is allowed."""
+        tried_ids: list[str] = []
+        refusal_count = 0
+        last_refusal: Refusal | None = None
+        error_response: BufferedResponse | None = None
+        while True:
+            result = await self.send_attempt(
+                admitted, request, body, progress, tried_ids
+            )
+            if not isinstance(result, Refusal):
+                if error_response is not None or not self.may_retry_failure(
+                    admitted, result
+                ):
+                    return result
+                assert isinstance(result, BufferedResponse)
+                error_response = result
+                progress.executions += 1
+                progress.deliveries += 1
+                if progress.executions >= admitted.route.max_attempts:
+                    return error_response
+                self.journal.count("failure_repeated", admitted.service)
+                continue
+            if error_response is not None:
+                return error_response
+            if last_refusal is not None and result.step == "routing":
+                return last_refusal._replace(ran=progress.ran)
+            last_refusal = result
+            if result.ran is Ran.UNKNOWN:
+                progress.executions += 1
+                progress.deliveries += 1
+            else:
+                refusal_count += 1
+                progress.deliveries += result.reason is Reason.TARGET_SHED
+            if not self.may_retry_refusal(admitted, result, progress, refusal_count):
+                return result._replace(ran=progress.ran)
+            self.journal.write(
+                "repeat",
+                request=admitted.caller.attempt_id,
+                reason=result.reason.value,
+                ran=result.ran.value,
+                peer=result.peer,
+                step=result.step,
+            )
+
+    def may_retry_failure(self, admitted: AdmittedRequest, result: CallResult) -> bool:
+        """Return whether a response with an error may be retried at another target.
+
+        The error of a target that makes no calls is its own. A target that calls other
+        services most likely passes on an error from downstream, and retries would
+        multiply the calls that fail there.
+        """
+        if (
+            not isinstance(result, BufferedResponse)
+            or result.status != TARGET_ERROR_STATUS
+        ):
+            return False
+        demands = self.call_graph.demands.get(admitted.route.name, {})
+        leaf = all(service == admitted.service for service in demands)
+        return leaf and admitted.route.kind is RouteKind.IDEMPOTENT
+
+    def may_retry_refusal(
+        self,
+        admitted: AdmittedRequest,
+        refusal: Refusal,
+        progress: RequestProgress,
+        refusal_count: int,
+    ) -> bool:
+        """Return whether a refused request may be retried at another target."""
+        if refusal.reason not in REROUTABLE_REASONS or refusal_count >= MAX_REFUSALS:
+            return False
+        if refusal.step == "routing":
+            return False
+        if progress.executions and admitted.route.kind is not RouteKind.IDEMPOTENT:
+            return False
+        return progress.executions < admitted.route.max_attempts
+
+    async def send_attempt(
+        self,
+        admitted: AdmittedRequest,
+        request: Request,
+        body: bytes,
+        progress: RequestProgress,
+        tried_ids: list[str],
+    ) -> CallResult:
+        """Send a request once, to a target that was not tried yet if there is one."""
+        now = self.clock.now()
+        candidate = self.router.choose(admitted.service, now, tried_ids)
+        if isinstance(candidate, Refusal) and progress.executions:
+            # A lost response says little about its target, which may be tried again.
+            candidate = self.router.choose(admitted.service, now)
+        if isinstance(candidate, Refusal):
+            return candidate._replace(retry_after=NO_TARGET_RETRY_SECONDS)
+        tried_ids.append(candidate.target_id)
+        call = self.build_call(admitted, progress, now)
+        self.router.record_start(candidate.target_id, now)
+        outcome, pressure, server_error = Outcome.CANCELLED, None, False
+        progress.attempt_in_flight = True
+        try:
+            result, pressure = await self.execute_call(
+                call, candidate, admitted, request, body
+            )
+            progress.attempt_in_flight = False
+            outcome = Outcome.OK
+            if isinstance(result, Refusal):
+                outcome = OUTCOME_BY_REASON.get(result.reason, Outcome.FAILED)
+            server_error = (
+                isinstance(result, BufferedResponse)
+                and result.status == TARGET_ERROR_STATUS
+            )
+            return result
+        except (curio.TaskTimeout, curio.TimeoutCancellationError):
+            outcome = Outcome.TIMEOUT
+            raise
+        finally:
+            ended = self.clock.now()
+            self.router.record_finish(
+                candidate.target_id, ended, outcome, ended - now, pressure, server_error
+            )
+
+    def build_call(
+        self, admitted: AdmittedRequest, progress: RequestProgress, now: float
+    ) -> Call:
+        """Return the call metadata for the node beside the target."""
+        return Call(
+            admitted.caller.attempt_id,
+            admitted.service,
+            admitted.route.name,
+            round(max(0.0, admitted.deadline - now), 4),
+            admitted.priority,
+            admitted.account.name if admitted.account else "",
+            self.settings.service,
+            admitted.from_target,
+            progress.deliveries > 0,
+            admitted.caused_by_retry,
+            admitted.route.kind is RouteKind.IDEMPOTENT,
+            self.directory.configuration_version,
+        )
+
+    async def execute_call(
+        self,
+        call: Call,
+        candidate: Candidate,
+        admitted: AdmittedRequest,
+        request: Request,
+        body: bytes,
+    ) -> tuple[CallResult, float | None]:
+        """Execute one attempt.
+
+        Returns:
+            The result, and the pressure in the reply; None if no reply arrived.
+        """
+        forwarded_headers = admitted.caller.forwarded_headers
+        if candidate.address == self.settings.listen.peers:
+            result = await self.runner.run(call, request, forwarded_headers, body)
+            reply = self.runner.build_reply(call.route, None)
+        else:
+            try:
+                result, reply = await self.peer_client.call(
+                    candidate.address, call, request, forwarded_headers, body
+                )
+            except (PeerError, ProtocolError) as error:
+                return await self.handle_peer_failure(candidate, error), None
+            self.peer_monitor.observe_reply(candidate.address, reply)
+        now = self.clock.now()
+        self.call_graph.update(call.route, reply.demands)
+        self.levels.update(reply.demands, now)
+        return result, reply.pressure
+
+    async def handle_peer_failure(
+        self, candidate: Candidate, error: PeerError | ProtocolError
+    ) -> Refusal:
+        """Return the refusal for a call whose link or connection failed."""
+        ran = Ran.UNKNOWN
+        if isinstance(error, PeerError):
+            await self.peer_client.drop_connections(candidate.address, error)
+            if not error.maybe_sent:
+                ran = Ran.NOT_RUN
+                self.peer_monitor.report_unreachable(candidate.address)
+        return Refusal(Reason.PEER_FAILED, ran, None, error.step, candidate.address)
