--- a/bench/faults.py
+++ b/bench/faults.py
@@ -85,9 +85,20 @@
     ),
     ReportedFault(
         "A planned stop under load cut off requests that had just been accepted",
-        "Not found. The stop is announced first, requests that still come are served, "
-        "and the process ends when nothing is in flight or the grace time is over.",
-        ("tests/test_mesh.py::test_graceful_stop_completes_requests_in_flight",),
+        "It could: a stopping node took new requests until its end, and the end of the "
+        "grace time cut off the last ones. Now it refuses them once the stop has been "
+        "announced, and the process ends when nothing is in flight, with large "
+        "responses fetched. The refusal of an upload reaches a client that is still "
+        "sending.",
+        (
+            "tests/test_shutdown.py::"
+            "test_stop_under_load_cuts_off_no_request_that_was_passed_on",
+            "tests/test_shutdown.py::"
+            "test_large_response_is_fetched_from_a_stopping_node",
+            "tests/test_listener.py::"
+            "test_refusal_reaches_a_client_that_still_sends_its_body",
+            "tests/test_mesh.py::test_graceful_stop_completes_requests_in_flight",
+        ),
     ),
     ReportedFault(
         "After a restart, a server that had left or a withdrawn key was in use again",
