Pass on the change of a reader's own record to its followers

Cause: a reader sends its followers the records whose offset in the store is later than what they know, and with them the offset up to which they know all. It noted no offset for its own record, so that its own changes were left out while the offset advanced: no other reader sends them again either.

Ruled out: a late or lost write (h2 and h3 read the record from the store at once); a lost datagram (that of h4 arrived, without the record).

Change: the offset of the own record is noted when it is read.

Before: test_reader_passes_on_the_change_of_its_own_record failed for both cases (READY in place of DRAINING; KeyError, as the record never arrived). After: passes.

--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -246,12 +246,12 @@
         except RecordError as error:
             self.journal.write("host_invalid", error=str(error), origin=origin)
             return False
+        if offset:
+            self.directory.record_offset(record.address, offset)
         if record.address == self.own_address and origin != OWN_ORIGIN:
             self.on_own_record(record)
             return False
         former = self.directory.hosts.get(record.address)
-        if offset:
-            self.directory.record_offset(record.address, offset)
         if not self.directory.merge(record):
             return False
         restarted = former is None or former.incarnation != record.incarnation
--- /dev/null
+++ b/tests/test_monitor.py
@@ -0,0 +1,43 @@
+"""Records of hosts that a node merges, logs and passes on."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from carawaywheel.clock import ManualClock
+from carawaywheel.mesh.monitor import OWN_ORIGIN, PeerMonitor
+from carawaywheel.mesh.replication.directory import Directory, HostRecord
+from carawaywheel.mesh.target import Phase
+
+
+def make_monitor(name):
+    router = SimpleNamespace(set_candidates=lambda candidates, now: None)
+    journal = SimpleNamespace(write=lambda event, **fields: None)
+    return PeerMonitor(
+        address_of(name), Directory(), router, journal, ManualClock(10.0)
+    )
+
+
+def address_of(name):
+    return f"10.0.0.{name[1:]}:7001"
+
+
+def make_record(name, sequence, phase=Phase.READY):
+    return HostRecord(name, address_of(name), "a", "desk", 1, sequence, phase, 10)
+
+
+@pytest.mark.parametrize("known", [0, 5])
+def test_reader_passes_on_the_change_of_its_own_record(known):
+    """Otherwise followers skip the change, since the reader tells a later offset."""
+    reader, follower = make_monitor("h1"), make_monitor("h2")
+    reader.mark_hosts_known()
+    for sequence, phase in ((1, Phase.READY), (2, Phase.DRAINING)):
+        record = make_record("h1", sequence, phase)
+        reader.merge_hosts([(0, record)], 0, OWN_ORIGIN)
+        reader.merge_hosts([(sequence + 4, record)], sequence + 5, "store")
+        if sequence == 1:
+            follower.merge_state(reader.encode_state(0, known), "h1")
+    offset = follower.directory.hosts_offset
+    follower.merge_state(reader.encode_state(0, offset), "h1")
+    assert follower.directory.hosts_offset == 7
+    assert follower.directory.hosts[address_of("h1")].phase == Phase.DRAINING
