Log the newest record of each host in a change

Cause: one read of the store held five records, two of them of h4. At most four records of a change have a line each, so the first record of h4, already superseded, had one, and the newest of h3 was only counted ("changed":5).

Ruled out: a record that did not reach h2 (its offset was 6, the end of the table).

Change: only the newest record of each host in a change is logged and counted. The test of the nodes is unchanged: with four hosts each change has its line.

Before: test_log_tells_the_newest_of_several_records_of_a_host failed (the lines told READY). After: passes.

--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -50,7 +50,7 @@
 OUTDATED_AGE_SECONDS = 0.5
 # Peers that a record is sent to at the same time.
 BROADCAST_WIDTH = 32
-# Records of one change that are logged one by one.
+# Hosts of one change that are logged one by one.
 MAX_LOGGED_HOSTS = 4
 
 
@@ -210,11 +210,12 @@
             hosts_offset: Offset up to which all records are known now.
             origin: Who told the records.
         """
-        merged = [
-            record
+        newest = {
+            record.address: record
             for offset, record in changes
             if self.merge_host(offset, record, origin)
-        ]
+        }
+        merged = list(newest.values())
         directory = self.directory
         directory.hosts_offset = max(directory.hosts_offset, hosts_offset)
         if not merged:
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -5,16 +5,25 @@
 import pytest
 
 from carawaywheel.clock import ManualClock
-from carawaywheel.mesh.monitor import OWN_ORIGIN, PeerMonitor
+from carawaywheel.mesh.monitor import MAX_LOGGED_HOSTS, OWN_ORIGIN, PeerMonitor
 from carawaywheel.mesh.replication.directory import Directory, HostRecord
 from carawaywheel.mesh.target import Phase
 
 
+class LineList(list):
+    """Journal that keeps its lines."""
+
+    def write(self, event, **fields):
+        self.append((event, fields))
+
+    def named(self, event):
+        return [fields for name, fields in self if name == event]
+
+
 def make_monitor(name):
     router = SimpleNamespace(set_candidates=lambda candidates, now: None)
-    journal = SimpleNamespace(write=lambda event, **fields: None)
     return PeerMonitor(
-        address_of(name), Directory(), router, journal, ManualClock(10.0)
+        address_of(name), Directory(), router, LineList(), ManualClock(10.0)
     )
 
 
@@ -26,6 +35,20 @@
     return HostRecord(name, address_of(name), "a", "desk", 1, sequence, phase, 10)
 
 
+def test_log_tells_the_newest_of_several_records_of_a_host():
+    """Otherwise lines of superseded records leave none for what the node knows."""
+    monitor = make_monitor("h1")
+    names = [f"h{index + 2}" for index in range(MAX_LOGGED_HOSTS)]
+    records = [make_record(name, 1) for name in names]
+    records += [make_record(name, 2, Phase.DRAINING) for name in names]
+    monitor.merge_hosts(list(enumerate(records, 1)), 9, "store")
+    lines = monitor.journal.named("host")
+    assert [(line["id"], line["phase"]) for line in lines] == [
+        (name, Phase.DRAINING) for name in names
+    ]
+    assert not monitor.journal.named("hosts")
+
+
 @pytest.mark.parametrize("known", [0, 5])
 def test_reader_passes_on_the_change_of_its_own_record(known):
     """Otherwise followers skip the change, since the reader tells a later offset."""
