Count calls that expire in the queue of a target as not accepted

Cause: nodes refuse a request at the entry whose calls would be rejected, but counted only what the target itself rejects, not what the queue in front of it refuses.

Ruled out: the admission level alone. It stays at its lowest value there, where part of the highest priority still enters.

Change: a call of another target that its queue refuses lowers the share of accepted calls. Requests of clients do not count: they may have a lower priority than these calls.

Before: test_request_is_refused_while_its_calls_expire_in_the_queue failed at 2 and 5 times the capacity (none refused at the entry). After: passes.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -57,7 +57,8 @@
         shutting_down: Whether the node shuts down and admits no more calls.
         active_calls: Calls that wait or run.
         unreachable_until: Local time until which the target gets no calls, in seconds.
-        accept_ratio: Moving average of the share of calls that the target accepts.
+        accept_ratio: Moving average of the share of calls that are accepted, by the
+            queue and by the target.
         offered_calls: Calls that requested a slot since the last update of the level.
     """
 
@@ -167,6 +168,10 @@
         try:
             refusal = await gate.acquire(ticket)
             if refusal is not None:
+                if call.from_target:
+                    # Clients' requests of a low priority wait behind these calls, so
+                    # that refusing them says nothing about the calls.
+                    self.record_acceptance(False)
                 return refusal
             return await self.run_admitted(
                 call, gate, ticket, request, forwarded_headers, body
@@ -297,9 +302,7 @@
         if metadata.wrong_target:
             self.target.heartbeat = None
         if not metadata.wrong_target:
-            self.accept_ratio += ACCEPT_RATIO_SMOOTHING * (
-                float(not metadata.rejected) - self.accept_ratio
-            )
+            self.record_acceptance(not metadata.rejected)
         if metadata.rejected:
             await self.drain_response(connection, response)
             peer = connection.address
@@ -324,6 +327,10 @@
 
         return StreamedResponse(response, chunks, close)
 
+    def record_acceptance(self, accepted: bool) -> None:
+        """Note whether a call was accepted, by the queue and by the target."""
+        self.accept_ratio += ACCEPT_RATIO_SMOOTHING * (accepted - self.accept_ratio)
+
     async def drain_response(
         self, connection: ClientConnection, response: Response
     ) -> None:
--- a/src/carawaywheel/mesh/messages.py
+++ b/src/carawaywheel/mesh/messages.py
@@ -105,7 +105,7 @@
         service: Name of the service.
         calls: Calls to it for each request.
         level: Admission level: priorities below it are admitted, the last one in part.
-        accept_ratio: Share of requests that its targets accept.
+        accept_ratio: Share of calls that its targets and their queues accept.
     """
 
     service: str
