Reserve the ports of the platform tests for one test run

Cause: a test run tried ports on the addresses 127.0.N.1, which all runs share, but its nodes and targets bind them only later. Until then another run could choose the same range, one of 2,000 at each choice, and its trial could bind a port at the moment at which a process of the first run needed it.

Change: for as long as a platform lives, a socket holds one port of its range; a range of which this port is taken is passed over before any other port is tried.

Before: test_test_runs_side_by_side_use_different_ports failed (the second platform got the range of the first). After: passes.

--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -70,15 +70,31 @@
 
 # Below the range of ephemeral ports.
 PORT_RANGE = range(12000, 32000, 10)
+# Bound by a test run for as long as it uses a range, and by nothing else.
+RESERVATION_OFFSET = 7
 HOSTS = 6
 
 
-def find_free_port_base():
-    """Return the first of a range of ports that are free on all hosts."""
+def reserve_ports():
+    """Reserve a range of ports that are free on all hosts.
+
+    Nodes and targets bind their ports only when they start, so that another test run
+    would find them free as well.
+
+    Returns:
+        The first port, and the socket that keeps other test runs from the range.
+    """
     while True:
         port_base = random.SystemRandom().choice(PORT_RANGE)
+        reservation = socket.socket()
+        try:
+            reservation.bind((host_ip(1), port_base + RESERVATION_OFFSET))
+        except OSError:
+            reservation.close()
+            continue
         if all(are_ports_free(index, port_base) for index in range(1, HOSTS + 1)):
-            return port_base
+            return port_base, reservation
+        reservation.close()
 
 
 def are_ports_free(index, port_base):
@@ -86,26 +102,36 @@
     for port in range(port_base, port_base + len(PORTS) + 2):
         with socket.socket() as probe:
             try:
-                probe.bind((f"127.0.{index}.1", port))
+                probe.bind((host_ip(index), port))
             except OSError:
                 return False
     return True
 
 
+def host_ip(index):
+    """Return the IP address of the host with an index, which starts at 1."""
+    return f"127.0.{index}.1"
+
+
 class Platform(Mesh):
     """Store, hosts and callers of a platform; use it as a context manager."""
 
     def __init__(self):
         super().__init__()
-        self.port_base = find_free_port_base()
+        self.port_base, self.reservation = reserve_ports()
         self.hosts = {}
         self.start("store", ["-m", "standins.provider"])
         self.store_address = self.processes["store"].startup_info["address"]
 
+    def __exit__(self, *exception):
+        """Stop all processes, and then give up the reserved ports."""
+        super().__exit__(*exception)
+        self.reservation.close()
+
     def ip(self, name):
         """Return the IP address of a host; ports are the same on all hosts."""
         index = self.hosts.setdefault(name, len(self.hosts) + 1)
-        return f"127.0.{index}.1"
+        return host_ip(index)
 
     def address(self, name, listener):
         """Return the address and port of one listener of a host."""
