Wait for the log lines that a test looks for

Cause: the test. A node writes its lines out every 0.1 s and the test read the log file at once. The log that was kept has the line, of 0.18 s before the copy was made: h2 got its first call for the dead target among the last of the requests.

Ruled out: a target that was not found unreachable (the call of that request was refused as not run and repeated, and h1 suspended h2).

Change: the test waits up to 2 s for both lines; it still fails without them.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -185,8 +185,12 @@
     platform.processes["target-h2"].kill()
     results = [platform.send("h1", f"/order/{i}", "POST").status for i in range(30)]
     assert results == [200] * 30
-    assert platform.log_lines("h2", "target_unreachable")
-    assert platform.log_lines("h1", "host_suspended")
+    for name, event in (("h2", "target_unreachable"), ("h1", "host_suspended")):
+        platform.wait_for(
+            lambda name=name, event=event: platform.log_lines(name, event),
+            f"{name} logs {event}",
+            2.0,
+        )
 
 
 def test_draining_target_gets_no_new_requests(platform):
