Tell eras of the store apart, and write lost host records again

What callers saw: after the store came back from a copy some seconds old, a confirmed change of the configuration was not in force in time.

Cause: the store gives offsets out again, and nodes compared bare offsets. A reader kept the larger offset of the lost history: while the table ended below it, each poll got 410 and the whole table was read; once the table ended above it, changes at lower offsets were never read. Host records that the copy lacked were never written again, so that nodes that started later did not know these hosts.

The change: a position in a table is an era and an offset, and compares as a whole; the platform's client decodes the era from each response. A response of a later era than the one that was asked in leads to a read of the whole table; one of a former era moves nothing. Queries, statuses and states carry eras at their end; nodes that know none leave them out and count as in the era of the receiver. Every node writes its record again when it learns of a new era, spread by the size of the fleet. A reader asks without a wait after a failure, so that it is in touch again at once.

--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -75,10 +75,11 @@
         items = [KeyValue(key, value, number) for number, (key, value) in changes]
         return TablePage(items, len(self.tables[table]))
 
-    async def put(self, table: str, key: str, value: bytes) -> None:
+    async def put(self, table: str, key: str, value: bytes) -> int:
         """Write a value; see the base class."""
         self.calls += 1
         self.tables[table].append((key, value))
+        return 0
 
 
 class SimulatedSocket:
@@ -110,7 +111,7 @@
             return False
         directory = self.directory
         state = peer.monitor.encode_state(
-            directory.configuration_version, directory.hosts_offset
+            directory.configuration_version, directory.hosts_position
         )
         self.fleet.bytes_sent += len(state)
         self.fleet.fetches += 1
@@ -211,7 +212,7 @@
         if not follower.active or now < self.poll_due_at[table]:
             self.polling_since[table] = now
             return
-        has_news = follower.offset is None or follower.offset < len(
+        has_news = follower.is_stale or follower.position.offset < len(
             fleet.store.tables[table]
         )
         if not has_news and now - self.polling_since[table] < follower.wait:
--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -27,8 +27,10 @@
     routing_candidate,
 )
 from .replication.messages import MeshState, state_decoder
+from .replication.store import START, Position
 from .stateclient import (
     CHANGES_PATH_PREFIX,
+    KNOWN_ERA_HEADER,
     MAX_STATE_BYTES,
     OK_STATUS,
     STATE_PATH,
@@ -201,22 +203,26 @@
         )
 
     def merge_hosts(
-        self, changes: list[tuple[int, HostRecord]], hosts_offset: int, origin: str
+        self,
+        changes: list[tuple[Position, HostRecord]],
+        hosts_position: Position,
+        origin: str,
     ) -> None:
         """Merge the records of hosts that are newer, as one change.
 
         Args:
-            changes: Offsets of the records in the store, 0 if not known, and records.
-            hosts_offset: Offset up to which all records are known now.
+            changes: Positions of the records in the store, the start if not known, and
+                records.
+            hosts_position: Position up to which all records are known now.
             origin: Who told the records.
         """
         merged = [
             record
-            for offset, record in changes
-            if self.merge_host(offset, record, origin)
+            for position, record in changes
+            if self.merge_host(position, record, origin)
         ]
         directory = self.directory
-        directory.hosts_offset = max(directory.hosts_offset, hosts_offset)
+        directory.hosts_position = max(directory.hosts_position, hosts_position)
         if not merged:
             return
         for record in merged[:MAX_LOGGED_HOSTS]:
@@ -234,12 +240,12 @@
                 "hosts",
                 changed=len(merged),
                 known=len(directory.hosts),
-                offset=directory.hosts_offset,
+                offset=directory.hosts_position.offset,
                 origin=origin,
             )
         self.update_router()
 
-    def merge_host(self, offset: int, record: HostRecord, origin: str) -> bool:
+    def merge_host(self, position: Position, record: HostRecord, origin: str) -> bool:
         """Merge the record of a host; return whether it was newer."""
         try:
             check_record(record)
@@ -250,8 +256,8 @@
             self.on_own_record(record)
             return False
         former = self.directory.hosts.get(record.address)
-        if offset:
-            self.directory.record_offset(record.address, offset)
+        if position > START:
+            self.directory.record_position(record.address, position)
         if not self.directory.merge(record):
             return False
         restarted = former is None or former.incarnation != record.incarnation
@@ -324,13 +330,17 @@
         """
         await connection.read_body(0)
         known = request.path.removeprefix(CHANGES_PATH_PREFIX).split("/")
-        if len(known) != 2 or not all(value.isdecimal() for value in known):
+        known.append(request.header(KNOWN_ERA_HEADER) or "0")
+        if len(known) != 3 or not all(value.isdecimal() for value in known):
             raise ProtocolError(
-                f"expected {CHANGES_PATH_PREFIX}VERSION/OFFSET, got {request.path}",
+                f"expected {CHANGES_PATH_PREFIX}VERSION/OFFSET and the number of an "
+                f"era, got {request.path} and {known[-1]!r}",
                 "read head",
                 connection.peer,
             )
-        content = self.encode_state(int(known[0]), int(known[1]))
+        version, offset, era = map(int, known)
+        position = Position(era or self.directory.hosts_position.era, offset)
+        content = self.encode_state(version, position if offset else START)
         await connection.respond(OK_STATUS, [STATE_HEADER], content)
 
     def merge_state(self, body: bytes, peer: str) -> None:
@@ -345,35 +355,33 @@
             raise ProtocolError(str(error), "take state", peer) from error
         if state.configuration:
             self.receive_configuration(state.configuration, peer)
-        offsets = state.offsets
-        if len(offsets) != len(state.hosts):
-            offsets = [0] * len(state.hosts)
-        changes = list(zip(offsets, state.hosts, strict=True))
-        hosts_offset = state.hosts_offset if state.hosts_known else 0
-        self.merge_hosts(changes, hosts_offset, peer)
+        own_era = self.directory.hosts_position.era
+        self.merge_hosts(state.changes(own_era), state.position(own_era), peer)
         if state.hosts_known:
             self.mark_hosts_known()
 
-    def encode_state(self, version: int = 0, offset: int = 0) -> bytes:
+    def encode_state(self, version: int = 0, position: Position = START) -> bytes:
         """Encode the state of this node.
 
         Args:
             version: Configuration version that the receiver has.
-            offset: Offset up to which it knows all host records.
+            position: Position up to which it knows all host records.
         """
         directory = self.directory
         configuration = directory.configuration
         source = b""
         if configuration is not None and configuration.version > version:
             source = configuration.source
-        changes = directory.changes_since(offset)
+        changes = directory.changes_since(position)
         return msgspec.msgpack.encode(
             MeshState(
                 source,
                 [record for _, record in changes],
                 directory.hosts_known,
-                [offset for offset, _ in changes],
-                directory.hosts_offset,
+                [position.offset for position, _ in changes],
+                directory.hosts_position.offset,
+                directory.hosts_position.era,
+                [position.era for position, _ in changes],
             )
         )
 
@@ -385,7 +393,7 @@
         """
         directory = self.directory
         content = await self.state_client.fetch(
-            address, directory.configuration_version, directory.hosts_offset
+            address, directory.configuration_version, directory.hosts_position
         )
         if content is None:
             return False
--- a/src/carawaywheel/mesh/replication/directory.py
+++ b/src/carawaywheel/mesh/replication/directory.py
@@ -8,6 +8,7 @@
 from ...routing import Candidate, TargetState
 from ..configuration import MeshConfiguration
 from ..target import Phase
+from .store import START, Position
 
 STATE_BY_PHASE = {
     Phase.READY: TargetState.READY,
@@ -102,17 +103,17 @@
         hosts: Host records by address.
         hosts_known: Whether the records of all hosts have been read from the store or
             received from a peer that had read them.
-        hosts_offset: Offset in the store up to which all records are known.
-        offsets: Offset in the store of the newest record of each host, by address; a
-            record that only its node has told has none.
+        hosts_position: Position in the store up to which all records are known.
+        positions: Position in the store of the newest record of each host, by address;
+            a record that only its node has told has none.
     """
 
     def __init__(self) -> None:
         self.hosts_known = False
         self.configuration: MeshConfiguration | None = None
         self.hosts: dict[str, HostRecord] = {}
-        self.hosts_offset = 0
-        self.offsets: dict[str, int] = {}
+        self.hosts_position = START
+        self.positions: dict[str, Position] = {}
 
     @property
     def configuration_version(self) -> int:
@@ -134,22 +135,22 @@
         self.hosts[record.address] = record
         return True
 
-    def record_offset(self, address: str, offset: int) -> None:
-        """Note the offset in the store at which a record of a host was read."""
-        if offset >= self.offsets.get(address, 0):
-            self.offsets[address] = offset
+    def record_position(self, address: str, position: Position) -> None:
+        """Note the position in the store at which a record of a host was read."""
+        if position >= self.positions.get(address, START):
+            self.positions[address] = position
 
-    def changes_since(self, offset: int) -> list[tuple[int, HostRecord]]:
-        """Return the records that changed in the store at an offset or later.
+    def changes_since(self, position: Position) -> list[tuple[Position, HostRecord]]:
+        """Return the records that changed in the store at a position or later.
 
-        From offset 0 on, these are all records, also those that are not known to be in
+        From the start on, these are all records, also those that are not known to be in
         the store.
         """
-        offsets = self.offsets
+        positions = self.positions
         return [
-            (offsets.get(address, 0), record)
+            (positions.get(address, START), record)
             for address, record in self.hosts.items()
-            if offsets.get(address, 0) >= offset
+            if positions.get(address, START) >= position
         ]
 
     def candidates(self) -> list[Candidate]:
--- a/src/carawaywheel/mesh/replication/follower.py
+++ b/src/carawaywheel/mesh/replication/follower.py
@@ -8,7 +8,7 @@
 from ...clock import Clock
 from ...errors import LogError
 from ..journal import Journal
-from .store import KeyValue, Store
+from .store import START, Position, Store, TablePage
 
 # Time beyond the wait of a long poll after which its response is overdue.
 OVERDUE_SECONDS = 0.5
@@ -24,8 +24,10 @@
 
     Attributes:
         table: Name of the table.
-        apply: Awaited with the items of each response and the offset after them.
-        offset: Offset of the next change; None if it is not known.
+        apply: Awaited with the items of each response and the position after them.
+        position: Position of the next change.
+        is_stale: Whether changes before it may be unknown, so that the whole table must
+            be read.
         wait: Seconds that a request waits for changes. A connection on which the store
             lost a response shows only at the end of that time.
         pause: Seconds between a response with changes and the next request, so that
@@ -40,7 +42,7 @@
         self,
         table: str,
         store: Store,
-        apply: Callable[[list[KeyValue], int], Awaitable[None]],
+        apply: Callable[[TablePage, Position], Awaitable[None]],
         wait: float,
         pause: float,
         journal: Journal,
@@ -55,7 +57,8 @@
         self.journal = journal
         self.clock = clock
         self.rng = rng
-        self.offset: int | None = None
+        self.position = START
+        self.is_stale = True
         self.active = False
         self.activated = curio.Event()
         self.asked_at: float | None = None
@@ -104,18 +107,21 @@
         Raises:
             LogError: If the store failed or timed out.
         """
-        if self.offset is None:
+        if self.is_stale:
             await self.read_all()
             return SETTLE_SECONDS
+        asked = self.position
+        # A store that has been away shows at once that it is back, and its era.
+        wait = 0.0 if self.failing else self.wait
         self.asked_at = self.clock.now()
         try:
-            page = await self.store.poll_changes(self.table, self.offset, self.wait)
+            page = await self.store.poll_changes(self.table, asked.offset, wait)
         finally:
             self.asked_at = None
-        if page is None:
-            self.offset = None
+        if page is None or page.era > asked.era:
+            self.is_stale = self.position == asked
             return 0.0
-        await self.accept(page.items, page.offset)
+        await self.accept(page)
         return self.pause if page.items else 0.0
 
     async def read_all(self) -> None:
@@ -129,17 +135,25 @@
             page = await self.store.read_all(self.table)
         finally:
             self.asked_at = None
-        await self.accept(page.items, page.offset)
-
-    async def accept(self, items: list[KeyValue], offset: int) -> None:
-        """Apply items; the next request asks for those after them."""
-        self.offset = max(offset, self.offset or 0)
-        await self.apply(items, offset)
-
-    def skip_to(self, offset: int) -> None:
-        """Continue from an offset if all changes before it are known."""
-        if offset and (self.offset is None or offset > self.offset):
-            self.offset = offset
+        self.is_stale = False
+        await self.accept(page)
+
+    async def accept(self, page: TablePage) -> None:
+        """Apply a page; the next request asks for the changes after it."""
+        former = self.position
+        position = Position(page.era or former.era, page.offset)
+        self.position = max(position, former)
+        if position.era > former.era > START.era:
+            self.journal.write(
+                "store_restored", table=self.table, former=former, position=position
+            )
+        await self.apply(page, position)
+
+    def skip_to(self, position: Position) -> None:
+        """Continue from a position if all changes before it are known."""
+        if position > self.position:
+            self.position = position
+            self.is_stale = False
 
     async def record_availability(self, error: LogError | None) -> None:
         """Log when the store becomes unavailable or available again."""
--- a/src/carawaywheel/mesh/replication/store.py
+++ b/src/carawaywheel/mesh/replication/store.py
@@ -4,6 +4,22 @@
 from typing import NamedTuple
 
 
+class Position(NamedTuple):
+    """Position in a table; later ones compare greater.
+
+    Attributes:
+        era: Era of the store: it rises when the store comes back from a copy, which
+            gives offsets out again. 0 if it is not known.
+        offset: Offset in the history of this era.
+    """
+
+    era: int
+    offset: int
+
+
+START = Position(0, 0)
+
+
 class KeyValue(NamedTuple):
     """Key with its newest value.
 
@@ -24,10 +40,12 @@
     Attributes:
         items: Keys with their values, oldest first.
         offset: Offset from which later changes can be read.
+        era: Era of the store in which the offsets hold; 0 if it does not tell.
     """
 
     items: list[KeyValue]
     offset: int
+    era: int = 0
 
 
 class Store(ABC):
@@ -53,16 +71,19 @@
             wait: Seconds to wait for a change.
 
         Returns:
-            The changes; None if the store no longer retains this offset.
+            The changes; None if the store does not have this offset.
 
         Raises:
             LogError: If the store failed or timed out.
         """
 
     @abstractmethod
-    async def put(self, table: str, key: str, value: bytes) -> None:
+    async def put(self, table: str, key: str, value: bytes) -> int:
         """Write the value of a key.
 
+        Returns:
+            The era of the store in which it was written; 0 if the store does not tell.
+
         Raises:
             LogError: If the store failed; ``outcome_unknown`` tells whether the write
                 may have taken effect.
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -31,7 +31,7 @@
     encode,
 )
 from .readers import ReaderChoice, ReaderHost, expected_followers, rank_readers
-from .store import KeyValue, Store
+from .store import START, Position, Store, TablePage
 
 DATAGRAM_KIND = b"s"
 # Each of the two readers is asked at every second tick. Readers announce changes at
@@ -56,6 +56,9 @@
 # Spreads what many nodes do at the same event.
 SPREAD_SECONDS = 0.3
 REPEAT_BROADCAST_SECONDS = 2.0
+# Records that all nodes together write again in a second when the store has come back
+# from a copy: half of the writes that the users' stores take.
+REWRITES_PER_SECOND = 200
 
 
 class KnownFollower(NamedTuple):
@@ -63,11 +66,11 @@
 
     Attributes:
         asked_at: Time of its last query in seconds.
-        hosts_offset: Offset up to which it knows all host records.
+        hosts_position: Position up to which it knows all host records.
     """
 
     asked_at: float
-    hosts_offset: int
+    hosts_position: Position
 
 
 class StateSynchronizer(DatagramHandler):
@@ -77,6 +80,10 @@
         own_record: Newest record of this node's host.
         published: Whether this record must be in the store.
         stored_record: Record that the store has accepted last; None for none.
+        stored_era: Era of the store in which it did.
+        era: Newest era of the store that this node knows of.
+        rewrite_at: Time from which on a record of an older era is written again, in
+            seconds.
         configuration_follower: Follower of the operator's table.
         host_follower: Follower of the host records.
         choices: The readers that this node asks.
@@ -84,7 +91,7 @@
         on_former_leaving: Called if an earlier start of this node knew that its target
             was leaving.
         sources: Nodes to fetch changes from, with their configuration version and the
-            offset up to which they know all host records.
+            position up to which they know all host records.
     """
 
     def __init__(
@@ -115,6 +122,9 @@
         self.rng = rng
         self.published = False
         self.stored_record: HostRecord | None = None
+        self.stored_era = 0
+        self.era = 0
+        self.rewrite_at = float("-inf")
         self.record_changed = curio.Event()
         self.broadcast_at = float("-inf")
         self.configuration_follower = TableFollower(
@@ -144,31 +154,35 @@
         self.on_former_leaving: Callable[[], None] = lambda: None
         self.check_due_at = 0.0
         self.followers: dict[str, KnownFollower] = {}
-        self.announced: tuple[int, int, bool] = (0, 0, False)
-        self.sources: dict[str, tuple[int, int]] = {}
+        self.announced: tuple[int, Position, bool] = (0, START, False)
+        self.sources: dict[str, tuple[int, Position]] = {}
         self.source_added = curio.Event()
         sock.handlers[DATAGRAM_KIND] = self
         peer_monitor.on_own_record = self.supersede_former
         peer_monitor.on_newer_version = self.add_source
 
-    async def apply_operator_items(self, items: list[KeyValue], offset: int) -> None:
+    async def apply_operator_items(self, page: TablePage, position: Position) -> None:
         """Apply values of the operator's table."""
-        for item in items:
+        self.observe_era(position.era)
+        for item in page.items:
             if item.key == self.configuration_key and item.value:
                 self.peer_monitor.receive_configuration(item.value, "store")
         await self.announce_changes()
 
-    async def apply_host_items(self, items: list[KeyValue], offset: int) -> None:
+    async def apply_host_items(self, page: TablePage, position: Position) -> None:
         """Apply host records; skip malformed ones."""
+        self.observe_era(position.era)
         changes = []
-        for item in items:
+        for item in page.items:
             if not item.value:
                 continue
             try:
-                changes.append((item.offset, decode_record(item.key, item.value)))
+                record = decode_record(item.key, item.value)
             except RecordError as error:
                 self.journal.write("host_invalid", error=str(error))
-        self.peer_monitor.merge_hosts(changes, offset, "store")
+                continue
+            changes.append((Position(position.era, item.offset), record))
+        self.peer_monitor.merge_hosts(changes, position, "store")
         self.peer_monitor.mark_hosts_known()
         await self.announce_changes()
         if self.ranked_generation < 0:
@@ -188,7 +202,7 @@
         self.own_record = self.own_record._replace(
             incarnation=record.incarnation + 1, sequence=0
         )
-        self.peer_monitor.merge_hosts([(0, self.own_record)], 0, OWN_ORIGIN)
+        self.peer_monitor.merge_hosts([(START, self.own_record)], START, OWN_ORIGIN)
 
     async def publish(self, phase: int, slots: int) -> None:
         """Publish a change of the local target."""
@@ -196,19 +210,38 @@
             phase=phase, slots=slots, sequence=self.own_record.sequence + 1
         )
         self.published = True
-        self.peer_monitor.merge_hosts([(0, self.own_record)], 0, OWN_ORIGIN)
+        self.peer_monitor.merge_hosts([(START, self.own_record)], START, OWN_ORIGIN)
         await self.record_changed.set()
 
+    def observe_era(self, era: int) -> None:
+        """Note an era of the store; a new one may have lost this node's record."""
+        if era <= self.era:
+            return
+        if self.era:
+            spread = len(self.directory.hosts) / REWRITES_PER_SECOND
+            self.rewrite_at = self.clock.now() + self.rng.random() * spread
+            self.journal.write("store_era", former=self.era, era=era)
+        self.era = era
+
+    def is_unwritten(self) -> bool:
+        """Return whether the store lacks this node's record, or may have lost it."""
+        if self.stored_record != self.own_record:
+            return True
+        return self.stored_era < self.era and self.clock.now() >= self.rewrite_at
+
     async def run_writes(self) -> None:
-        """Write this node's record after each change until cancelled."""
+        """Write this node's record after each change until cancelled.
+
+        It is written again when the store has come back from a copy.
+        """
         while True:
             await self.record_changed.wait()
             self.record_changed.clear()
             backoff = MIN_BACKOFF_SECONDS
-            while self.stored_record != self.own_record:
+            while self.is_unwritten():
                 written = self.own_record
                 try:
-                    await self.store.put(
+                    era = await self.store.put(
                         self.host_table, written.address, encode_record(written)
                     )
                 except LogError as error:
@@ -218,6 +251,8 @@
                     backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
                     continue
                 self.stored_record = written
+                self.stored_era = era or self.era
+                self.observe_era(era)
 
     async def broadcast_record(self, record: HostRecord) -> None:
         """Tell the other nodes a record that the store does not take."""
@@ -237,7 +272,7 @@
             now = self.clock.now()
             await self.follow(self.choices[turn % len(self.choices)], now)
             turn += 1
-            if self.published and self.stored_record != self.own_record:
+            if self.published and self.is_unwritten():
                 await self.record_changed.set()
             if self.sources:
                 await self.source_added.set()
@@ -319,7 +354,7 @@
                 followers=len(self.followers),
                 chosen=[choice.current for choice in self.choices],
             )
-            self.host_follower.skip_to(directory.hosts_offset)
+            self.host_follower.skip_to(directory.hosts_position)
         # A node that has just started needs the hosts to find a reader.
         await self.host_follower.set_active(is_reader or not directory.hosts_known)
         await self.configuration_follower.set_active(
@@ -340,7 +375,8 @@
         query = Query(
             self.own_record.address,
             self.directory.configuration_version,
-            self.directory.hosts_offset,
+            self.directory.hosts_position.offset,
+            self.directory.hosts_position.era,
         )
         await self.send(choice.current, query)
 
@@ -354,10 +390,11 @@
         message = decode_message(data)
         now = self.clock.now()
         if isinstance(message, Query):
-            self.followers[message.sender] = KnownFollower(now, message.hosts_offset)
+            position = message.position(self.era)
+            self.followers[message.sender] = KnownFollower(now, position)
             await self.update_role(now)
-            await self.send_status(message.sender, message.hosts_offset, now)
-            self.add_source(message.sender, message.version, message.hosts_offset)
+            await self.send_status(message.sender, position, now)
+            self.add_source(message.sender, message.version, position)
         elif isinstance(message, Status):
             await self.receive_status(message, now)
         else:
@@ -371,29 +408,33 @@
             if choice.current != former:
                 await self.update_role(now)
                 await self.ask(choice, now)
-        directory = self.directory
-        if status.hosts and status.since <= directory.hosts_offset:
+        self.observe_era(status.era)
+        position = status.position(self.era)
+        if status.hosts and status.start(self.era) <= self.directory.hosts_position:
             self.peer_monitor.merge_hosts(
-                status.hosts, status.hosts_offset, status.sender
+                status.changes(self.era), position, status.sender
             )
-        self.add_source(status.sender, status.version, status.hosts_offset)
+        self.add_source(status.sender, status.version, position)
         if self.sources:
             await self.source_added.set()
         await self.announce_changes()
 
-    async def send_status(self, address: str, since: int, now: float) -> None:
-        """Send the state of this reader, with the changes since an offset if few."""
+    async def send_status(self, address: str, since: Position, now: float) -> None:
+        """Send the state of this reader, with the changes since a position if few."""
         directory = self.directory
-        changes = directory.changes_since(since) if since else []
+        changes = directory.changes_since(since) if since.offset else []
         if len(changes) > MAX_DATAGRAM_HOSTS:
             changes = []
         status = Status(
             self.own_record.address,
             self.is_in_touch(now),
             directory.configuration_version,
-            directory.hosts_offset,
-            since,
-            changes,
+            directory.hosts_position.offset,
+            since.offset,
+            [(position.offset, record) for position, record in changes],
+            directory.hosts_position.era,
+            since.era,
+            [position.era for position, _ in changes],
         )
         await self.send(address, status)
 
@@ -403,28 +444,30 @@
         directory = self.directory
         state = (
             directory.configuration_version,
-            directory.hosts_offset,
+            directory.hosts_position,
             self.is_in_touch(now),
         )
         if state == self.announced:
             return
         self.announced = state
         for address, follower in list(self.followers.items()):
-            await self.send_status(address, follower.hosts_offset, now)
+            await self.send_status(address, follower.hosts_position, now)
             # If this status is lost, the next one tells the follower of the gap.
-            self.followers[address] = follower._replace(hosts_offset=state[1])
+            self.followers[address] = follower._replace(hosts_position=state[1])
 
-    def add_source(self, address: str, version: int, hosts_offset: int = 0) -> None:
+    def add_source(
+        self, address: str, version: int, position: Position = START
+    ) -> None:
         """Note a node to fetch from if it knows more than this one."""
-        if self.is_behind(version, hosts_offset):
-            self.sources[address] = (version, hosts_offset)
+        if self.is_behind(version, position):
+            self.sources[address] = (version, position)
 
-    def is_behind(self, version: int, hosts_offset: int) -> bool:
+    def is_behind(self, version: int, position: Position) -> bool:
         """Return whether a node with this knowledge knows more than this one."""
         directory = self.directory
         return (
             version > directory.configuration_version
-            or hosts_offset > directory.hosts_offset
+            or position > directory.hosts_position
         )
 
     async def run_fetches(self) -> None:
@@ -437,8 +480,8 @@
     async def fetch_changes(self) -> None:
         """Fetch changes from all nodes that are known to know more."""
         while self.sources:
-            address, (version, hosts_offset) = self.sources.popitem()
-            if self.is_behind(version, hosts_offset):
+            address, (version, position) = self.sources.popitem()
+            if self.is_behind(version, position):
                 await self.fetch(address, version)
 
     async def fetch(self, address: str, version: int) -> None:
--- a/src/carawaywheel/mesh/stateclient.py
+++ b/src/carawaywheel/mesh/stateclient.py
@@ -4,13 +4,17 @@
 import msgspec
 
 from ..errors import PeerError
+from ..framing import Headers
 from ..pool import ConnectionPool
 from .journal import Journal
+from .replication.store import Position
 from .settings import CONNECT_TIMEOUT_SECONDS
 
 STATE_PATH = "/-/state"
 # Followed by the version and the offset that the fetching node knows.
 CHANGES_PATH_PREFIX = "/-/changes/"
+# Era of this offset, in a header because nodes that know none accept no other path.
+KNOWN_ERA_HEADER = b"known-era"
 MAX_STATE_BYTES = 4 * 1024 * 1024
 PROBE_TIMEOUT_SECONDS = 0.6
 # Time for a large configuration on a narrow link.
@@ -48,21 +52,24 @@
         """Send a state to a node; return None if the exchange fails or times out."""
         return await self.try_exchange(address, "POST", state)
 
-    async def fetch(self, address: str, version: int, offset: int) -> bytes | None:
+    async def fetch(
+        self, address: str, version: int, position: Position
+    ) -> bytes | None:
         """Fetch the state that a node has and this one does not.
 
         Args:
             address: Address of the node.
             version: Configuration version of this node.
-            offset: Offset up to which this node knows all host records.
+            position: Position up to which this node knows all host records.
 
         Returns:
             The encoded state; None if the exchange fails or times out.
         """
-        path = f"{CHANGES_PATH_PREFIX}{version}/{offset}"
+        path = f"{CHANGES_PATH_PREFIX}{version}/{position.offset}"
+        fields = [(KNOWN_ERA_HEADER, str(position.era).encode())]
         try:
             return await curio.timeout_after(
-                FETCH_TIMEOUT_SECONDS, self.exchange, address, "GET", path, b""
+                FETCH_TIMEOUT_SECONDS, self.exchange, address, "GET", path, b"", fields
             )
         except (PeerError, curio.TaskTimeout) as error:
             self.journal.count("fetch_failed", type(error).__name__)
@@ -82,10 +89,22 @@
             return None
 
     async def exchange(
-        self, address: str, method: str, path: str, body: bytes
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        fields: Headers | None = None,
     ) -> bytes:
         """Run one exchange.
 
+        Args:
+            address: Address of the node.
+            method: HTTP method.
+            path: Path of the request.
+            body: Body of the request.
+            fields: Further headers.
+
         Returns:
             The body of the response.
 
@@ -95,6 +114,7 @@
         headers = [
             (b"host", address.encode()),
             (b"content-length", str(len(body)).encode()),
+            *(fields or []),
         ]
         connection = await self.pool.connect(address)
         try:
--- a/src/carawaywheel/platform/store.py
+++ b/src/carawaywheel/platform/store.py
@@ -15,6 +15,7 @@
 HOST_TABLE = "keyed.hosts"
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 MILLISECONDS_PER_SECOND = 1000
+ERA_HEADER = b"store-era"
 OK_STATUS = 200
 OFFSET_EXPIRED_STATUS = 410
 LENGTH_PREFIX = struct.Struct(">I")
@@ -60,7 +61,7 @@
         """Read the newest value of each key of a table; see the base class."""
         request_target = f"/api/log-newest?topic={table}&part=0"
         items: list[WireItem] = []
-        offset: int | None = None
+        first: TablePage | None = None
         after = ""
         while True:
             response, content = await self.request(
@@ -71,9 +72,9 @@
             items += page.items
             # The pages are not one snapshot; starting from the offset of the first page
             # reads the changes made in the meantime again.
-            offset = page.end_offset if offset is None else offset
+            first = first or TablePage([], page.end_offset, self.decode_era(response))
             if not page.has_more or not page.items:
-                return TablePage(list(map(self.decode_item, items)), offset)
+                return first._replace(items=list(map(self.decode_item, items)))
             after = f"&after={quote(page.items[-1].key, safe='')}"
 
     async def poll_changes(
@@ -86,9 +87,10 @@
         if response.status == OFFSET_EXPIRED_STATUS:
             return None
         self.check_status(response, "read changes")
-        return self.decode_records(content, offset)
+        page = self.decode_records(content, offset)
+        return page._replace(era=self.decode_era(response))
 
-    async def put(self, table: str, key: str, value: bytes) -> None:
+    async def put(self, table: str, key: str, value: bytes) -> int:
         """Write the value of a key; see the base class."""
         name = key.encode()
         content = bytes([len(name)]) + name + value
@@ -96,6 +98,7 @@
         request_target = f"/api/log-append?topic={table}&part=0"
         response, _ = await self.request("POST", request_target, body, 0.0)
         self.check_status(response, "append")
+        return self.decode_era(response)
 
     async def request(
         self, method: str, request_target: str, body: bytes, wait: float
@@ -145,6 +148,18 @@
                 True,
             )
 
+    def decode_era(self, response: Response) -> int:
+        """Decode the era of the store from the head of a response.
+
+        Raises:
+            LogError: If it is not a number; ``peer`` holds the address of the store.
+        """
+        value = response.header(ERA_HEADER)
+        if value and not (value.isascii() and value.isdecimal()):
+            message = f"expected the number of an era, got {value!r}"
+            raise LogError(message, "read era", self.address, True)
+        return int(value or 0)
+
     def decode_page(self, content: bytes) -> WireNewest:
         """Decode a page of newest records.
 
--- a/standins/provider.py
+++ b/standins/provider.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform's metadata store: logs, and tables of latest values.
 
 On demand it is unavailable or slow, loses the responses to writes that took effect,
-or drops the history that readers follow.
+drops the history that readers follow, or comes back from a copy that lacks the last
+records.
 """
 
 import argparse
@@ -26,6 +27,7 @@
 CONTROL_PATH = "/control"
 COUNTS_PATH = "/counts"
 HISTORY_GONE_STATUS = 410
+ERA_HEADER = "Store-Era"
 
 
 class Topic:
@@ -45,9 +47,13 @@
         """Append records, wake the readers and return the first new offset."""
         offset = len(self.records)
         self.records += records
+        await self.wake()
+        return offset
+
+    async def wake(self) -> None:
+        """Wake the waiting readers."""
         appended, self.appended = self.appended, curio.Event()
         await appended.set()
-        return offset
 
     def latest_values(self) -> dict[str, tuple[int, bytes]]:
         """Return offset and value of the latest record of each key.
@@ -70,6 +76,7 @@
         responses_to_lose: Appends left whose response is lost.
         delay: Delay of each API call in seconds.
         calls: API calls so far.
+        era: Rises by one each time the store comes back from a copy.
     """
 
     def __init__(self) -> None:
@@ -78,6 +85,7 @@
         self.responses_to_lose = 0
         self.delay = 0.0
         self.calls = 0
+        self.era = 1
 
     async def handle(self, request: Request) -> Response | None:
         """Handle one request."""
@@ -85,6 +93,13 @@
             return await self.control(request.json())
         if request.path == COUNTS_PATH:
             return json_response({"calls": self.calls})
+        response = await self.handle_call(request)
+        if response is not None:
+            response.headers.append((ERA_HEADER, str(self.era)))
+        return response
+
+    async def handle_call(self, request: Request) -> Response | None:
+        """Handle a call of the API."""
         self.calls += 1
         if self.down:
             return json_response({}, 503)
@@ -102,7 +117,9 @@
         """Inject faults, write a value as the operator does, or drop the history.
 
         ``put`` writes a JSON value under ``key`` in ``topic``; ``compact`` names a
-        topic whose records up to now can no longer be read.
+        topic whose records up to now can no longer be read; ``restore`` brings the
+        store back from a copy that lacks the last records of topics, as many as it
+        names for each.
         """
         self.down = settings.get("down", self.down)
         self.responses_to_lose = settings.get("lose", self.responses_to_lose)
@@ -115,8 +132,19 @@
         if "compact" in settings:
             topic = self.topics[settings["compact"]]
             topic.first_offset = len(topic.records)
+        if "restore" in settings:
+            await self.restore(settings["restore"])
         return json_response({})
 
+    async def restore(self, lost: dict[str, int]) -> None:
+        """Come back without the last records of topics; waiting reads get no answer."""
+        self.era += 1
+        for name, count in lost.items():
+            topic = self.topics[name]
+            del topic.records[len(topic.records) - count :]
+        for topic in self.topics.values():
+            await topic.wake()
+
     async def append(self, topic: Topic, body: bytes) -> Response | None:
         """Append the records of a request body."""
         records = list(split_records(body))
@@ -137,20 +165,24 @@
             {"items": items, "has_more": False, "end_offset": end_offset}
         )
 
-    async def read(self, topic: Topic, query: dict[str, str]) -> Response:
+    async def read(self, topic: Topic, query: dict[str, str]) -> Response | None:
         """Return records from an offset on; wait for one if there is none yet.
 
         The body starts with the end offset and the first offset; each record follows
-        its length. An offset before the first one gets a 410 with the first offset.
+        its length. An offset before the first one, or beyond the end, gets a 410 with
+        the first offset.
         """
         start = int(query["from"])
-        if start < topic.first_offset:
+        if not topic.first_offset <= start <= len(topic.records):
             return json_response(
                 {"first_offset": topic.first_offset}, HISTORY_GONE_STATUS
             )
         if start >= len(topic.records):
             wait = int(query.get("wait_ms", "0")) / 1000
+            era = self.era
             await curio.ignore_after(wait, topic.appended.wait)
+            if self.era != era:
+                return None
         content = struct.pack(">QQ", len(topic.records), topic.first_offset)
         for record in topic.records[start:]:
             content += struct.pack(">I", len(record)) + record
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -12,6 +12,7 @@
     decode_record,
     encode_record,
 )
+from carawaywheel.mesh.replication.store import START, Position
 
 ADDRESS = "10.0.0.1:80"
 
@@ -53,10 +54,24 @@
         address = f"10.0.0.{number}:80"
         directory.merge(make_record(address))
         if number:
-            directory.record_offset(address, 10 * number)
-    assert [offset for offset, _ in directory.changes_since(0)] == [0, 10, 20]
-    assert [offset for offset, _ in directory.changes_since(11)] == [20]
-    assert directory.changes_since(21) == []
+            directory.record_position(address, Position(1, 10 * number))
+    changes = directory.changes_since(START)
+    assert [position.offset for position, _ in changes] == [0, 10, 20]
+    changes = directory.changes_since(Position(1, 11))
+    assert [position.offset for position, _ in changes] == [20]
+    assert directory.changes_since(Position(1, 21)) == []
+
+
+def test_record_at_a_lower_offset_of_a_later_era_is_a_change():
+    directory = Directory()
+    directory.merge(make_record())
+    directory.record_position(ADDRESS, Position(1, 20))
+    known = Position(1, 21)
+    assert directory.changes_since(known) == []
+    directory.record_position(ADDRESS, Position(2, 3))
+    directory.record_position(ADDRESS, Position(1, 30))
+    changes = directory.changes_since(known)
+    assert [position for position, _ in changes] == [Position(2, 3)]
 
 
 @pytest.mark.parametrize(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -215,14 +215,19 @@
 class CannedResponse:
     """Head of a canned response."""
 
-    def __init__(self, status):
+    def __init__(self, status, era=""):
         self.status = status
+        self.era = era
+
+    def header(self, name):
+        return self.era if name == b"store-era" else ""
 
 
 def make_store(*responses):
+    """Return a store with canned responses: status, content and an era."""
     store = MetadataStore("127.0.0.1:1", 1.0)
     store.pool = CannedPool(
-        [(CannedResponse(status), content) for status, content in responses]
+        [(CannedResponse(status, *era), content) for status, content, *era in responses]
     )
     return store
 
@@ -258,3 +263,26 @@
         curio.run(make_store((429, b"{}")).poll_changes, "keyed.op", 7, 1.0)
     with pytest.raises(LogError):
         curio.run(make_store((200, b"not json")).read_all, "keyed.op")
+
+
+def test_era_is_that_of_the_first_page():
+    """The store may come back from a copy between two pages."""
+    item = {"key": "a", "value": "eA=="}
+    first = json.dumps({"items": [item], "end_offset": 7, "has_more": True}).encode()
+    second = json.dumps({"items": [], "end_offset": 3}).encode()
+    store = make_store((200, first, "4"), (200, second, "5"))
+    page = curio.run(store.read_all, "keyed.op")
+    assert (page.era, page.offset) == (4, 7)
+
+
+def test_era_of_changes_and_of_a_write_is_decoded():
+    store = make_store((200, struct.pack(">QQ", 9, 0), "6"), (200, b"{}", "7"))
+    assert curio.run(store.poll_changes, "keyed.op", 9, 1.0).era == 6
+    assert curio.run(store.put, "keyed.hosts", "k", b"v") == 7
+
+
+@pytest.mark.parametrize("era", ["-1", "x", "1.5", "\u0661"])
+def test_era_that_is_no_number_is_an_error_that_names_the_store(era):
+    store = make_store((200, struct.pack(">QQ", 9, 0), era))
+    with pytest.raises(LogError, match="era"):
+        curio.run(store.poll_changes, "keyed.op", 9, 1.0)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -228,3 +228,76 @@
     platform.configure_target("h2", phase="gone")
     assert platform.send("h1", "/order/1", "POST").status == 503
     assert platform.send("h2", "/order/1", "POST").status == 503
+
+
+def count_records(platform, topic):
+    """Return the number of records that a topic holds."""
+    path = f"/api/log-newest?topic={topic}&part=0"
+    address = platform.store_address
+    response = curio.run(request, address, "GET", path, [], b"", 5.0)
+    return json.loads(response.body)["end_offset"]
+
+
+def put_operator_value(platform, key):
+    command = {"topic": "keyed.op", "key": key, "put": {}}
+    platform.control(platform.store_address, command)
+
+
+@pytest.mark.parametrize("others", [0, 2, 4])
+def test_change_at_an_offset_given_out_again_is_in_force(platform, others):
+    """The table ends below, at and above the offset that the readers ask for."""
+    start_hosts(platform)
+    for version in (4, 5, 6):
+        platform.publish(configuration(version))
+    wait_for_readers(platform)
+    wait(1.2)
+    platform.control(platform.store_address, {"down": True})
+    platform.control(platform.store_address, {"restore": {"keyed.op": 3}})
+    platform.publish(configuration(7, ONLY_READ))
+    for number in range(others):
+        put_operator_value(platform, f"other-{number}")
+    platform.control(platform.store_address, {"down": False})
+    wait_until_in_force(platform, NAMES, 4.0)
+    platform.publish(configuration(8))
+    platform.wait_for(
+        lambda: not any(is_in_force(platform, name) for name in NAMES),
+        "the next change is in force",
+        2.0,
+    )
+
+
+def test_host_whose_record_was_lost_is_known_to_nodes_that_start_later(platform):
+    start_hosts(platform)
+    wait_for_readers(platform)
+    lost = count_records(platform, "keyed.hosts")
+    platform.control(platform.store_address, {"restore": {"keyed.hosts": lost}})
+    platform.wait_for(
+        lambda: count_records(platform, "keyed.hosts") >= len(NAMES),
+        "all records are written again",
+        4.0,
+    )
+    assert count_records(platform, "keyed.hosts") == len(NAMES)
+    platform.start_host("h6", "desk")
+    platform.wait_until_served("h6", "/read/1", 8.0)
+    assert platform.send("h6", "/order/1", "POST").status == 200
+    assert all(
+        line["era"] == 2
+        for name in NAMES
+        for line in platform.log_lines(name, "store_era")
+    )
+
+
+def test_change_of_a_host_at_an_offset_given_out_again_is_known(platform):
+    start_hosts(platform)
+    wait_for_readers(platform)
+    platform.control(platform.store_address, {"restore": {"keyed.hosts": 3}})
+    platform.configure_target("h2", phase="draining")
+    platform.wait_for(
+        lambda: all(
+            any(line["phase"] == 1 for line in platform.log_lines(name, "host"))
+            for name in NAMES
+        ),
+        "all know that the target of h2 drains",
+        4.0,
+    )
+    assert platform.send("h1", "/order/1", "POST").status == 503
