Restore records of lost nodes, and ask peers before the first configuration

Cause: a node writes only its own record, so that the last record of a node that is gone stayed lost, or came back as it was before its target left. A node that starts and finds no reader in time took the configuration of the store as the newest.

The change: a reader that has read the table in both eras compares it with what it knows, and writes what is missing or older after the time in which nodes write their own records, on the condition that the table ends where it has read to. A node asks the nodes that it ranks as readers before a configuration from the store becomes its first one. Publication of the own record moves to a module of its own.

--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -81,6 +81,14 @@
         self.tables[table].append((key, value))
         return 0
 
+    async def put_at(self, table: str, key: str, value: bytes, offset: int) -> bool:
+        """Write a value unless the table has changed; see the base class."""
+        self.calls += 1
+        if offset != len(self.tables[table]):
+            return False
+        self.tables[table].append((key, value))
+        return True
+
 
 class SimulatedSocket:
     """Datagram socket of one node; see ``DatagramSocket``."""
@@ -190,7 +198,7 @@
     async def step(self, fleet: "SimulatedFleet", now: float) -> None:
         """Do what is due."""
         synchronizer = self.synchronizer
-        if now >= self.published_at and not synchronizer.published:
+        if now >= self.published_at and not synchronizer.publisher.published:
             await self.publish(fleet, Phase.READY)
         if now >= self.due_at:
             self.due_at = now + TICK_SECONDS
@@ -226,10 +234,10 @@
 
     async def publish(self, fleet: "SimulatedFleet", phase: Phase) -> None:
         """Write the own record, as after a heartbeat of the target."""
-        await self.synchronizer.publish(int(phase), 10)
-        record = self.synchronizer.own_record
-        await fleet.store.put(TABLES[1], self.address, encode_record(record))
-        self.synchronizer.stored_record = record
+        publisher = self.synchronizer.publisher
+        await publisher.publish(int(phase), 10)
+        await fleet.store.put(TABLES[1], self.address, encode_record(publisher.record))
+        publisher.stored_record = publisher.record
 
 
 class SimulatedFleet:
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -134,7 +134,7 @@
             self.clock,
             self.rng,
         )
-        self.synchronizer.on_former_leaving = self.distrust_first_heartbeat
+        self.synchronizer.publisher.on_former_leaving = self.distrust_first_heartbeat
         self.quotas = Quotas(own_address)
         self.rate_limiter = RateLimiter(
             self.quotas,
@@ -236,9 +236,11 @@
         heartbeat = self.target.heartbeat
         stays = heartbeat is None or heartbeat.phase is Phase.READY
         if heartbeat is None or (self.stopping and stays):
-            await self.synchronizer.publish(int(Phase.GONE), 0)
+            await self.synchronizer.publisher.publish(int(Phase.GONE), 0)
         else:
-            await self.synchronizer.publish(int(heartbeat.phase), heartbeat.slots)
+            await self.synchronizer.publisher.publish(
+                int(heartbeat.phase), heartbeat.slots
+            )
 
     def distrust_first_heartbeat(self) -> None:
         """Wait for a second heartbeat that calls the target ready."""
@@ -262,7 +264,8 @@
             self.synchronizer.run,
             self.synchronizer.configuration_follower.run,
             self.synchronizer.host_follower.run,
-            self.synchronizer.run_writes,
+            self.synchronizer.publisher.run_writes,
+            self.synchronizer.restorer.run,
             self.synchronizer.run_fetches,
             self.runner.run_polling,
             self.link_server.run,
--- a/src/carawaywheel/mesh/replication/store.py
+++ b/src/carawaywheel/mesh/replication/store.py
@@ -88,3 +88,21 @@
             LogError: If the store failed; ``outcome_unknown`` tells whether the write
                 may have taken effect.
         """
+
+    @abstractmethod
+    async def put_at(self, table: str, key: str, value: bytes, offset: int) -> bool:
+        """Write the value of a key unless the table has changed.
+
+        Args:
+            table: Name of the table.
+            key: The key.
+            value: The value.
+            offset: Offset at which the table must end.
+
+        Returns:
+            Whether it was written.
+
+        Raises:
+            LogError: If the store failed; ``outcome_unknown`` tells whether the write
+                may have taken effect.
+        """
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections.abc import Callable
 from typing import NamedTuple
 
 import curio
@@ -15,14 +14,10 @@
 from ...datagrams import Address, DatagramHandler, DatagramSocket
 from ...errors import LogError, RecordError
 from ..journal import Journal
-from ..monitor import OWN_ORIGIN, PeerMonitor
+from ..monitor import PeerMonitor
 from ..target import Phase
-from .directory import Directory, HostRecord, decode_record, encode_record
-from .follower import (
-    MAX_BACKOFF_SECONDS,
-    MIN_BACKOFF_SECONDS,
-    TableFollower,
-)
+from .directory import Directory, HostRecord, decode_record
+from .follower import MIN_BACKOFF_SECONDS, TableFollower
 from .messages import (
     MAX_DATAGRAM_HOSTS,
     Query,
@@ -30,7 +25,9 @@
     decode_message,
     encode,
 )
+from .publisher import RecordPublisher
 from .readers import ReaderChoice, ReaderHost, expected_followers, rank_readers
+from .restorer import RecordRestorer
 from .store import START, Position, Store, TablePage
 
 DATAGRAM_KIND = b"s"
@@ -51,14 +48,13 @@
 CONFIGURATION_PAUSE_SECONDS = 0.1
 HOST_WAIT_SECONDS = 6.0
 HOST_PAUSE_SECONDS = 0.3
+# Time that a node waits for its peers before the first configuration that it has read
+# from the store is in force: a response over a narrow link, and a margin.
+PEER_PATIENCE_SECONDS = 1.0
 # When all nodes start at once, the host records are read once most of them are written.
 FIRST_START_SECONDS = 2.5
 # Spreads what many nodes do at the same event.
 SPREAD_SECONDS = 0.3
-REPEAT_BROADCAST_SECONDS = 2.0
-# Records that all nodes together write again in a second when the store has come back
-# from a copy: half of the writes that the users' stores take.
-REWRITES_PER_SECOND = 200
 
 
 class KnownFollower(NamedTuple):
@@ -77,19 +73,13 @@
     """Keeps the directory of a node in step with the store.
 
     Attributes:
-        own_record: Newest record of this node's host.
-        published: Whether this record must be in the store.
-        stored_record: Record that the store has accepted last; None for none.
-        stored_era: Era of the store in which it did.
-        era: Newest era of the store that this node knows of.
-        rewrite_at: Time from which on a record of an older era is written again, in
-            seconds.
+        own_address: Address of this node.
+        publisher: Publishes the record of this node's host.
+        restorer: Restores records of hosts whose nodes are gone.
         configuration_follower: Follower of the operator's table.
         host_follower: Follower of the host records.
         choices: The readers that this node asks.
         followers: Nodes that ask this one, by address.
-        on_former_leaving: Called if an earlier start of this node knew that its target
-            was leaving.
         sources: Nodes to fetch changes from, with their configuration version and the
             position up to which they know all host records.
     """
@@ -110,23 +100,26 @@
     ) -> None:
         self.store = store
         self.configuration_key = configuration_key
-        self.host_table = tables[1]
         self.directory = directory
         self.peer_monitor = peer_monitor
-        self.own_record = own_record
+        self.own_address = own_record.address
+        self.own_domain = own_record.domain
         self.sock = sock
         self.port = int(sock.address.rpartition(":")[2])
         self.first_start = first_start
         self.journal = journal
         self.clock = clock
         self.rng = rng
-        self.published = False
-        self.stored_record: HostRecord | None = None
-        self.stored_era = 0
-        self.era = 0
-        self.rewrite_at = float("-inf")
-        self.record_changed = curio.Event()
-        self.broadcast_at = float("-inf")
+        self.publisher = RecordPublisher(
+            store,
+            tables[1],
+            own_record,
+            directory,
+            peer_monitor,
+            journal,
+            clock,
+            rng,
+        )
         self.configuration_follower = TableFollower(
             tables[0],
             store,
@@ -147,31 +140,53 @@
             clock,
             rng,
         )
+        self.restorer = RecordRestorer(
+            store,
+            self.host_follower,
+            directory,
+            self.own_address,
+            journal,
+            clock,
+            rng,
+        )
         for follower in (self.configuration_follower, self.host_follower):
             follower.on_availability_changed = self.announce_changes
         self.choices = [ReaderChoice(own_record.address, rng) for _ in range(2)]
         self.ranked_generation = -1
-        self.on_former_leaving: Callable[[], None] = lambda: None
         self.check_due_at = 0.0
         self.followers: dict[str, KnownFollower] = {}
         self.announced: tuple[int, Position, bool] = (0, START, False)
         self.sources: dict[str, tuple[int, Position]] = {}
         self.source_added = curio.Event()
         sock.handlers[DATAGRAM_KIND] = self
-        peer_monitor.on_own_record = self.supersede_former
         peer_monitor.on_newer_version = self.add_source
 
     async def apply_operator_items(self, page: TablePage, position: Position) -> None:
         """Apply values of the operator's table."""
-        self.observe_era(position.era)
+        self.publisher.observe_era(position.era)
+        if page.items and self.directory.configuration is None:
+            await self.ask_peers()
         for item in page.items:
             if item.key == self.configuration_key and item.value:
                 self.peer_monitor.receive_configuration(item.value, "store")
         await self.announce_changes()
 
+    async def ask_peers(self) -> None:
+        """Fetch the state of the readers.
+
+        The store may have come back from a copy with an older configuration.
+        """
+        addresses = {each for choice in self.choices for each in choice.ranking}
+        async with (
+            curio.ignore_after(PEER_PATIENCE_SECONDS),
+            curio.TaskGroup() as group,
+        ):
+            for address in addresses - {self.own_address}:
+                await group.spawn(self.peer_monitor.fetch_state, address)
+
     async def apply_host_items(self, page: TablePage, position: Position) -> None:
         """Apply host records; skip malformed ones."""
-        self.observe_era(position.era)
+        self.publisher.observe_era(position.era)
         changes = []
         for item in page.items:
             if not item.value:
@@ -182,6 +197,7 @@
                 self.journal.write("host_invalid", error=str(error))
                 continue
             changes.append((Position(position.era, item.offset), record))
+        self.restorer.observe(changes, position)
         self.peer_monitor.merge_hosts(changes, position, "store")
         self.peer_monitor.mark_hosts_known()
         await self.announce_changes()
@@ -189,79 +205,6 @@
             for choice in self.choices:
                 await self.follow(choice, self.clock.now())
 
-    def supersede_former(self, record: HostRecord) -> None:
-        """Supersede a record of an earlier start of this node.
-
-        The time of day, from which incarnations come, may have stepped back.
-        """
-        if record.incarnation != self.own_record.incarnation and record.is_leaving:
-            self.on_former_leaving()
-        if record.revision < self.own_record.revision or record == self.own_record:
-            return
-        self.journal.write("record_superseded", former=record.revision)
-        self.own_record = self.own_record._replace(
-            incarnation=record.incarnation + 1, sequence=0
-        )
-        self.peer_monitor.merge_hosts([(START, self.own_record)], START, OWN_ORIGIN)
-
-    async def publish(self, phase: int, slots: int) -> None:
-        """Publish a change of the local target."""
-        self.own_record = self.own_record._replace(
-            phase=phase, slots=slots, sequence=self.own_record.sequence + 1
-        )
-        self.published = True
-        self.peer_monitor.merge_hosts([(START, self.own_record)], START, OWN_ORIGIN)
-        await self.record_changed.set()
-
-    def observe_era(self, era: int) -> None:
-        """Note an era of the store; a new one may have lost this node's record."""
-        if era <= self.era:
-            return
-        if self.era:
-            spread = len(self.directory.hosts) / REWRITES_PER_SECOND
-            self.rewrite_at = self.clock.now() + self.rng.random() * spread
-            self.journal.write("store_era", former=self.era, era=era)
-        self.era = era
-
-    def is_unwritten(self) -> bool:
-        """Return whether the store lacks this node's record, or may have lost it."""
-        if self.stored_record != self.own_record:
-            return True
-        return self.stored_era < self.era and self.clock.now() >= self.rewrite_at
-
-    async def run_writes(self) -> None:
-        """Write this node's record after each change until cancelled.
-
-        It is written again when the store has come back from a copy.
-        """
-        while True:
-            await self.record_changed.wait()
-            self.record_changed.clear()
-            backoff = MIN_BACKOFF_SECONDS
-            while self.is_unwritten():
-                written = self.own_record
-                try:
-                    era = await self.store.put(
-                        self.host_table, written.address, encode_record(written)
-                    )
-                except LogError as error:
-                    self.journal.write("host_not_written", error=str(error))
-                    await self.broadcast_record(written)
-                    await curio.sleep(backoff * self.rng.uniform(0.5, 1.0))
-                    backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
-                    continue
-                self.stored_record = written
-                self.stored_era = era or self.era
-                self.observe_era(era)
-
-    async def broadcast_record(self, record: HostRecord) -> None:
-        """Tell the other nodes a record that the store does not take."""
-        now = self.clock.now()
-        if now - self.broadcast_at < REPEAT_BROADCAST_SECONDS:
-            return
-        self.broadcast_at = now
-        await self.peer_monitor.broadcast_record(record)
-
     async def run(self) -> None:
         """Ask the readers at intervals, and read while asked, until cancelled."""
         if self.first_start:
@@ -272,8 +215,7 @@
             now = self.clock.now()
             await self.follow(self.choices[turn % len(self.choices)], now)
             turn += 1
-            if self.published and self.is_unwritten():
-                await self.record_changed.set()
+            await self.publisher.write_if_due()
             if self.sources:
                 await self.source_added.set()
             await curio.sleep(TICK_SECONDS)
@@ -284,7 +226,7 @@
         silent = {each.update(now) for each in self.choices} - {""}
         if self.has_lost_store():
             for each in self.choices:
-                each.record_reply(self.own_record.address, False, now)
+                each.record_reply(self.own_address, False, now)
         await self.update_role(now)
         if self.has_lost_store() and now >= self.check_due_at:
             self.check_due_at = now + CHECK_SECONDS
@@ -308,9 +250,7 @@
         }
         return {
             address
-            for address in expected_followers(
-                self.reader_hosts(), self.own_record.address
-            )
+            for address in expected_followers(self.reader_hosts(), self.own_address)
             if now - asked_at.get(address, 0.0) > LAPSE_SECONDS
         }
 
@@ -329,8 +269,7 @@
         if generation == self.ranked_generation or not self.directory.hosts_known:
             return
         self.ranked_generation = generation
-        own = self.own_record
-        rankings = rank_readers(self.reader_hosts(), own.address, own.domain)
+        rankings = rank_readers(self.reader_hosts(), self.own_address, self.own_domain)
         for choice, ranking in zip(self.choices, rankings, strict=True):
             choice.set_ranking(ranking, now)
 
@@ -373,7 +312,7 @@
             return
         choice.record_query(now)
         query = Query(
-            self.own_record.address,
+            self.own_address,
             self.directory.configuration_version,
             self.directory.hosts_position.offset,
             self.directory.hosts_position.era,
@@ -390,7 +329,7 @@
         message = decode_message(data)
         now = self.clock.now()
         if isinstance(message, Query):
-            position = message.position(self.era)
+            position = message.position(self.publisher.era)
             self.followers[message.sender] = KnownFollower(now, position)
             await self.update_role(now)
             await self.send_status(message.sender, position, now)
@@ -408,11 +347,14 @@
             if choice.current != former:
                 await self.update_role(now)
                 await self.ask(choice, now)
-        self.observe_era(status.era)
-        position = status.position(self.era)
-        if status.hosts and status.start(self.era) <= self.directory.hosts_position:
+        self.publisher.observe_era(status.era)
+        position = status.position(self.publisher.era)
+        if (
+            status.hosts
+            and status.start(self.publisher.era) <= self.directory.hosts_position
+        ):
             self.peer_monitor.merge_hosts(
-                status.changes(self.era), position, status.sender
+                status.changes(self.publisher.era), position, status.sender
             )
         self.add_source(status.sender, status.version, position)
         if self.sources:
@@ -426,7 +368,7 @@
         if len(changes) > MAX_DATAGRAM_HOSTS:
             changes = []
         status = Status(
-            self.own_record.address,
+            self.own_address,
             self.is_in_touch(now),
             directory.configuration_version,
             directory.hosts_position.offset,
--- a/src/carawaywheel/platform/store.py
+++ b/src/carawaywheel/platform/store.py
@@ -18,6 +18,7 @@
 ERA_HEADER = b"store-era"
 OK_STATUS = 200
 OFFSET_EXPIRED_STATUS = 410
+TABLE_CHANGED_STATUS = 412
 LENGTH_PREFIX = struct.Struct(">I")
 OFFSETS_HEADER = struct.Struct(">QQ")
 
@@ -92,13 +93,33 @@
 
     async def put(self, table: str, key: str, value: bytes) -> int:
         """Write the value of a key; see the base class."""
+        response = await self.append(table, key, value)
+        self.check_status(response, "append")
+        return self.decode_era(response)
+
+    async def put_at(self, table: str, key: str, value: bytes, offset: int) -> bool:
+        """Write the value of a key unless the table has changed; see the base class."""
+        response = await self.append(table, key, value, f"&at={offset}")
+        if response.status == TABLE_CHANGED_STATUS:
+            return False
+        self.check_status(response, "append")
+        return True
+
+    async def append(
+        self, table: str, key: str, value: bytes, condition: str = ""
+    ) -> Response:
+        """Append a record to a table.
+
+        Raises:
+            LogError: If the request failed or timed out; ``peer`` holds the address of
+                the store.
+        """
         name = key.encode()
         content = bytes([len(name)]) + name + value
         body = LENGTH_PREFIX.pack(len(content)) + content
-        request_target = f"/api/log-append?topic={table}&part=0"
+        request_target = f"/api/log-append?topic={table}&part=0{condition}"
         response, _ = await self.request("POST", request_target, body, 0.0)
-        self.check_status(response, "append")
-        return self.decode_era(response)
+        return response
 
     async def request(
         self, method: str, request_target: str, body: bytes, wait: float
--- a/standins/provider.py
+++ b/standins/provider.py
@@ -27,6 +27,7 @@
 CONTROL_PATH = "/control"
 COUNTS_PATH = "/counts"
 HISTORY_GONE_STATUS = 410
+TOPIC_CHANGED_STATUS = 412
 ERA_HEADER = "Store-Era"
 
 
@@ -106,7 +107,7 @@
         await curio.sleep(self.delay)
         topic = self.topics.setdefault(request.query["topic"], Topic())
         if request.path == "/api/log-append":
-            return await self.append(topic, request.body)
+            return await self.append(topic, request.query, request.body)
         if request.path == "/api/log-newest":
             return self.read_latest(topic)
         if request.path == "/api/log-read":
@@ -145,8 +146,13 @@
         for topic in self.topics.values():
             await topic.wake()
 
-    async def append(self, topic: Topic, body: bytes) -> Response | None:
-        """Append the records of a request body."""
+    async def append(
+        self, topic: Topic, query: dict[str, str], body: bytes
+    ) -> Response | None:
+        """Append the records of a request body, if the topic ends where it must."""
+        end_offset = len(topic.records)
+        if int(query.get("at", end_offset)) != end_offset:
+            return json_response({"end_offset": end_offset}, TOPIC_CHANGED_STATUS)
         records = list(split_records(body))
         offset = await topic.append(records)
         if self.responses_to_lose > 0:
--- a/tests/failing_node.py
+++ b/tests/failing_node.py
@@ -15,6 +15,8 @@
 from carawaywheel.mesh.node import MeshNode
 from carawaywheel.mesh.ratelimiter import RateLimiter
 from carawaywheel.mesh.replication.follower import TableFollower
+from carawaywheel.mesh.replication.publisher import RecordPublisher
+from carawaywheel.mesh.replication.restorer import RecordRestorer
 from carawaywheel.mesh.replication.synchronizer import StateSynchronizer
 from carawaywheel.mesh.stalls import StallDetector
 from carawaywheel.platform.settings import SETTINGS_FILE_VARIABLE
@@ -28,7 +30,8 @@
     (PeerMonitor, "run"),
     (TableFollower, "run"),
     (StateSynchronizer, "run"),
-    (StateSynchronizer, "run_writes"),
+    (RecordPublisher, "run_writes"),
+    (RecordRestorer, "run"),
     (StateSynchronizer, "run_fetches"),
     (TargetRunner, "run_polling"),
     (LinkServer, "run"),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -286,3 +286,12 @@
     store = make_store((200, struct.pack(">QQ", 9, 0), era))
     with pytest.raises(LogError, match="era"):
         curio.run(store.poll_changes, "keyed.op", 9, 1.0)
+
+
+def test_write_to_a_table_that_has_changed_is_not_taken_for_a_failure():
+    store = make_store((412, b"{}"), (200, b"{}"), (503, b"{}"))
+    assert not curio.run(store.put_at, "keyed.hosts", "k", b"v", 3)
+    assert curio.run(store.put_at, "keyed.hosts", "k", b"v", 4)
+    assert store.pool.request_targets[1].endswith("&at=4")
+    with pytest.raises(LogError):
+        curio.run(store.put_at, "keyed.hosts", "k", b"v", 4)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -287,6 +287,68 @@
     )
 
 
+def versions_since_restart(platform, name):
+    """Return the versions that the second process of a node has had in force."""
+    lines = platform.log_lines(name)
+    starts = [i for i, line in enumerate(lines) if line["event"] == "start"]
+    return [
+        line["version"]
+        for line in lines[starts[1] if len(starts) > 1 else len(lines) :]
+        if line["event"] == "configuration"
+    ]
+
+
+@pytest.mark.parametrize("role", ["followers", "readers"])
+def test_nodes_restarted_beside_a_store_that_lost_a_change_start_with_it(
+    platform, role
+):
+    """Their peers have the change, and the operator has not written it again yet."""
+    start_hosts(platform)
+    found = wait_for_readers(platform)
+    names = [n for n in NAMES if (n in found) == (role == "readers")][:2]
+    platform.publish(configuration(4, ONLY_READ))
+    wait_until_in_force(platform, NAMES, 2.0)
+    platform.control(platform.store_address, {"restore": {"keyed.op": 1}})
+    for name in names:
+        platform.processes[name].kill()
+    for name in names:
+        platform.start_node(name, "yard" if name == "h2" else "desk")
+    for name in names:
+        versions = platform.wait_for(
+            lambda name=name: versions_since_restart(platform, name),
+            "the log tells the version",
+            8.0,
+        )
+        assert versions == [4]
+
+
+def test_record_that_only_peers_have_of_a_lost_node_is_written_again(platform):
+    """Otherwise nodes that start later use a target that has left."""
+    start_hosts(platform)
+    wait_for_readers(platform)
+    count = count_records(platform, "keyed.hosts")
+    platform.configure_target("h2", phase="gone")
+    platform.wait_for(
+        lambda: platform.record_of("h2")[1][6] == 2, "the store knows that h2 is gone"
+    )
+    platform.wait_for(
+        lambda: all(
+            any(line["phase"] == 2 for line in platform.log_lines(name, "host"))
+            for name in NAMES
+        ),
+        "all know that the target of h2 is gone",
+    )
+    platform.processes["h2"].kill()
+    lost = count_records(platform, "keyed.hosts") - count
+    platform.control(platform.store_address, {"restore": {"keyed.hosts": lost}})
+    assert platform.record_of("h2")[1][6] == 0
+    platform.wait_for(
+        lambda: platform.record_of("h2")[1][6] == 2, "its last record is back", 8.0
+    )
+    # The records of the four that live, and one of the lost node.
+    assert count_records(platform, "keyed.hosts") == count + len(NAMES)
+
+
 def test_change_of_a_host_at_an_offset_given_out_again_is_known(platform):
     start_hosts(platform)
     wait_for_readers(platform)
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -45,6 +45,9 @@
     async def put(self, table, key, value):
         raise LogError("not written here", "put", "store")
 
+    async def put_at(self, table, key, value, offset):
+        raise LogError("not written here", "put", "store")
+
 
 def make_follower():
     clock = ManualClock(10.0)
@@ -135,6 +138,9 @@
     async def put(self, table, key, value):
         raise LogError("not written here", "put", "store")
 
+    async def put_at(self, table, key, value, offset):
+        raise LogError("not written here", "put", "store")
+
 
 def make_restored_follower(*records):
     follower, _, _, applied = make_follower()
