--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -75,10 +75,19 @@
         items = [KeyValue(key, value, number) for number, (key, value) in changes]
         return TablePage(items, len(self.tables[table]))
 
-    async def put(self, table: str, key: str, value: bytes) -> None:
+    async def put(self, table: str, key: str, value: bytes) -> int:
         """Write a value; see the base class."""
         self.calls += 1
         self.tables[table].append((key, value))
+        return 0
+
+    async def put_at(self, table: str, key: str, value: bytes, offset: int) -> bool:
+        """Write a value unless the table has changed; see the base class."""
+        self.calls += 1
+        if offset != len(self.tables[table]):
+            return False
+        self.tables[table].append((key, value))
+        return True
 
 
 class SimulatedSocket:
@@ -110,7 +119,7 @@
             return False
         directory = self.directory
         state = peer.monitor.encode_state(
-            directory.configuration_version, directory.hosts_offset
+            directory.configuration_version, directory.hosts_position
         )
         self.fleet.bytes_sent += len(state)
         self.fleet.fetches += 1
@@ -189,7 +198,7 @@
     async def step(self, fleet: "SimulatedFleet", now: float) -> None:
         """Do what is due."""
         synchronizer = self.synchronizer
-        if now >= self.published_at and not synchronizer.published:
+        if now >= self.published_at and not synchronizer.publisher.published:
             await self.publish(fleet, Phase.READY)
         if now >= self.due_at:
             self.due_at = now + TICK_SECONDS
@@ -211,7 +220,7 @@
         if not follower.active or now < self.poll_due_at[table]:
             self.polling_since[table] = now
             return
-        has_news = follower.offset is None or follower.offset < len(
+        has_news = follower.is_stale or follower.position.offset < len(
             fleet.store.tables[table]
         )
         if not has_news and now - self.polling_since[table] < follower.wait:
@@ -225,10 +234,10 @@
 
     async def publish(self, fleet: "SimulatedFleet", phase: Phase) -> None:
         """Write the own record, as after a heartbeat of the target."""
-        await self.synchronizer.publish(int(phase), 10)
-        record = self.synchronizer.own_record
-        await fleet.store.put(TABLES[1], self.address, encode_record(record))
-        self.synchronizer.stored_record = record
+        publisher = self.synchronizer.publisher
+        await publisher.publish(int(phase), 10)
+        await fleet.store.put(TABLES[1], self.address, encode_record(publisher.record))
+        publisher.stored_record = publisher.record
 
 
 class SimulatedFleet:
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -7,6 +7,7 @@
 from carawaywheel.clock import ManualClock
 from carawaywheel.mesh.monitor import MAX_LOGGED_HOSTS, OWN_ORIGIN, PeerMonitor
 from carawaywheel.mesh.replication.directory import Directory, HostRecord
+from carawaywheel.mesh.replication.store import START, Position
 from carawaywheel.mesh.target import Phase
 
 
@@ -41,7 +42,10 @@
     names = [f"h{index + 2}" for index in range(MAX_LOGGED_HOSTS)]
     records = [make_record(name, 1) for name in names]
     records += [make_record(name, 2, Phase.DRAINING) for name in names]
-    monitor.merge_hosts(list(enumerate(records, 1)), 9, "store")
+    changes = [
+        (Position(1, offset), record) for offset, record in enumerate(records, 1)
+    ]
+    monitor.merge_hosts(changes, Position(1, 9), "store")
     lines = monitor.journal.named("host")
     assert [(line["id"], line["phase"]) for line in lines] == [
         (name, Phase.DRAINING) for name in names
@@ -49,18 +53,19 @@
     assert not monitor.journal.named("hosts")
 
 
-@pytest.mark.parametrize("known", [0, 5])
+@pytest.mark.parametrize("known", [START, Position(1, 5)])
 def test_reader_passes_on_the_change_of_its_own_record(known):
     """Otherwise followers skip the change, since the reader tells a later offset."""
     reader, follower = make_monitor("h1"), make_monitor("h2")
     reader.mark_hosts_known()
     for sequence, phase in ((1, Phase.READY), (2, Phase.DRAINING)):
         record = make_record("h1", sequence, phase)
-        reader.merge_hosts([(0, record)], 0, OWN_ORIGIN)
-        reader.merge_hosts([(sequence + 4, record)], sequence + 5, "store")
+        reader.merge_hosts([(START, record)], START, OWN_ORIGIN)
+        read_at, read_up_to = Position(1, sequence + 4), Position(1, sequence + 5)
+        reader.merge_hosts([(read_at, record)], read_up_to, "store")
         if sequence == 1:
             follower.merge_state(reader.encode_state(0, known), "h1")
-    offset = follower.directory.hosts_offset
-    follower.merge_state(reader.encode_state(0, offset), "h1")
-    assert follower.directory.hosts_offset == 7
+    position = follower.directory.hosts_position
+    follower.merge_state(reader.encode_state(0, position), "h1")
+    assert follower.directory.hosts_position == Position(1, 7)
     assert follower.directory.hosts[address_of("h1")].phase == Phase.DRAINING
