Refuse a request whose body ends after the announcement of a stop

What callers saw: an upload that was begun before SIGTERM and whose body ended 4.8 s later was passed on, cut off half a second after that, and could not be tried again. Cause: whether a stopping node still takes a request was asked before its body was read. Change: it is asked once more before the request is passed on. Calls of the local target are refused as well once the process cuts off what still runs. Before / after: test_upload_whose_body_ends_after_the_announcement_is_refused got 200 from a node that was to refuse, and gets 503 with nothing run.

--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -102,10 +102,8 @@
         admitted = self.policy.admit(
             configuration, connection.peer, request, caller, sent_at
         )
-        if isinstance(admitted, AdmittedRequest) and self.is_too_late(admitted):
-            admitted = Refusal(
-                Reason.SHUTTING_DOWN, Ran.NOT_RUN, STOPPING_RETRY_SECONDS, STEP
-            )
+        if isinstance(admitted, AdmittedRequest):
+            admitted = self.check_intake(admitted) or admitted
         if isinstance(admitted, Refusal):
             await self.refuse(connection, caller, admitted, started_at)
             return
@@ -140,14 +138,16 @@
                 waited=round(self.clock.now() - started_at, 3),
             )
 
-    def is_too_late(self, admitted: AdmittedRequest) -> bool:
-        """Return whether a request comes too late before the process stops.
+    def check_intake(self, admitted: AdmittedRequest) -> Refusal | None:
+        """Refuse a request if the process is about to stop.
 
-        A call of the local target does not, while a request for which it may be made is
+        A call of the local target is served while a request for which it may be made is
         in flight there.
         """
         is_needed = admitted.from_target and self.runner.active_calls > 0
-        return self.refusing and not is_needed
+        if not self.refusing or (is_needed and not self.cutting_off):
+            return None
+        return Refusal(Reason.SHUTTING_DOWN, Ran.NOT_RUN, STOPPING_RETRY_SECONDS, STEP)
 
     async def deliver(
         self,
@@ -225,6 +225,9 @@
     ) -> CallResult:
         """Read the body, charge the account's rate limit and send the request."""
         body = await connection.read_body(max_body_bytes)
+        refusal = self.check_intake(admitted)
+        if refusal is not None:
+            return refusal
         account = admitted.account
         if account is not None:
             charged = await self.rate_limiter.acquire(account)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -3,6 +3,7 @@
 import http.client
 import os
 import signal
+import socket
 import threading
 import time
 from typing import NamedTuple
@@ -172,6 +173,47 @@
     assert platform.processes["h2"].process.wait(GRACE_SECONDS) == 0
 
 
+def open_raw_connection(platform, name, receive_buffer=0):
+    """Return a socket that is connected to the listener for callers of a node."""
+    host, port = platform.address(name, "outbound").split(":")
+    sock = socket.socket()
+    if receive_buffer:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    sock.settimeout(10.0)
+    sock.connect((host, int(port)))
+    return sock
+
+
+def request_head(method, path, *fields):
+    """Return the head of a request without a connection header."""
+    lines = [f"{method} {path} HTTP/1.1", f"host: {HOST}", "x-deadline-ms: 9000"]
+    lines += [f"x-attempt-id: {os.urandom(8).hex()}", f"authorization: Token {KEY}"]
+    return "\r\n".join([*lines, *fields, "", ""]).encode()
+
+
+def receive_all(sock):
+    """Return what a socket receives until the end of the connection or a reset."""
+    received = b""
+    try:
+        while data := sock.recv(65536):
+            received += data
+    except ConnectionError:
+        pass
+    return received
+
+
+def test_upload_whose_body_ends_after_the_announcement_is_refused(platform):
+    """It was passed on shortly before the exit, and cut off."""
+    sock = open_raw_connection(platform, "h1")
+    sock.sendall(request_head("POST", "/bundle/1", "content-length: 10") + b"x")
+    platform.processes["h1"].signal(signal.SIGTERM)
+    platform.wait_for(lambda: platform.log_lines("h1", "refusing"), "it refuses", 5.0)
+    sock.sendall(b"x" * 9)
+    assert receive_all(sock).startswith(b"HTTP/1.1 503")
+    assert platform.processes["h1"].process.wait(GRACE_SECONDS) == 0
+    assert not platform.runs("h2", "/bundle/1")
+
+
 @pytest.mark.parametrize("grace", [0.0, 0.5, 2.0, 6.0, 10.0, 60.0])
 def test_announcement_leaves_time_for_the_requests_accepted_meanwhile(grace):
     schedule = schedule_stop(grace)
