End each connection only after the client has had its response

What callers saw: 3,961 of 60,000 bytes of a response and a reset, for a request that its target had run, when a stopping node closed the connection and another request had been sent behind it. Cause: the node discarded further input before a close only where it had noticed pipelined requests or an incomplete body. Unread bytes of any other kind reset the connection. Before / after: test_response_is_complete_though_a_request_behind_it_is_unread got 3,961 bytes, and gets all.

--- a/src/carawaywheel/http.py
+++ b/src/carawaywheel/http.py
@@ -339,9 +339,10 @@
         """Let the client read its response before the connection closes.
 
         Closing a connection with unread bytes resets it, and the client may then lose
-        the response, such as the refusal of a request whose body it is still sending.
+        the response: the refusal of a request whose body it is still sending, or a
+        response that closes the connection before a request that was sent behind it.
         """
-        if not self.response_finished or not self.may_have_unread_input():
+        if not self.response_finished:
             return
         try:
             self.sock._socket.shutdown(socket.SHUT_WR)
@@ -350,10 +351,6 @@
             return
         await curio.ignore_after(LINGER_SECONDS, self.receive_until_end)
 
-    def may_have_unread_input(self) -> bool:
-        """Return whether the client may have sent more than was read."""
-        return self.pipelined or not self.request_complete
-
     async def receive_until_end(self) -> None:
         """Discard input until the client closes the connection."""
         while await self.receive_bytes():
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -214,6 +214,19 @@
     assert not platform.runs("h2", "/bundle/1")
 
 
+def test_response_is_complete_though_a_request_behind_it_is_unread(platform):
+    """The connection was reset before a client that reads slowly had the response."""
+    platform.configure_target("h2", work=0.5, bytes=60_000)
+    platform.processes["h1"].signal(signal.SIGTERM)
+    platform.wait_for(lambda: platform.log_lines("h1", "stop"), "it stops")
+    sock = open_raw_connection(platform, "h1", receive_buffer=4096)
+    sock.sendall(request_head("GET", "/inner/a"))
+    platform.wait_for(lambda: platform.runs("h2", "/inner/a"), "it runs")
+    sock.sendall(request_head("GET", "/inner/b"))
+    wait(1.0)
+    assert len(receive_all(sock).partition(b"\r\n\r\n")[2]) == 60_000
+
+
 @pytest.mark.parametrize("grace", [0.0, 0.5, 2.0, 6.0, 10.0, 60.0])
 def test_announcement_leaves_time_for_the_requests_accepted_meanwhile(grace):
     schedule = schedule_stop(grace)
