Close a connection with half a head at the exit without a 400

What callers saw: 400 for a request whose head was still on its way when the node closed its idle connections at the end of a stop. Clients send again what was not read, and never what got 400. Cause: a connection counts as idle until a whole head has been read, and the end of its input, which the node itself makes, was answered as malformed input. Change: no answer after an end of the node's own making. Before / after: test_half_a_head_at_the_exit_is_not_answered_as_malformed got 400, and gets a plain close.

--- a/src/carawaywheel/http.py
+++ b/src/carawaywheel/http.py
@@ -127,6 +127,7 @@
         pipelined: Whether the client sends requests before it has the responses to
             earlier ones.
         request_complete: Whether the whole request was read.
+        input_ended: Whether the node itself has ended the input.
     """
 
     def __init__(self, sock: Any, peer: str, budget: BodyBudget) -> None:
@@ -136,6 +137,7 @@
         self.declared_length = 0
         self.close_after_response = False
         self.request_complete = False
+        self.input_ended = False
         self.expects_continue = False
         self.has_no_body = False
         self.has_idle_reaper = False
@@ -335,6 +337,15 @@
             return
         self.is_pipelined()
 
+    def end_input(self) -> None:
+        """Shut an idle connection down for reading, so that its task closes it."""
+        self.input_ended = True
+        try:
+            self.sock._socket.shutdown(socket.SHUT_RD)
+        except OSError:
+            # The client has disconnected, which its task will see.
+            return
+
     async def discard_unread_input(self) -> None:
         """Let the client read its response before the connection closes.
 
--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -197,6 +197,9 @@
                     await pipeline.wait_for_responses()
                     return
         except ProtocolError as error:
+            if connection.input_ended:
+                # The rest of the request was not read because the node closes.
+                return
             self.on_protocol_error(self.name)
             await pipeline.wait_for_responses()
             await self.send_input_error(connection, error)
@@ -308,7 +311,7 @@
     def close_idle_connections(self) -> None:
         """Shut down idle connections for reading, so that their tasks close them."""
         for fd in self.idle_since:
-            self.connections[fd].sock._socket.shutdown(socket.SHUT_RD)
+            self.connections[fd].end_input()
 
     async def run_idle_reaper(self, idle_seconds: Callable[[], float]) -> None:
         """Close connections that are idle for too long, until cancelled.
@@ -323,7 +326,7 @@
             min_tick = self.reaper_ticks - idle_seconds() / REAPER_INTERVAL_SECONDS
             for fd, since in list(self.idle_since.items()):
                 if since < min_tick:
-                    self.connections[fd].sock._socket.shutdown(socket.SHUT_RD)
+                    self.connections[fd].end_input()
 
     async def close(self) -> None:
         """Stop listening."""
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -227,6 +227,14 @@
     assert len(receive_all(sock).partition(b"\r\n\r\n")[2]) == 60_000
 
 
+def test_half_a_head_at_the_exit_is_not_answered_as_malformed(platform):
+    """Clients send a request again after a close, and never after a 400."""
+    sock = open_raw_connection(platform, "h1")
+    sock.sendall(request_head("GET", "/inner/a")[:40])
+    stop(platform, "h1")
+    assert receive_all(sock) == b""
+
+
 @pytest.mark.parametrize("grace", [0.0, 0.5, 2.0, 6.0, 10.0, 60.0])
 def test_announcement_leaves_time_for_the_requests_accepted_meanwhile(grace):
     schedule = schedule_stop(grace)
