Send the responses that came while a stopping node was paused

What callers saw: a closed connection for three of three requests whose targets had answered while the node was suspended, from 0.3 s after SIGTERM until after the time at which it was to exit. Cause: a node that woke after that time exited without a turn of its event loop. Change: it has 0.2 s at least, within the grace time. Before / after: test_response_that_came_while_the_node_was_paused_is_delivered got status 0, and gets 200.

--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -359,8 +359,8 @@
         await curio.sleep(schedule.refuse_after)
         self.entry.refusing = True
         self.log_running("refusing")
-        remaining = started + schedule.end_after - self.clock.now()
-        await curio.ignore_after(max(0.0, remaining), self.wait_until_idle)
+        remaining = schedule.time_to_finish(self.clock.now() - started)
+        await curio.ignore_after(remaining, self.wait_until_idle)
         self.log_running("stopped")
         self.entry.cutting_off = True
         await self.hangup_monitor.cancel_busy()
--- a/src/carawaywheel/mesh/shutdown.py
+++ b/src/carawaywheel/mesh/shutdown.py
@@ -7,6 +7,8 @@
 ANNOUNCEMENT_SECONDS = 2.6
 # The process exits this long before the end of the grace period in any case.
 STOP_MARGIN_SECONDS = 0.7
+# Time to send the responses that came while the process stood still beyond the end.
+MIN_FINISH_SECONDS = 0.2
 # Longest part of the stop that the announcement may take, so that a short grace period
 # leaves time for the requests that were accepted meanwhile.
 MAX_ANNOUNCEMENT_SHARE = 0.5
@@ -24,6 +26,14 @@
     refuse_after: float
     end_after: float
 
+    def time_to_finish(self, elapsed: float) -> float:
+        """Return how long requests in flight may still take.
+
+        Args:
+            elapsed: Seconds since the stop began.
+        """
+        return max(MIN_FINISH_SECONDS, self.end_after - elapsed)
+
 
 def schedule_stop(grace: float) -> StopSchedule:
     """Return the times of a stop.
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -235,6 +235,20 @@
     assert receive_all(sock) == b""
 
 
+def test_response_that_came_while_the_node_was_paused_is_delivered(platform):
+    """The pause ends after the time at which the node was to exit."""
+    platform.configure_target("h2", work=1.3)
+    options = {"timeout": 12.0, "deadline_ms": 9000}
+    response = platform.send_in_background("h1", "/order/1", "POST", b"x", **options)
+    platform.wait_for(lambda: platform.runs("h2", "/order/1"), "it runs")
+    platform.processes["h1"].signal(signal.SIGTERM)
+    platform.wait_for(lambda: platform.log_lines("h1", "stop"), "it stops")
+    platform.processes["h1"].signal(signal.SIGSTOP)
+    wait(schedule_stop(GRACE_SECONDS).end_after)
+    platform.processes["h1"].signal(signal.SIGCONT)
+    assert response.result(8.0).status == 200
+
+
 @pytest.mark.parametrize("grace", [0.0, 0.5, 2.0, 6.0, 10.0, 60.0])
 def test_announcement_leaves_time_for_the_requests_accepted_meanwhile(grace):
     schedule = schedule_stop(grace)
