Keep a share of a short grace time as the margin of a stop

Cause: the process exited 0.7 s before the end of the grace time, of a short one long before the end: with 3 s of grace after 2.3 s. Found by the review of the stop; installations known have 6 s and more. Change: an eighth of the grace time at most. With 6 s nothing changes. Before / after: test_times_of_a_stop_fit_into_the_grace_time failed for 0.5, 2 and 3 s, and passes; it holds what the test of the announcement held.

--- a/src/carawaywheel/mesh/shutdown.py
+++ b/src/carawaywheel/mesh/shutdown.py
@@ -5,8 +5,10 @@
 # Time in which clients and nodes learn of the stop: two failed readiness checks at one
 # per second, and a margin.
 ANNOUNCEMENT_SECONDS = 2.6
-# The process exits this long before the end of the grace period in any case.
+# The process exits this long before the end of the grace period in any case, or this
+# share of a short one: what is in flight then has had nearly all of it.
 STOP_MARGIN_SECONDS = 0.7
+MAX_STOP_MARGIN_SHARE = 0.125
 # Time to send the responses that came while the process stood still beyond the end.
 MIN_FINISH_SECONDS = 0.2
 # Longest part of the stop that the announcement may take, so that a short grace period
@@ -41,6 +43,6 @@
     Args:
         grace: Seconds after which the platform kills the process.
     """
-    end_after = max(0.0, grace - STOP_MARGIN_SECONDS)
+    end_after = grace - min(STOP_MARGIN_SECONDS, grace * MAX_STOP_MARGIN_SHARE)
     announcement = min(ANNOUNCEMENT_SECONDS, end_after * MAX_ANNOUNCEMENT_SHARE)
     return StopSchedule(announcement, end_after)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -249,8 +249,10 @@
     assert response.result(8.0).status == 200
 
 
-@pytest.mark.parametrize("grace", [0.0, 0.5, 2.0, 6.0, 10.0, 60.0])
-def test_announcement_leaves_time_for_the_requests_accepted_meanwhile(grace):
+@pytest.mark.parametrize("grace", [0.0, 0.5, 2.0, 3.0, 6.0, 10.0, 60.0])
+def test_times_of_a_stop_fit_into_the_grace_time(grace):
+    """Requests accepted late need time, and the first ones nearly all of it."""
     schedule = schedule_stop(grace)
-    assert 0.0 <= schedule.refuse_after <= schedule.end_after <= grace
-    assert schedule.end_after - schedule.refuse_after >= schedule.end_after / 2
+    assert schedule.end_after >= grace * 5 / 6
+    assert schedule.end_after <= grace
+    assert 0.0 <= schedule.refuse_after <= min(3.0, schedule.end_after / 2)
