Check what callers get from a stopping node, and that links are waited for

The test of the refusal now looks at what callers got (503, Retry-After, a closed connection, nothing run) instead of the log, with a request in flight that holds the exit back; a test of the links watches when they count as idle.

--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -35,8 +35,8 @@
 STEP = "entry"
 RATE_RETRY_SECONDS = 1.0
 NOT_READY_RETRY_SECONDS = 1.0
-# A stopping process has ended its requests after some tenths of a second, and takes
-# requests again about a second after its exit.
+# A process that refuses new requests mostly ends the others at once, and is started
+# again within a second of its exit.
 STOPPING_RETRY_SECONDS = 1.5
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,5 +1,7 @@
 """Links between nodes: multiplexing, framing, failure and cancellation of calls."""
 
+from types import SimpleNamespace
+
 import curio
 import pytest
 from curio import socket
@@ -17,8 +19,9 @@
     ResponseFrame,
     encode_frame,
 )
-from carawaywheel.mesh.links import FrameConnection, Link
+from carawaywheel.mesh.links import FrameConnection, Link, LinkServer
 from carawaywheel.mesh.messages import Call, CallReply
+from carawaywheel.mesh.responses import BufferedResponse
 
 CALL = Call("a1", "s", "r", 1.0, 1, "mill", "o", False, False, False, True, 3)
 REPLY = CallReply("", "", None, 0.1, True, 3, [])
@@ -109,6 +112,50 @@
     assert curio.run(send_after_partial_write) == [CallFrame, CancelFrame]
 
 
+class SlowRunner:
+    """Runs a call until it is told to end, and returns a large response."""
+
+    def __init__(self):
+        self.ended = curio.Event()
+
+    async def run(self, call, request, headers, body):
+        await self.ended.wait()
+        return BufferedResponse(200, [], bytes(500_000))
+
+    def build_reply(self, route, refusal):
+        return REPLY
+
+
+async def serve_large_response():
+    local, remote = socket.socketpair()
+    runner = SlowRunner()
+    monitor = SimpleNamespace(observe_caller=lambda peer, version: None)
+    server = LinkServer(None, runner, monitor, SimpleNamespace(), None)
+    server_task = await curio.spawn(server.serve, FrameConnection(local, "peer"))
+    states = [server.is_idle]
+    await remote.sendall(encode_frame(make_call_frame(1)))
+    while not server.calls_in_progress:
+        await curio.sleep(0)
+    states.append(server.is_idle)
+    await runner.ended.set()
+    while server.calls_in_progress:
+        await curio.sleep(0)
+    states.append(server.is_idle)
+    decoder, decoded = FrameDecoder("peer"), []
+    while not decoded:
+        decoded = decoder.feed(await remote.recv(100_000))
+    await curio.sleep(0)
+    states.append(server.is_idle)
+    await remote.close()
+    await server_task.join()
+    return states
+
+
+def test_link_is_idle_only_when_the_whole_response_has_been_sent():
+    """A node that exits before loses the response of a call that has run."""
+    assert curio.run(serve_large_response) == [True, False, False, True]
+
+
 async def receive_out_of_order():
     local, remote = socket.socketpair()
     link = Link(local, "peer")
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -24,11 +24,13 @@
         path: Its path, which no other request has.
         at: Unix time in seconds.
         status: Status of the response; 0 if the connection was closed without one.
+        headers: Its headers.
     """
 
     path: str
     at: float
     status: int
+    headers: dict[str, str]
 
 
 class Caller:
@@ -61,7 +63,7 @@
 
     def send(self, path):
         """Send one request and read its response."""
-        sent_at, status = time.time(), 0
+        sent_at, status, received = time.time(), 0, {}
         headers = {"host": HOST, "authorization": f"Token {KEY}"}
         headers |= {"x-attempt-id": os.urandom(8).hex(), "x-deadline-ms": "5000"}
         try:
@@ -69,9 +71,10 @@
             response = self.connection.getresponse()
             response.read()
             status = response.status
+            received = {name.lower(): value for name, value in response.getheaders()}
         except (OSError, http.client.HTTPException):
             self.connection.close()
-        self.sent.append(Sent(path, sent_at, status))
+        self.sent.append(Sent(path, sent_at, status, received))
 
 
 def start_callers(platform, name, count):
@@ -132,18 +135,27 @@
 
 def test_stopping_node_refuses_new_requests_and_exits_when_idle(platform):
     """Otherwise callers that keep sending hold it up until the grace time is over."""
+    schedule = schedule_stop(GRACE_SECONDS)
+    platform.configure_target("h2", work=schedule.refuse_after + 0.5)
+    last = platform.send_in_background("h1", "/bundle/1", "POST", b"x")
+    platform.wait_for(lambda: platform.runs("h2", "/bundle/1"), "it runs")
+    platform.configure_target("h2", work=0.0)
     callers = start_callers(platform, "h1", 4)
-    platform.wait_for(lambda: all(caller.sent for caller in callers), "all are served")
     stop(platform, "h1")
     stopped = time.time()
     requests = all_sent(callers)
     (begun,) = platform.log_lines("h1", "stop")
-    schedule = schedule_stop(GRACE_SECONDS)
-    assert stopped - begun["time"] < schedule.refuse_after + 1.0
+    assert last.result(8.0).status == 200
+    assert stopped - begun["time"] < schedule.refuse_after + 1.5
     announced = [sent for sent in requests if sent.at < begun["time"] + 2.0]
     assert {sent.status for sent in announced} == {200}
-    last = platform.log_lines("h1", "refused")[-1]
-    assert last["reason"] == "shutting_down" and last["ran"] == "not_run"
+    refused = [sent for sent in requests if sent.status == 503]
+    assert refused
+    ran = {run["path"] for run in platform.runs("h2", "/order/")}
+    for sent in refused:
+        assert sent.path not in ran
+        assert 1.0 <= float(sent.headers["retry-after"]) <= 2.0
+        assert sent.headers["connection"] == "close"
 
 
 def test_calls_for_requests_in_flight_are_served_by_a_stopping_node(platform):
