Let a reader tell the change of its own host

Cause: a reader did not note the position of its own record when it read it from the store. Its statuses and states left the record out but carried the position after it, so that a follower that heard this reader first, and asked the other one later, never got the change.

test_reader_tells_the_change_of_its_own_host failed before ("[] == [HostRecord...") and passes.

--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -252,12 +252,12 @@
         except RecordError as error:
             self.journal.write("host_invalid", error=str(error), origin=origin)
             return False
+        if position > START:
+            self.directory.record_position(record.address, position)
         if record.address == self.own_address and origin != OWN_ORIGIN:
             self.on_own_record(record)
             return False
         former = self.directory.hosts.get(record.address)
-        if position > START:
-            self.directory.record_position(record.address, position)
         if not self.directory.merge(record):
             return False
         restarted = former is None or former.incarnation != record.incarnation
