Keep the position of a record at offset 0, and simulate a restored store

In the simulation of a store that lost all host records, followers never noted where the first record that was written again stands: offset 0 counted as no position. Eras tell it from a record that is not in the store.

--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -24,7 +24,7 @@
 from carawaywheel.mesh.monitor import PeerMonitor
 from carawaywheel.mesh.replication.directory import Directory, HostRecord, encode_record
 from carawaywheel.mesh.replication.follower import TableFollower
-from carawaywheel.mesh.replication.store import KeyValue, Store, TablePage
+from carawaywheel.mesh.replication.store import KeyValue, Position, Store, TablePage
 from carawaywheel.mesh.replication.synchronizer import TICK_SECONDS, StateSynchronizer
 from carawaywheel.mesh.target import Phase
 
@@ -51,11 +51,19 @@
     Attributes:
         tables: Changes of each table, as keys and values.
         calls: Calls so far.
+        era: Rises by one each time the store comes back from a copy.
     """
 
     def __init__(self) -> None:
         self.tables: dict[str, list[tuple[str, bytes]]] = {name: [] for name in TABLES}
         self.calls = 0
+        self.era = 1
+
+    def restore(self, table: str, lost: int) -> None:
+        """Come back without the last changes of a table."""
+        self.era += 1
+        changes = self.tables[table]
+        del changes[len(changes) - lost :]
 
     async def read_all(self, table: str) -> TablePage:
         """Return the newest value of each key; see the base class."""
@@ -64,22 +72,24 @@
             key: KeyValue(key, value, offset)
             for offset, (key, value) in enumerate(self.tables[table])
         }
-        return TablePage(list(newest.values()), len(self.tables[table]))
+        return TablePage(list(newest.values()), len(self.tables[table]), self.era)
 
     async def poll_changes(
         self, table: str, offset: int, wait: float
     ) -> TablePage | None:
         """Return the changes from an offset on; see the base class."""
         self.calls += 1
+        if offset > len(self.tables[table]):
+            return None
         changes = enumerate(self.tables[table][offset:], offset)
         items = [KeyValue(key, value, number) for number, (key, value) in changes]
-        return TablePage(items, len(self.tables[table]))
+        return TablePage(items, len(self.tables[table]), self.era)
 
     async def put(self, table: str, key: str, value: bytes) -> int:
         """Write a value; see the base class."""
         self.calls += 1
         self.tables[table].append((key, value))
-        return 0
+        return self.era
 
     async def put_at(self, table: str, key: str, value: bytes, offset: int) -> bool:
         """Write a value unless the table has changed; see the base class."""
@@ -211,6 +221,9 @@
         ):
             await self.poll(fleet, follower, now)
         await synchronizer.fetch_changes()
+        publisher = synchronizer.publisher
+        if publisher.published and publisher.is_unwritten():
+            await self.write(fleet)
 
     async def poll(
         self, fleet: "SimulatedFleet", follower: TableFollower, now: float
@@ -220,9 +233,9 @@
         if not follower.active or now < self.poll_due_at[table]:
             self.polling_since[table] = now
             return
-        has_news = follower.is_stale or follower.position.offset < len(
-            fleet.store.tables[table]
-        )
+        # The store cuts waiting reads when it goes away.
+        end = Position(fleet.store.era, len(fleet.store.tables[table]))
+        has_news = follower.is_stale or follower.position < end
         if not has_news and now - self.polling_since[table] < follower.wait:
             return
         try:
@@ -234,10 +247,17 @@
 
     async def publish(self, fleet: "SimulatedFleet", phase: Phase) -> None:
         """Write the own record, as after a heartbeat of the target."""
+        await self.synchronizer.publisher.publish(int(phase), 10)
+        await self.write(fleet)
+
+    async def write(self, fleet: "SimulatedFleet") -> None:
+        """Write the own record to the store."""
         publisher = self.synchronizer.publisher
-        await publisher.publish(int(phase), 10)
-        await fleet.store.put(TABLES[1], self.address, encode_record(publisher.record))
-        publisher.stored_record = publisher.record
+        record = publisher.record
+        publisher.stored_era = await fleet.store.put(
+            TABLES[1], self.address, encode_record(record)
+        )
+        publisher.stored_record = record
 
 
 class SimulatedFleet:
@@ -402,16 +422,28 @@
     await measure(
         "one host", lambda d: d.hosts[changed.address].phase == Phase.DRAINING
     )
+    fleet.store.restore(TABLES[1], len(fleet.store.tables[TABLES[1]]))
+    await measure(
+        "store restored, all records lost",
+        lambda d: (
+            d.hosts_position.era == fleet.store.era
+            and min(position.era for position in d.positions.values())
+            == fleet.store.era
+        ),
+    )
+    fleet.store.restore(TABLES[0], 1)
+    fleet.publish_configuration(3)
+    await measure("restored, configuration", lambda d: d.configuration_version == 3)
     lost = fleet.readers()
     for address in lost:
         del fleet.nodes[address]
-    fleet.publish_configuration(3)
-    await measure("readers lost", lambda d: d.configuration_version == 3)
+    fleet.publish_configuration(4)
+    await measure("readers lost", lambda d: d.configuration_version == 4)
     fleet.nodes.clear()
     await fleet.run(RESTART_SECONDS)
     for number in range(size):
         fleet.start(number, first_start=False)
-    await measure("all restart", lambda d: d.configuration_version == 3)
+    await measure("all restart", lambda d: d.configuration_version == 4)
     return rows
 
 
--- a/src/carawaywheel/mesh/replication/messages.py
+++ b/src/carawaywheel/mesh/replication/messages.py
@@ -141,11 +141,10 @@
     """
     if len(offsets) != len(records):
         return [(START, record) for record in records]
-    eras = eras if len(eras) == len(records) else [default_era] * len(records)
-    return [
-        (Position(era, offset) if offset else START, record)
-        for era, offset, record in zip(eras, offsets, records, strict=True)
-    ]
+    if len(eras) != len(records):
+        eras = [default_era if offset else START.era for offset in offsets]
+    positions = map(Position, eras, offsets)
+    return list(zip(positions, records, strict=True))
 
 
 def decode_message(data: bytes) -> Message | None:
