Compare records with the store only after a read of the whole table

A node that becomes a reader in a new era goes on from the position that it has from another reader. Its first page of changes was taken for the whole table, so that it would have written the records of all other hosts again, in vain.

Cause: the restorer took the first page of a new era for a whole one. Pages now tell.

--- a/src/carawaywheel/mesh/replication/follower.py
+++ b/src/carawaywheel/mesh/replication/follower.py
@@ -136,7 +136,7 @@
         finally:
             self.asked_at = None
         self.is_stale = False
-        await self.accept(page)
+        await self.accept(page._replace(is_whole=True))
 
     async def accept(self, page: TablePage) -> None:
         """Apply a page; the next request asks for the changes after it."""
--- a/src/carawaywheel/mesh/replication/restorer.py
+++ b/src/carawaywheel/mesh/replication/restorer.py
@@ -55,18 +55,23 @@
         self.due_at = 0.0
 
     def observe(
-        self, changes: list[tuple[Position, HostRecord]], position: Position
+        self,
+        changes: list[tuple[Position, HostRecord]],
+        position: Position,
+        is_whole: bool,
     ) -> None:
         """Compare records that were read from the store with the known ones.
 
         Args:
-            changes: The records; all of the table if their era is new.
+            changes: The records.
             position: Position after them.
+            is_whole: Whether these are the newest ones of all hosts.
         """
         hosts = self.directory.hosts
         if position.era > self.era:
-            if self.era:
-                self.lost = hosts.keys() - {self.own_address}
+            self.lost.clear()
+            if self.era and is_whole:
+                self.lost |= hosts.keys() - {self.own_address}
                 spread = len(hosts) / REWRITES_PER_SECOND
                 self.due_at = self.clock.now() + PATIENCE_SECONDS + spread
             self.era = position.era
--- a/src/carawaywheel/mesh/replication/store.py
+++ b/src/carawaywheel/mesh/replication/store.py
@@ -41,11 +41,13 @@
         items: Keys with their values, oldest first.
         offset: Offset from which later changes can be read.
         era: Era of the store in which the offsets hold; 0 if it does not tell.
+        is_whole: Whether these are the newest values of all keys.
     """
 
     items: list[KeyValue]
     offset: int
     era: int = 0
+    is_whole: bool = False
 
 
 class Store(ABC):
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -197,7 +197,7 @@
                 self.journal.write("host_invalid", error=str(error))
                 continue
             changes.append((Position(position.era, item.offset), record))
-        self.restorer.observe(changes, position)
+        self.restorer.observe(changes, position, page.is_whole)
         self.peer_monitor.merge_hosts(changes, position, "store")
         self.peer_monitor.mark_hosts_known()
         await self.announce_changes()
--- a/tests/test_restorer.py
+++ b/tests/test_restorer.py
@@ -51,10 +51,11 @@
         store, follower, directory, OWN, journal, clock, random.Random(1)
     )
     records = [make_record(address) for address in (OWN, LOST, OLDER, KEPT)]
-    restorer.observe([(Position(1, 0), each) for each in records], Position(1, 9))
+    changes = [(Position(1, 0), each) for each in records]
+    restorer.observe(changes, Position(1, 9), is_whole=True)
     assert not restorer.lost
     changes = [(Position(2, 0), make_record(OLDER, 1)), (Position(2, 1), records[3])]
-    restorer.observe(changes, Position(2, 3))
+    restorer.observe(changes, Position(2, 3), is_whole=True)
     return restorer, store, events
 
 
@@ -69,7 +70,8 @@
 
 def test_record_that_its_node_has_written_again_is_left_alone():
     restorer, store, _ = make_restorer()
-    restorer.observe([(Position(2, 3), make_record(LOST, 3))], Position(2, 4))
+    changes = [(Position(2, 3), make_record(LOST, 3))]
+    restorer.observe(changes, Position(2, 4), is_whole=False)
     assert restorer.lost == {OLDER}
 
 
@@ -100,3 +102,14 @@
     store.error = None
     curio.run(restorer.restore)
     assert store.written == [LOST, OLDER]
+
+
+def test_reader_that_has_not_read_the_whole_table_takes_nothing_for_lost():
+    """It has learned of the era from another reader and goes on from its position."""
+    restorer, store, _ = make_restorer()
+    changes = [(Position(3, 9), make_record(KEPT, 3))]
+    restorer.observe(changes, Position(3, 10), is_whole=False)
+    restorer.follower.position = Position(3, 3)
+    assert not restorer.lost
+    curio.run(restorer.restore)
+    assert not store.written
