--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -7,6 +7,7 @@
 from carawaywheel.clock import ManualClock
 from carawaywheel.mesh.monitor import MAX_LOGGED_HOSTS, OWN_ORIGIN, PeerMonitor
 from carawaywheel.mesh.replication.directory import Directory, HostRecord
+from carawaywheel.mesh.replication.messages import state_decoder
 from carawaywheel.mesh.replication.store import START, Position
 from carawaywheel.mesh.target import Phase
 
@@ -69,3 +70,14 @@
     follower.merge_state(reader.encode_state(0, position), "h1")
     assert follower.directory.hosts_position == Position(1, 7)
     assert follower.directory.hosts[address_of("h1")].phase == Phase.DRAINING
+
+
+def test_reader_tells_the_position_of_its_own_record():
+    """Otherwise a follower takes the reader's position without having the change."""
+    reader = make_monitor("h1")
+    draining = make_record("h1", 2, Phase.DRAINING)
+    reader.merge_hosts([(START, draining)], START, OWN_ORIGIN)
+    reader.merge_hosts([(Position(1, 7), draining)], Position(1, 8), "store")
+    state = state_decoder.decode(reader.encode_state(0, Position(1, 7)))
+    assert state.hosts == [draining]
+    assert state.offsets == [7]
