Restart a failed part of a node started with flags instead of ending the node

What callers saw: an unexpected error in any part of such a node (membership, the readers of the log, token requests, summaries and so on) ended the process at once; requests in flight were cut off and the host was without its node until a restart.

Cause: `run_part` logged the error and returned, and the group of parts ends with its first part. The mesh node has restarted its components since the supervisor was added there.

The change: `Supervisor` moves from `mesh` to the package, as an abstract base class that leaves the report of a failure to `JournalSupervisor` (mesh) and `RecordingSupervisor` (log line with traceback, counter `part_failed`). The exit status of a node no longer tells of failed parts.

The test injects one error into each of the 14 kinds of parts, 2.5 s after the start. Before: "condition not met within 5.0 s: s1", the node had ended. After: passes, the node serves and stops with status 0.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -114,6 +114,7 @@
         (
             "tests/test_mesh.py::"
             "test_errors_in_background_components_stop_neither_node_nor_requests",
+            "tests/test_parts.py::test_errors_in_parts_stop_neither_node_nor_requests",
             "tests/test_quotas.py::test_malformed_message_is_ignored",
         ),
     ),
--- a/src/carawaywheel/main.py
+++ b/src/carawaywheel/main.py
@@ -61,7 +61,7 @@
 
 
 async def serve(settings: NodeSettings) -> bool:
-    """Run a node until it stops; return whether a part of it failed."""
+    """Run a node until it stops; return whether its sockets cannot be opened."""
     log = HttpLogService(settings.log, settings.log_timeout)
     last_incarnation = await read_last_incarnation(
         log, settings.node_id, settings.fleet_secret
@@ -74,7 +74,7 @@
     typer.echo(json.dumps({"node": settings.node_id, **node.addresses()}))
     sys.stdout.flush()
     await node.run()
-    return node.failed
+    return False
 
 
 def configure_logging(log_format: str) -> None:
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -24,6 +24,7 @@
 from ..signals import SignalWaiter
 from ..signing import Signer
 from ..sockets import open_listener, split_address
+from ..supervisor import Component
 from .callgraph import CallGraph
 from .configuration import InputLimits, MeshConfiguration
 from .entry import EntryHandler
@@ -41,7 +42,7 @@
 from .settings import HostSettings
 from .shedding import AdmissionLevelTable
 from .stalls import StallDetector
-from .supervisor import Component, Supervisor
+from .supervisor import JournalSupervisor
 from .target import LocalTarget, Phase
 
 FLUSH_INTERVAL_SECONDS = 0.1
@@ -89,7 +90,7 @@
         self.journal.install()
         self.signal_waiter = SignalWaiter()
         self.stopping = False
-        self.supervisor = Supervisor(self.journal, self.clock)
+        self.supervisor = JournalSupervisor(self.journal, self.clock)
         self.stalls = StallDetector(self.clock)
         self.hangup_monitor = HangupMonitor()
         self.body_budget = BodyBudget(int(settings.memory_bytes * BUFFERED_BODY_SHARE))
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -20,6 +20,7 @@
 from .entry import EntryHandler
 from .events import EventBuffer, EventKind
 from .executor import TargetExecutor
+from .failures import RecordingSupervisor
 from .fleetcollector import FleetCollector
 from .follower import StreamFollower
 from .gossip import GossipService
@@ -67,7 +68,6 @@
     Attributes:
         settings: Settings of the node.
         stopping: Whether a graceful stop has begun.
-        failed: Whether a part ended with an error.
     """
 
     def __init__(self, settings: NodeSettings, last_incarnation: int) -> None:
@@ -80,7 +80,6 @@
         self.settings = settings
         self.stop_signal = SignalWaiter()
         self.stopping = False
-        self.failed = False
         self.clock = SystemClock()
         self.rng = random.Random(secrets.randbits(64))
         self.signer = Signer(settings.fleet_secret)
@@ -104,6 +103,7 @@
         buffer = EventBuffer(settings.node_id, settings.event_bytes, start)
         summarizer = Summarizer(settings.node_id, self.incarnation, started_at)
         self.recorder = Recorder(buffer, summarizer, self.clock, settings.statsd)
+        self.supervisor = RecordingSupervisor(self.recorder, self.clock)
 
     def build_network(self) -> None:
         """Open the peer listener and the gossip socket, on the same port number."""
@@ -381,19 +381,9 @@
         self.recorder.state_event(EventKind.NODE_STARTED, self.settings.domain)
         async with curio.TaskGroup(wait=any) as group:
             for task in tasks:
-                await group.spawn(self.run_part, task)
+                await group.spawn(self.supervisor.run, task)
             await group.spawn(self.wait_for_stop)
 
-    async def run_part(self, task: Any) -> None:
-        """Run a part; an unexpected error is logged and stops the node."""
-        try:
-            await task()
-        except curio.CancelledError:
-            raise
-        except Exception:
-            logger.exception("part {} failed", task.__qualname__)
-            self.failed = True
-
     async def run_housekeeping(self) -> None:
         """Pass changes of membership and configuration to the parts until cancelled."""
         view = None
