Refuse new requests at a node started with flags once its stop is announced

What callers saw: a stop under load did not end before `--stop-grace`, and its end cut off what had just been accepted: requests, downloads and operators' commands.

Cause: nothing ended the intake. The stop waited for a moment without a request on any connection, with clients that keep sending there is none. The executor refused calls for the local target, but the entry went on to send requests to other nodes, and the admin listener took commands until the exit.

The change: `Intake` counts the requests in flight. After `--leave-wait` it is closed: new requests of callers and operators are refused with 503, `not_run`, Retry-After and `Connection: close`, also those whose body was not complete yet; calls of the target for requests in flight go on. `Shutdown` waits for the requests in flight, writes the last summary, accepts what is in the backlog, closes the listening sockets and gives clients that have just connected 0.2 s to send. The grace time bounds all of it, also the writes to the log, which came before and after it so far. The announcement in the log no longer delays the wait for other nodes.

Ruled out in a trial: closing idle connections right after the listening sockets.

--- a/src/carawaywheel/admin.py
+++ b/src/carawaywheel/admin.py
@@ -25,6 +25,7 @@
 from .fleetcollector import FleetCollector
 from .headers import AUTHORIZATION_HEADER, bearer_key
 from .http import Request
+from .intake import Intake
 from .listener import RequestHandler
 from .policies import (
     PolicyDocument,
@@ -50,6 +51,7 @@
 
 MAX_BODY_BYTES = 256 * 1024
 LOOPBACK_PREFIX = "127."
+STEP = "administration"
 BINARY_HEADER = (b"content-type", b"application/msgpack")
 MISSING_NODES_HEADER = b"x-missing-nodes"
 
@@ -65,6 +67,7 @@
         fleet: FleetCollector,
         slots: SlotService,
         on_announce: Callable[[], None],
+        intake: Intake,
         clock: Clock,
     ) -> None:
         self.announced_target = announced_target
@@ -73,6 +76,7 @@
         self.fleet = fleet
         self.slots = slots
         self.on_announce = on_announce
+        self.intake = intake
         self.clock = clock
         self.post_handlers: dict[str, Callable[..., Awaitable[None]]] = {
             "/policies": self.publish,
@@ -96,6 +100,18 @@
         if request.path == "/announce":
             await self.announce(connection, request, body)
             return
+        if self.intake.closed:
+            refusal = self.intake.refusal(STEP)
+            response = refusal_body(refusal)
+            await connection.respond(refusal.status, [JSON_HEADER], response)
+            return
+        with self.intake.take():
+            await self.handle_operator(connection, request, body)
+
+    async def handle_operator(
+        self, connection: ServerExchange, request: Request, body: bytes
+    ) -> None:
+        """Handle one request of an operator."""
         routes = self.post_handlers if request.method == "POST" else self.get_handlers
         handler = routes.get(request.path)
         if handler is None or request.method not in ("GET", "POST"):
--- a/src/carawaywheel/entry.py
+++ b/src/carawaywheel/entry.py
@@ -25,6 +25,7 @@
     contains_api_key,
 )
 from .http import Headers, Request
+from .intake import Intake
 from .levels import OverloadLevel, OverloadLevelTable
 from .listener import RequestHandler
 from .recorder import Recorder
@@ -53,6 +54,7 @@
         levels: OverloadLevelTable,
         in_flight: InFlightTable,
         relay: Relay,
+        intake: Intake,
         recorder: Recorder,
         clock: Clock,
         max_body: int,
@@ -63,6 +65,7 @@
         self.levels = levels
         self.in_flight = in_flight
         self.relay = relay
+        self.intake = intake
         self.recorder = recorder
         self.clock = clock
         self.max_body = max_body
@@ -77,7 +80,8 @@
         if parent_request is None:
             await self.handle_caller(connection, request, started)
         else:
-            await self.handle_subcall(connection, request, parent_request, started)
+            with self.intake.take():
+                await self.handle_subcall(connection, request, parent_request, started)
 
     async def handle_caller(
         self,
@@ -88,19 +92,36 @@
         """Handle a request from a caller; reads its body only after authentication."""
         root_id = random_id()
         self.recorder.increment("entry.requests")
+        if self.intake.closed:
+            # Closing a connection with unread bytes may reset it before the client
+            # has read the response.
+            await connection.read_body(self.max_body)
+            await self.refuse_late(connection, request, root_id)
+            return
         context = self.authenticate(request, root_id, started)
         if isinstance(context, Refusal):
             connection.close_if_body_unread()
             await self.refuse_without_context(connection, request, root_id, context)
             return
         body = await connection.read_body(self.max_body)
+        if self.intake.closed:
+            await self.refuse_late(connection, request, root_id)
+            return
         if contains_api_key(request.target, request.headers, body):
             # Only the authorization header is stripped; the target would see this key.
             refusal = Refusal(Reason.BAD_REQUEST, step="check for keys")
             await self.refuse(connection, context, refusal, False)
             return
         deadline = started + context.remaining
-        await self.forward(connection, request, body, context, deadline, None)
+        with self.intake.take():
+            await self.forward(connection, request, body, context, deadline, None)
+
+    async def refuse_late(
+        self, connection: ServerExchange, request: Request, root_id: str
+    ) -> None:
+        """Refuse a caller's request that came after the intake was closed."""
+        refusal = self.intake.refusal(STEP)
+        await self.refuse_without_context(connection, request, root_id, refusal)
 
     def authenticate(
         self, request: Request, root_id: str, now: float
--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import curio
+from curio.io import Socket
 from loguru import logger
 
 from .datagrams import format_address
@@ -320,5 +321,19 @@
                     self.connections[fd].sock._socket.shutdown(socket.SHUT_RD)
 
     async def close(self) -> None:
-        """Stop listening."""
+        """Stop listening; connections that clients have already opened are served.
+
+        ``run`` must have ended before.
+        """
+        while (accepted := accept_available(self.sock)) is not None:
+            await curio.spawn(self.serve, *accepted, daemon=True)
         await self.sock.close()
+
+
+def accept_available(sock: Any) -> tuple[Any, tuple[str, int]] | None:
+    """Accept a connection that a client has opened; return None if there is none."""
+    try:
+        client, address = sock._socket.accept()
+    except OSError:
+        return None
+    return Socket(client), address
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -26,6 +26,7 @@
 from .gossip import GossipService
 from .http import BodyBudget
 from .incarnations import event_incarnation, first_incarnation, start_incarnation
+from .intake import Intake
 from .lenders import Lender
 from .levels import OverloadLevelTable
 from .listener import HangupMonitor, Listener
@@ -42,6 +43,7 @@
 from .routing import Router, TargetState
 from .runner import CallRunner
 from .settings import NodeSettings
+from .shutdown import Shutdown
 from .signals import SignalWaiter
 from .signing import Signer
 from .slots import SlotMember, SlotTable
@@ -53,7 +55,6 @@
 from .targets import AnnouncedTarget
 
 HOUSEKEEPING_SECONDS = 0.25
-IDLE_POLL_SECONDS = 0.05
 MAX_PORT_ATTEMPTS = 20
 # A withdrawal of a key must reach all nodes within 5 s, including one relay by a peer.
 CONFIGURATION_LONG_POLL_SECONDS = 1.0
@@ -67,7 +68,6 @@
 
     Attributes:
         settings: Settings of the node.
-        stopping: Whether a graceful stop has begun.
     """
 
     def __init__(self, settings: NodeSettings, last_incarnation: int) -> None:
@@ -79,7 +79,6 @@
         """
         self.settings = settings
         self.stop_signal = SignalWaiter()
-        self.stopping = False
         self.clock = SystemClock()
         self.rng = random.Random(secrets.randbits(64))
         self.signer = Signer(settings.fleet_secret)
@@ -96,7 +95,7 @@
         """Build the event buffer, the summarizer and the recorder."""
         settings = self.settings
         now = self.clock.now()
-        started_at = wall_time()
+        started_at = time.time()
         self.started_at = now
         self.incarnation = first_incarnation(started_at, last_incarnation)
         start = event_incarnation(self.incarnation)
@@ -241,6 +240,7 @@
         """Build the handlers of requests and the executor of the local target."""
         settings = self.settings
         self.announced_target = AnnouncedTarget()
+        self.intake = Intake()
         self.executor = TargetExecutor(
             self.announced_target,
             settings.admission,
@@ -275,6 +275,7 @@
             OverloadLevelTable(settings.level),
             self.executor.in_flight,
             self.relay,
+            self.intake,
             self.recorder,
             self.clock,
             settings.max_body,
@@ -285,6 +286,7 @@
             self.membership,
             self.followers,
             self.signer,
+            self.intake,
             self.recorder,
             self.clock,
             settings.max_body,
@@ -300,6 +302,7 @@
             self.fleet_collector,
             self.slot_service,
             self.publish_target,
+            self.intake,
             self.clock,
         )
         limit = self.settings.max_connections
@@ -315,6 +318,17 @@
             ),
             "admin": self.make_listener("admin", admin_socket, admin_handler, limit),
         }
+        self.shutdown = Shutdown(
+            self.settings,
+            self.intake,
+            self.executor,
+            list(self.listeners.values()),
+            self.gossip,
+            self.slot_service,
+            self.log_writer,
+            self.supervisor,
+            self.recorder,
+        )
 
     def make_listener(self, name: str, sock: Any, handler: Any, limit: int) -> Listener:
         """Build the listener for one listening socket."""
@@ -377,8 +391,8 @@
             self.log_writer.run_summaries,
         ]
         tasks += [follower.run for follower in self.followers.values()]
-        tasks += [listener.run for listener in self.listeners.values()]
         self.recorder.state_event(EventKind.NODE_STARTED, self.settings.domain)
+        await self.shutdown.start_listeners()
         async with curio.TaskGroup(wait=any) as group:
             for task in tasks:
                 await group.spawn(self.supervisor.run, task)
@@ -447,33 +461,7 @@
         """Wait for SIGTERM or SIGINT, then stop gracefully."""
         while await self.stop_signal.wait():
             logger.info("ignoring SIGHUP: settings come from flags and need a restart")
-        await self.stop()
-
-    async def stop(self) -> None:
-        """Stop gracefully, without cutting off a request.
-
-        The other nodes are notified first. They may still send requests for a moment,
-        so the node serves requests until ``leave_wait`` is over.
-        """
-        self.stopping = True
-        logger.info("node {} is stopping", self.settings.node_id)
-        self.recorder.state_event(EventKind.NODE_STOPPING, "")
-        await self.gossip.leave()
-        await self.slot_service.release_slots()
-        for name in ("callers", "peers"):
-            self.listeners[name].drain()
-        await curio.sleep(self.settings.leave_wait)
-        self.executor.shutting_down = True
-        await curio.ignore_after(self.settings.stop_grace, self.wait_until_idle)
-        await self.log_writer.write_summary(True)
-        self.recorder.flush()
-
-    async def wait_until_idle(self) -> None:
-        """Wait until no request is in flight, then close the idle connections."""
-        while self.hangup_monitor.busy:
-            await curio.sleep(IDLE_POLL_SECONDS)
-        for listener in self.listeners.values():
-            listener.close_idle_connections()
+        await self.shutdown.run()
 
     def status(self) -> dict[str, object]:
         """Return the status of this node for operators."""
@@ -486,7 +474,7 @@
             "domain": self.settings.domain,
             "incarnation": self.incarnation,
             "uptime": round(now - self.started_at, 1),
-            "stopping": self.stopping,
+            "stopping": self.shutdown.begun,
             "members": len(self.membership.members(now)),
             "position": configuration.position,
             "news_age": finite_or_none(configuration.age),
@@ -513,8 +501,3 @@
 def finite_or_none(seconds: float) -> float | None:
     """Return a time rounded for JSON, or None if it is infinite."""
     return round(seconds, 3) if seconds < float("inf") else None
-
-
-def wall_time() -> float:
-    """Return the wall clock time in seconds since the epoch."""
-    return time.time()
--- a/src/carawaywheel/peers.py
+++ b/src/carawaywheel/peers.py
@@ -18,6 +18,7 @@
     SIGNATURE_HEADER,
 )
 from .http import Request
+from .intake import Intake
 from .listener import RequestHandler
 from .logservice import encode_batch
 from .membership import Membership
@@ -50,6 +51,7 @@
         membership: Membership,
         followers: dict[str, StreamFollower],
         signer: Signer,
+        intake: Intake,
         recorder: Recorder,
         clock: Clock,
         max_body: int,
@@ -61,6 +63,7 @@
         self.membership = membership
         self.followers = followers
         self.signer = signer
+        self.intake = intake
         self.recorder = recorder
         self.clock = clock
         self.max_body = max_body
@@ -77,7 +80,8 @@
             context = decode_request_context(header, connection.peer)
             body = await connection.read_body(self.max_body)
             check_body_digest(body, digest, connection.peer)
-            await self.handle_call(connection, request, body, context)
+            with self.intake.take():
+                await self.handle_call(connection, request, body, context)
             return
         digest = request.header(DIGEST_HEADER)
         self.verify(connection, request, digest.encode("latin-1"))
--- /dev/null
+++ b/tests/test_stop.py
@@ -0,0 +1,239 @@
+"""Planned stops of a node that is started with flags, under load."""
+
+import http.client
+import json
+import signal
+import socket
+import threading
+import time
+
+import pytest
+
+from standins.mesh import ROOT_TOKEN
+
+from .fault_harness import CONNECTION_ERRORS, run_in_thread, send_request
+from .mesh_harness import new_mesh, start_mesh
+
+proves = pytest.mark.proves
+
+GRACE_SECONDS = 8
+SENDERS = 12
+
+
+@pytest.fixture(scope="module")
+def shared():
+    with new_mesh() as mesh:
+        mesh.key = start_mesh(mesh)["key"]
+        yield mesh
+
+
+@pytest.fixture
+def node(shared):
+    """A node of its own with a slow target, to be stopped by the test."""
+    options = {"stop-grace": str(GRACE_SECONDS), "leave-wait": "0.6"}
+    managed = shared.start_node("s1", "west", options)
+    arguments = ["--service-time", "1.5", "--calls", "/dispatch"]
+    shared.start_target("s1", "mapdesk", arguments=arguments)
+    shared.wait_for(
+        lambda: shared.call("s1", "/dispatch", shared.key).status == 200, ""
+    )
+    shared.wait_for(
+        lambda: shared.fleet_status("s1")["s1"]["target_state"] == "ready", "ready"
+    )
+    yield managed
+    for name in ("s1", "target-s1"):
+        shared.processes.pop(name).stop()
+    shared.control(shared.log_address, {"down": False, "delay": 0.0})
+
+
+class Sender(threading.Thread):
+    """Sends requests until the node refuses connections; keeps what came of each.
+
+    The first request on a connection is sent ``pause`` seconds after it was opened.
+    """
+
+    def __init__(
+        self, address, key, method="POST", path="/dispatch", body=b"crew", pause=0.0
+    ):
+        super().__init__(daemon=True)
+        self.address = address
+        self.pause = pause
+        self.arguments = (method, path, body, {"authorization": f"Bearer {key}"})
+        self.answers = []
+        self.lost = []
+        self.start()
+
+    def run(self):
+        end = time.monotonic() + 3 * GRACE_SECONDS
+        while time.monotonic() < end:
+            connection = http.client.HTTPConnection(self.address, timeout=8.0)
+            try:
+                connection.connect()
+            except ConnectionRefusedError:
+                return
+            except OSError as error:
+                self.lost.append((time.monotonic(), repr(error)))
+                continue
+            time.sleep(self.pause)
+            self.send_until_closed(connection)
+
+    def send_until_closed(self, connection):
+        """Send requests on one connection until the node announces to close it."""
+        connection.auto_open = 0
+        while connection.sock is not None:
+            try:
+                connection.request(*self.arguments)
+                response = connection.getresponse()
+                body = response.read()
+            except CONNECTION_ERRORS as error:
+                self.lost.append((time.monotonic(), repr(error)))
+                return
+            fields = {name.lower(): value for name, value in response.getheaders()}
+            self.answers.append((response.status, fields, body))
+
+
+def stop_under_load(node, senders):
+    """Stop a node while senders send; return the seconds until it has ended."""
+    time.sleep(0.3)
+    started_at = time.monotonic()
+    node.signal(signal.SIGTERM)
+    assert node.process.wait(3 * GRACE_SECONDS) == 0
+    seconds = time.monotonic() - started_at
+    for sender in senders:
+        sender.join(3 * GRACE_SECONDS)
+    return seconds
+
+
+def test_stop_under_load_refuses_new_requests_and_cuts_off_none(shared, node):
+    """Guards against a stop without end whose end cuts off accepted requests."""
+    target = shared.processes["target-n2"].startup_info["address"]
+    shared.control(target, {"service_time": 0.2})
+    address = node.startup_info["callers"]
+    senders = [Sender(address, shared.key) for _ in range(SENDERS)]
+    seconds = stop_under_load(node, senders)
+    shared.control(target, {"service_time": 0.01})
+    assert [item for sender in senders for item in sender.lost] == []
+    answers = [item for sender in senders for item in sender.answers]
+    refused = [item for item in answers if item[0] != 200]
+    assert len(answers) > len(refused) > 0
+    for status, fields, body in refused:
+        assert status == 503 and fields["connection"] == "close"
+        assert int(fields["retry-after"]) >= 1
+        assert json.loads(body)["ran"] == "not_run"
+        assert json.loads(body)["reason"] == "shutting_down"
+    assert seconds < 3.0
+
+
+def test_client_that_has_just_connected_when_a_node_stops_gets_an_answer(shared, node):
+    """Guards against a connection that is closed before its first request."""
+    address = node.startup_info["callers"]
+    senders = [Sender(address, shared.key, pause=0.08) for _ in range(SENDERS)]
+    stop_under_load(node, senders)
+    assert [item for sender in senders for item in sender.lost] == []
+
+
+def test_running_request_and_its_calls_end_while_new_ones_are_refused(shared, node):
+    """Guards against calls of a running request that a stop refuses."""
+    running = run_in_thread(shared.call, "s1", "/maps", shared.key)
+    entered = [run_in_thread(shared.call, "n1", "/maps", shared.key) for _ in range(6)]
+    senders = [Sender(node.startup_info["callers"], shared.key) for _ in range(4)]
+    seconds = stop_under_load(node, senders)
+    assert seconds < 4.0
+    for future in [running, *entered]:
+        response = future.result(10)
+        assert response.status == 200 and response.complete
+        calls = json.loads(response.body)["calls"]
+        assert [item["status"] for item in calls] == [200]
+
+
+def test_streamed_response_ends_whole_while_new_requests_are_refused(shared, node):
+    """Guards against a download that the end of a stop under load truncates."""
+    connection = http.client.HTTPConnection(node.startup_info["callers"], timeout=20.0)
+    fields = {"authorization": f"Bearer {shared.key}"}
+    connection.request("GET", "/maps?size=20000000", None, fields)
+    response = connection.getresponse()
+    size = len(response.read(100_000))
+    senders = [Sender(node.startup_info["callers"], shared.key) for _ in range(4)]
+    node.signal(signal.SIGTERM)
+    for _ in range(25):
+        time.sleep(0.1)
+        size += len(response.read(100_000))
+    size += len(response.read())
+    assert size == 20_000_000
+    assert node.process.wait(3.0) == 0
+    assert [item for sender in senders for item in sender.lost] == []
+
+
+def test_request_whose_body_comes_after_the_intake_ended_is_refused(shared, node):
+    """Guards against a slow body that runs in the last moment or holds up the stop."""
+    host, _, port = node.startup_info["callers"].rpartition(":")
+    head = "POST /dispatch HTTP/1.1\r\nhost: a\r\nauthorization: Bearer "
+    head += f"{shared.key}\r\nx-dispatch-id: late\r\ncontent-length: 4\r\n\r\n"
+    running = run_in_thread(shared.call, "s1", "/maps", shared.key)
+    with (
+        socket.create_connection((host, int(port)), 5.0) as late,
+        socket.create_connection((host, int(port)), 5.0) as never,
+    ):
+        late.sendall(head.encode())
+        never.sendall(head.encode())
+        time.sleep(0.2)
+        node.signal(signal.SIGTERM)
+        time.sleep(0.9)
+        late.sendall(b"crew")
+        received = late.recv(65536)
+        assert received.startswith(b"HTTP/1.1 503") and b'"not_run"' in received
+        assert node.process.wait(5.0) == 0
+    assert running.result(5).status == 200
+    counts = send_request(
+        shared.processes["target-n2"].startup_info["address"], "/counts"
+    ).document
+    assert "late" not in counts["runs"]
+
+
+def test_change_accepted_before_a_stop_is_written_and_answered(shared, node):
+    """Guards against an operator's change whose outcome a stop hides."""
+    shared.control(shared.log_address, {"delay": 1.5})
+    body = json.dumps(
+        {"team": "okonkwo", "key_id": "57a900000000aaaa", "digest": "0" * 64,
+         "account": "bibb", "reason": "test"}
+    ).encode()  # fmt: skip
+    admin = node.startup_info["admin"]
+    options = {"method": "POST", "body": body}
+    change = run_in_thread(send_request, admin, "/keys", ROOT_TOKEN, **options)
+    time.sleep(0.2)
+    node.signal(signal.SIGTERM)
+    time.sleep(1.0)
+    late = send_request(admin, "/keys", ROOT_TOKEN, **options)
+    assert late.status == 503 and late.document["ran"] == "not_run"
+    assert change.result(10).document["result"] == "accepted"
+    assert node.process.wait(GRACE_SECONDS) == 0
+
+
+def test_operators_who_keep_asking_do_not_hold_up_a_stop(shared, node):
+    """Guards against admin requests that a stop takes until its end cuts them off."""
+    path = "/fleet/status"
+    admin = node.startup_info["admin"]
+    senders = [Sender(admin, ROOT_TOKEN, "GET", path, None) for _ in range(6)]
+    seconds = stop_under_load(node, senders)
+    assert [item for sender in senders for item in sender.lost] == []
+    assert seconds < 3.0
+
+
+@proves("I11", "node: stop", "log down")
+@proves("I11", "node: stop", "log slow or forgetting")
+@pytest.mark.parametrize("fault", [{"down": True}, {"delay": 5.0}])
+def test_log_that_does_not_answer_delays_a_stop_within_the_grace(shared, node, fault):
+    """Guards against writes to the log that hold a process beyond its grace time."""
+    shared.control(shared.log_address, fault)
+    assert stop_under_load(node, []) < GRACE_SECONDS + 1.0
+
+
+def test_signals_within_a_stop_change_nothing(shared, node):
+    """Guards against a second signal that ends the requests in flight."""
+    running = run_in_thread(shared.call, "s1", "/maps", shared.key)
+    time.sleep(0.2)
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        node.signal(number)
+        time.sleep(0.15)
+    assert running.result(10).status == 200
+    assert node.process.wait(GRACE_SECONDS) == 0
