Leave released rate slots alone until the end of a stop

What callers saw: after the planned stop of a node, a part of the rates could be missing until the lease had run out (two hours), as if the node had been lost. And between the release and the moment at which the node read it back, it lent on beside a successor.

Cause: `release_all` appended the releases, but the slots stayed held until the release was read back, so the next read handed them to the lender again. Once it was read, the node still ranked first for the slot and claimed it again.

The change: a table that leaves neither lends nor claims. The slot service keeps the claims that it has not read back and releases them too.

Before: test_released_slots_stay_released_until_the_end_of_a_stop found claims as the newest records of slots, test_released_slot_is_neither_lent_nor_claimed_... that `may_lend` was true.

--- a/src/carawaywheel/slots.py
+++ b/src/carawaywheel/slots.py
@@ -54,6 +54,7 @@
             read the whole log, or None.
         frozen_lease_starts: By slot under notice, the value of ``caught_up_at`` when
             the notice was read.
+        leaving: Whether this node stops, and so neither lends nor claims.
     """
 
     def __init__(self, settings: ShareSettings, own: SlotMember) -> None:
@@ -62,6 +63,7 @@
         self.states: dict[SlotKey, SlotState] = {}
         self.caught_up_at: float | None = None
         self.frozen_lease_starts: dict[int, float] = {}
+        self.leaving = False
 
     def apply(self, record: SlotRecord, now: float) -> None:
         """Apply one record; records must be applied in log order.
@@ -172,7 +174,7 @@
 
         Must be called after each batch of ``apply`` and after ``renew_leases``.
         """
-        held = self.held_slots()
+        held = {} if self.leaving else self.held_slots()
         for slot in list(lender.slots):
             if slot not in held or held[slot].claim.term != lender.slots[slot].term:
                 lender.release_slot(slot)
@@ -206,6 +208,8 @@
             members: The live nodes, with or without this one.
             now: Time in seconds.
         """
+        if self.leaving:
+            return []
         nodes = {member.node: member for member in members}
         nodes[self.own.node] = self.own
         peers = [name for name, m in nodes.items() if m.domain == self.own.domain]
@@ -288,12 +292,19 @@
     def release_all(self, release: Callable[[int], None]) -> list[SlotRelease]:
         """Stop lending and return the release records for a graceful shutdown.
 
+        From now on the node neither lends nor claims.
+
         Args:
             release: ``Lender.release_slot``; called before the record is created.
         """
+        self.leaving = True
         records = []
         for slot, state in self.held_slots().items():
             release(slot)
-            claim = state.claim
-            records.append(SlotRelease(slot, claim.domain, claim.term, *claim[3:5]))
+            records.append(release_of(state.claim))
         return records
+
+
+def release_of(claim: SlotClaim) -> SlotRelease:
+    """Return the record with which the holder of a claim releases its slot."""
+    return SlotRelease(*claim[:5])
--- a/src/carawaywheel/slotservice.py
+++ b/src/carawaywheel/slotservice.py
@@ -15,9 +15,9 @@
 from .membership import Membership
 from .recorder import Recorder
 from .records import NodeForgotten, Record, decode, encode
-from .slotrecords import ForgetNode, SlotRecord
+from .slotrecords import ForgetNode, SlotClaim, SlotRecord
 from .slotreplay import SlotReplay, SlotsSnapshot
-from .slots import SlotMember, SlotTable
+from .slots import SlotMember, SlotTable, release_of
 from .sources import rank_readers
 from .views import ConfigurationView
 
@@ -37,6 +37,8 @@
         oldest_offset: Oldest offset that the stream still has.
         lenders_outdated: Whether records were read since the borrower was updated.
         reported_slots: Slots held at the last report.
+        unread_claims: Claims of this node that were appended and not read back yet, by
+            slot; a node that leaves may never read them.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         self.oldest_offset = 0
         self.lenders_outdated = True
         self.reported_slots: set[int] = set()
+        self.unread_claims: dict[int, SlotClaim] = {}
 
     def start_at(self, offset: int) -> None:
         """Continue at ``offset``, the oldest that the stream still has."""
@@ -82,6 +85,8 @@
             self.replay.skip(offset)
             return
         now = self.clock.now()
+        if isinstance(record, SlotClaim) and self.table.is_own(record):
+            self.unread_claims.pop(record.slot, None)
         if isinstance(record, NodeForgotten):
             forgotten = ForgetNode(record.node_id, record.incarnation)
             self.replay.apply(offset, forgotten, now)
@@ -168,7 +173,14 @@
         for record in records[:CLAIMS_PER_ROUND]:
             if isinstance(record, ForgetNode):
                 continue
-            if not await self.append(record):
+            if self.table.leaving:
+                return
+            if isinstance(record, SlotClaim):
+                self.unread_claims[record.slot] = record
+            appended = await self.append(record)
+            if self.table.leaving and isinstance(record, SlotClaim):
+                await self.append(release_of(record))
+            if not appended:
                 return
 
     def newest_incarnation(self, node_id: str) -> int:
@@ -186,7 +198,9 @@
 
     async def release_slots(self) -> None:
         """Release all slots at a graceful shutdown."""
-        for record in self.table.release_all(self.lender.release_slot):
+        records = self.table.release_all(self.lender.release_slot)
+        records += [release_of(claim) for claim in self.unread_claims.values()]
+        for record in records:
             if not await self.append(record):
                 return
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -514,6 +514,22 @@
         assert not lender.may_lend(0, 1, 3.0)
 
 
+def test_released_slot_is_neither_lent_nor_claimed_until_the_release_is_read():
+    """Guards against a stopping holder that lends or claims what it gave back."""
+    table = table_of("n0")
+    lender = make_lender()
+    lender.slots.clear()
+    for record in table.due_records([], 0.0):
+        table.apply(record, 0.0)
+    table.renew_leases(0.0)
+    table.update_lender(lender, 0.0)
+    assert len(table.release_all(lender.release_slot)) == 1
+    table.renew_leases(3.0)
+    table.update_lender(lender, 3.0)
+    assert not lender.may_lend(0, 1, 3.0)
+    assert table.due_records([], 3.0) == []
+
+
 def test_claims_without_evidence_are_ignored():
     """Guards against two holders of one slot."""
     for claim in (
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,5 +1,6 @@
 """Planned stops of a node that is started with flags, under load."""
 
+import base64
 import http.client
 import json
 import signal
@@ -9,7 +10,9 @@
 
 import pytest
 
-from standins.mesh import ROOT_TOKEN
+from carawaywheel.records import decode
+from carawaywheel.slotrecords import SlotClaim, SlotRelease
+from standins.mesh import FLEET_SECRET, ROOT_TOKEN, Mesh
 
 from .fault_harness import CONNECTION_ERRORS, run_in_thread, send_request
 from .mesh_harness import new_mesh, start_mesh
@@ -237,3 +240,27 @@
         time.sleep(0.15)
     assert running.result(10).status == 200
     assert node.process.wait(GRACE_SECONDS) == 0
+
+
+def slot_records(mesh):
+    """Return the newest claim or release of each slot in the log."""
+    path = "/streams/shares/records?limit=100000"
+    document = send_request(mesh.log_address, path).document
+    newest = {}
+    for _, data in document["records"]:
+        record = decode(base64.b64decode(data), FLEET_SECRET.encode())
+        if isinstance(record, SlotClaim | SlotRelease):
+            newest[record.slot, record.domain] = record
+    return newest
+
+
+def test_released_slots_stay_released_until_the_end_of_a_stop():
+    """Guards against rates that are missing after a stop until a lease runs out."""
+    with Mesh() as mesh:
+        mesh.start_log()
+        node = mesh.start_node("a1", options={"leave-wait": "3"})
+        mesh.wait_for(lambda: slot_records(mesh), "the node claims slots")
+        node.signal(signal.SIGTERM)
+        assert node.process.wait(GRACE_SECONDS) == 0
+        kinds = [type(record).__name__ for record in slot_records(mesh).values()]
+        assert set(kinds) == {"SlotRelease"}
