Release the claims of requests that did not run before a stopping node exits

What callers saw: a request with an idempotency key was refused with `not_run` by a node that was about to stop, and its repetition at other nodes was refused as `duplicate` until the log forgot the claim.

Cause: releases are appended in the background every 0.5 s; the process ended without those that were still scheduled.

The change: a stop appends the scheduled releases before its last summary, within the grace time.

Before: of eight requests that timed out beside a slow log (0.4 s) the repetitions from the fourth on got 409. After: all get 200.

--- a/src/carawaywheel/claimservice.py
+++ b/src/carawaywheel/claimservice.py
@@ -61,6 +61,7 @@
     Attributes:
         streams: Claims streams by name.
         pending_releases: Claims that are still to be released, oldest first.
+        release_lock: Serializes the releases.
     """
 
     def __init__(self, node_id: str, log: LogService, secret: bytes) -> None:
@@ -68,6 +69,7 @@
         self.log = log
         self.secret = secret
         self.streams: dict[str, ClaimStream] = {}
+        self.release_lock = curio.Lock()
         self.pending_releases: deque[AcquiredClaim] = deque(maxlen=MAX_PENDING_RELEASES)
 
     async def claim(
@@ -107,6 +109,11 @@
         """Append scheduled releases until cancelled; failed ones are retried."""
         while True:
             await curio.sleep(RELEASE_INTERVAL_SECONDS)
+            await self.append_releases()
+
+    async def append_releases(self) -> None:
+        """Append the scheduled releases; they stay scheduled if the log fails."""
+        async with self.release_lock:
             while self.pending_releases and await self.release(
                 self.pending_releases[0]
             ):
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -325,6 +325,7 @@
             list(self.listeners.values()),
             self.gossip,
             self.slot_service,
+            self.claim_service,
             self.log_writer,
             self.supervisor,
             self.recorder,
--- a/src/carawaywheel/shutdown.py
+++ b/src/carawaywheel/shutdown.py
@@ -5,6 +5,7 @@
 import curio
 from loguru import logger
 
+from .claimservice import ClaimService
 from .events import EventKind
 from .executor import TargetExecutor
 from .gossip import GossipService
@@ -38,6 +39,7 @@
         listeners: list[Listener],
         gossip: GossipService,
         slot_service: SlotService,
+        claim_service: ClaimService,
         log_writer: PeriodicLogWriter,
         supervisor: Supervisor,
         recorder: Recorder,
@@ -48,6 +50,7 @@
         self.listeners = listeners
         self.gossip = gossip
         self.slot_service = slot_service
+        self.claim_service = claim_service
         self.log_writer = log_writer
         self.supervisor = supervisor
         self.recorder = recorder
@@ -98,6 +101,7 @@
         while self.intake.in_flight:
             await curio.sleep(IDLE_POLL_SECONDS)
         await announcement.join()
+        await self.supervisor.attempt(self.claim_service.append_releases)
         await self.supervisor.attempt(self.write_summary)
         for task in self.accept_tasks:
             await task.cancel()
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -264,3 +264,24 @@
         assert node.process.wait(GRACE_SECONDS) == 0
         kinds = [type(record).__name__ for record in slot_records(mesh).values()]
         assert set(kinds) == {"SlotRelease"}
+
+
+def test_requests_that_did_not_run_before_a_stop_may_be_repeated(shared, node):
+    """Guards against a claim that a stop leaves behind for a request that never ran."""
+
+    def dispatch(name, index, **headers):
+        address = shared.processes[name].startup_info["callers"]
+        fields = {"idempotency-key": f"stop-{index}", **headers}
+        return send_request(
+            address, "/dispatch", shared.key, "POST", fields, b"crew", 8.0
+        )
+
+    shared.control(shared.log_address, {"delay": 0.4})
+    deadline = {"x-deadline-ms": "600"}
+    futures = [run_in_thread(dispatch, "s1", index, **deadline) for index in range(8)]
+    assert {future.result(10).ran for future in futures} == {"not_run"}
+    node.signal(signal.SIGTERM)
+    assert node.process.wait(GRACE_SECONDS) == 0
+    shared.control(shared.log_address, {"delay": 0.0})
+    repeated = [dispatch("n1", index).status for index in range(8)]
+    assert repeated == [200] * 8
