Count the time a request waited unread in a paused node started with flags

What callers saw: a request with a deadline of 1 s that reached such a node while its process was paused ran after its deadline, once the process went on: at the entry the caller got 200 after 1.5 s, beside the target it ran although its caller had got 504.

Cause: the time that a request may take was counted from the moment at which it was read. The mesh node has dated input from before a stall since the stall detector was added there.

The change: `StallDetector` moves from `mesh` to the package. The entry and the peer handler of the node started with flags use it, and a request without time left is refused before it is sent, as `deadline`, `not_run`. Loans of tokens were checked by reading: they are dated by their request, on a clock that goes on in a pause.

Before: test_paused_node_runs_no_request_whose_deadline_has_passed failed with the entry paused (200) and with the node of the target paused (the request had run). After: both pass.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -126,6 +126,8 @@
         (
             "tests/test_mesh.py::"
             "test_paused_node_runs_no_request_whose_deadline_has_passed",
+            "tests/test_node.py::"
+            "test_paused_node_runs_no_request_whose_deadline_has_passed",
             "tests/test_quotas.py::test_grant_that_arrives_after_a_pause_is_not_used",
             "tests/test_stalls.py::"
             "test_input_read_after_a_stall_may_be_as_old_as_the_stall",
--- a/src/carawaywheel/entry.py
+++ b/src/carawaywheel/entry.py
@@ -34,6 +34,7 @@
 from .replica import ConfigurationReplica
 from .retries import AttemptBudget
 from .serverexchange import JSON_HEADER, ServerExchange, refusal_body
+from .stalls import StallDetector
 from .streaming import forward_response
 from .views import Route
 
@@ -55,6 +56,7 @@
         in_flight: InFlightTable,
         relay: Relay,
         intake: Intake,
+        stalls: StallDetector,
         recorder: Recorder,
         clock: Clock,
         max_body: int,
@@ -66,6 +68,7 @@
         self.in_flight = in_flight
         self.relay = relay
         self.intake = intake
+        self.stalls = stalls
         self.recorder = recorder
         self.clock = clock
         self.max_body = max_body
@@ -75,7 +78,7 @@
 
         A request that carries the id of a request in flight is a sub-call.
         """
-        started = self.clock.now()
+        started = self.clock.now() - self.stalls.input_age()
         parent_request = self.in_flight.get(request.header(REQUEST_ID_HEADER))
         if parent_request is None:
             await self.handle_caller(connection, request, started)
@@ -252,7 +255,11 @@
             context, deadline, context.idempotent, request, body, budget, progress
         )
         reservations = Reservations()
-        remaining = max(0.0, deadline - self.clock.now())
+        remaining = deadline - self.clock.now()
+        if remaining <= 0:
+            refusal = Refusal(Reason.DEADLINE, Ran.NOT_RUN, None, STEP, context.service)
+            await self.refuse(connection, context, refusal, False)
+            return
         try:
             result = await curio.timeout_after(
                 remaining, self.admit_and_send, call, reservations, parent_request
--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -14,6 +14,7 @@
 from ..routing import Candidate, Router
 from ..serverexchange import JSON_HEADER, ServerExchange, refusal_body
 from ..sockets import split_address
+from ..stalls import StallDetector
 from ..streaming import TruncatedResponseError
 from .callgraph import CallGraph
 from .configuration import Account, RouteKind
@@ -34,7 +35,6 @@
 )
 from .settings import HostSettings
 from .shedding import AdmissionLevelTable
-from .stalls import StallDetector
 
 STEP = "entry"
 # Attempts of one request that may be refused without having run; each costs a round
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -18,6 +18,7 @@
 from ..refusals import Importance, Outcome, Ran, Reason, Refusal
 from ..retries import RetryBudget
 from ..settings import AdmissionSettings, RetrySettings
+from ..stalls import StallDetector
 from .callgraph import CallGraph, FanoutEstimator
 from .journal import Journal
 from .messages import Call, CallReply, ServiceDemand, TargetRequestMetadata
@@ -25,7 +26,6 @@
 from .responses import BufferedResponse, CallResult, StreamedResponse, buffer_response
 from .settings import CONNECT_TIMEOUT_SECONDS, HostSettings
 from .shedding import AdmissionLevel, AdmissionLevelTable, offered_load
-from .stalls import StallDetector
 from .target import LocalTarget, Phase
 
 BODY_METHODS = ("POST", "PUT", "PATCH")
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -24,6 +24,7 @@
 from ..signals import SignalWaiter
 from ..signing import Signer
 from ..sockets import open_listener, split_address
+from ..stalls import StallDetector
 from ..supervisor import Component
 from .callgraph import CallGraph
 from .configuration import InputLimits, MeshConfiguration
@@ -41,7 +42,6 @@
 from .replication.synchronizer import StateSynchronizer
 from .settings import HostSettings
 from .shedding import AdmissionLevelTable
-from .stalls import StallDetector
 from .supervisor import JournalSupervisor
 from .target import LocalTarget, Phase
 
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -50,6 +50,7 @@
 from .slotservice import SHARES_STREAM, SlotService
 from .sockets import open_listener, open_tcp_and_udp, split_address
 from .sources import RecordSources
+from .stalls import StallDetector
 from .statemonitor import StateMonitor
 from .summarizer import Summarizer
 from .targets import AnnouncedTarget
@@ -80,6 +81,7 @@
         self.settings = settings
         self.stop_signal = SignalWaiter()
         self.clock = SystemClock()
+        self.stalls = StallDetector(self.clock)
         self.rng = random.Random(secrets.randbits(64))
         self.signer = Signer(settings.fleet_secret)
         self.log: LogService = HttpLogService(settings.log, settings.log_timeout)
@@ -276,6 +278,7 @@
             self.executor.in_flight,
             self.relay,
             self.intake,
+            self.stalls,
             self.recorder,
             self.clock,
             settings.max_body,
@@ -287,6 +290,7 @@
             self.followers,
             self.signer,
             self.intake,
+            self.stalls,
             self.recorder,
             self.clock,
             settings.max_body,
@@ -378,6 +382,7 @@
         gc.collect()
         gc.freeze()
         tasks = [
+            self.stalls.run,
             self.datagram_socket.run,
             self.hangup_monitor.run,
             self.gossip.run,
--- a/src/carawaywheel/peers.py
+++ b/src/carawaywheel/peers.py
@@ -34,6 +34,7 @@
     decode_request_context,
     encode_header,
 )
+from .stalls import StallDetector
 from .streaming import forward_response
 
 BINARY_HEADER = (b"content-type", b"application/msgpack")
@@ -52,6 +53,7 @@
         followers: dict[str, StreamFollower],
         signer: Signer,
         intake: Intake,
+        stalls: StallDetector,
         recorder: Recorder,
         clock: Clock,
         max_body: int,
@@ -64,6 +66,7 @@
         self.followers = followers
         self.signer = signer
         self.intake = intake
+        self.stalls = stalls
         self.recorder = recorder
         self.clock = clock
         self.max_body = max_body
@@ -78,6 +81,8 @@
             digest = request.header(DIGEST_HEADER)
             self.verify(connection, request, context_to_sign(header, digest))
             context = decode_request_context(header, connection.peer)
+            remaining = context.remaining - self.stalls.input_age()
+            context = context._replace(remaining=remaining)
             body = await connection.read_body(self.max_body)
             check_body_digest(body, digest, connection.peer)
             with self.intake.take():
--- a/src/carawaywheel/runner.py
+++ b/src/carawaywheel/runner.py
@@ -75,6 +75,9 @@
         self, context: RequestContext, request: Request, body: bytes
     ) -> LocalCall:
         """Admit a call, register it as in flight and send it to the target."""
+        if context.remaining <= 0:
+            late = Refusal(Reason.DEADLINE, Ran.NOT_RUN, None, STEP, context.service)
+            return self.refused_call(context, late, context.attempts, False)
         deadline = self.clock.now() + context.remaining
         gate = await self.admit(context, deadline)
         if isinstance(gate, Refusal):
--- a/src/carawaywheel/mesh/stalls.py
+++ b/src/carawaywheel/stalls.py
@@ -7,7 +7,7 @@
 
 import curio
 
-from ..clock import Clock
+from .clock import Clock
 
 TICK_SECONDS = 0.1
 # Longest gap between two ticks that a busy event loop explains.
--- a/tests/failing_former_node.py
+++ b/tests/failing_former_node.py
@@ -12,10 +12,12 @@
 from carawaywheel.node import Node
 from carawaywheel.recorder import Recorder
 from carawaywheel.slotservice import SlotService
+from carawaywheel.stalls import StallDetector
 
 from .failing_node import fail_once
 
 PARTS = (
+    (StallDetector, "run"),
     (DatagramSocket, "run"),
     (HangupMonitor, "run"),
     (GossipService, "run"),
--- a/tests/failing_node.py
+++ b/tests/failing_node.py
@@ -16,8 +16,8 @@
 from carawaywheel.mesh.ratelimiter import RateLimiter
 from carawaywheel.mesh.replication.follower import TableFollower
 from carawaywheel.mesh.replication.synchronizer import StateSynchronizer
-from carawaywheel.mesh.stalls import StallDetector
 from carawaywheel.platform.settings import SETTINGS_FILE_VARIABLE
+from carawaywheel.stalls import StallDetector
 
 SECONDS_UNTIL_FAILURE = 2.5
 COMPONENTS = (
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,14 +1,17 @@
 import json
+import signal
 import socket
 import subprocess
 import sys
 import threading
+from time import sleep as wait
 
 import curio
 import pytest
 
 from standins.caller import request
 
+from .fault_harness import run_in_thread
 from .mesh_harness import HOSTS, new_mesh, send_raw, start_mesh
 
 
@@ -256,6 +259,23 @@
         assert part in done.stderr
 
 
+@pytest.mark.parametrize("paused", ["n1", "n2"])
+def test_paused_node_runs_no_request_whose_deadline_has_passed(mesh, paused):
+    """Guards against time that a request waited unread and that counts as left."""
+    headers = {"x-dispatch-id": f"paused-{paused}", "x-deadline-ms": "1000"}
+    options = {"method": "POST", "body": b"crew", "headers": headers}
+    assert call(mesh, "n1", "/dispatch", method="POST", body=b"crew").status == 200
+    mesh.processes[paused].signal(signal.SIGSTOP)
+    try:
+        response = run_in_thread(call, mesh, "n1", "/dispatch", **options)
+        wait(1.5)
+    finally:
+        mesh.processes[paused].signal(signal.SIGCONT)
+    assert response.result(10).status in (502, 503, 504)
+    mesh.wait_for(lambda: call(mesh, "n1", "/dispatch").status == 200, "served")
+    assert f"paused-{paused}" not in counts(mesh, "n2")["runs"]
+
+
 @pytest.mark.proves("I12", "node: start", "log down")
 def test_node_started_while_the_log_is_down_reads_from_a_seed(mesh):
     """Guards against a replaced host that has no routes until the log is up."""
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -1,5 +1,5 @@
 from carawaywheel.clock import ManualClock
-from carawaywheel.mesh.stalls import CATCH_UP_SECONDS, StallDetector
+from carawaywheel.stalls import CATCH_UP_SECONDS, StallDetector
 
 
 def test_input_is_fresh_while_the_process_runs():
