Handle signals while a node started with flags reads the log at its start

What operators saw: SIGHUP in the first moments of a node killed it, and SIGTERM ended it with the status of the signal instead of 0, so that a supervisor took a planned stop for a failure. The log may take some seconds to answer, or be away.

Cause: the handlers were installed with the parts of the node, after the read.

The change: they are installed before the read; a signal to stop ends it and the process.

Before: test_stop_before_the_start_is_complete_ends_with_success ended with -1 (SIGHUP). After: it passes.

--- a/src/carawaywheel/main.py
+++ b/src/carawaywheel/main.py
@@ -16,9 +16,10 @@
 from .fleetcommands import forget, report, status, timeline
 from .incarnations import read_last_incarnation
 from .logservice import HttpLogService
-from .node import Node
+from .node import Node, wait_for_stop
 from .options import build_settings, with_flags
 from .settings import NodeSettings
+from .signals import SignalWaiter
 
 HUMAN_FORMAT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level: <7} {message}"
 
@@ -63,11 +64,17 @@
 async def serve(settings: NodeSettings) -> bool:
     """Run a node until it stops; return whether its sockets cannot be opened."""
     log = HttpLogService(settings.log, settings.log_timeout)
-    last_incarnation = await read_last_incarnation(
-        log, settings.node_id, settings.fleet_secret
-    )
+    signals = SignalWaiter()
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(wait_for_stop, signals)
+        reading = await group.spawn(
+            read_last_incarnation, log, settings.node_id, settings.fleet_secret
+        )
+    if signals.stop_requested:
+        logger.info("node {} has stopped before its start", settings.node_id)
+        return False
     try:
-        node = Node(settings, last_incarnation)
+        node = Node(settings, reading.result, signals)
     except OSError as error:
         logger.error("cannot open the sockets of the node: {}", error)
         return True
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -71,15 +71,18 @@
         settings: Settings of the node.
     """
 
-    def __init__(self, settings: NodeSettings, last_incarnation: int) -> None:
+    def __init__(
+        self, settings: NodeSettings, last_incarnation: int, signals: SignalWaiter
+    ) -> None:
         """Open the sockets and build the parts.
 
         Args:
             settings: Settings of the node.
             last_incarnation: Highest incarnation of this node id that is known.
+            signals: Signals to the process.
         """
         self.settings = settings
-        self.stop_signal = SignalWaiter()
+        self.signals = signals
         self.clock = SystemClock()
         self.stalls = StallDetector(self.clock)
         self.rng = random.Random(secrets.randbits(64))
@@ -402,7 +405,7 @@
         async with curio.TaskGroup(wait=any) as group:
             for task in tasks:
                 await group.spawn(self.supervisor.run, task)
-            await group.spawn(self.wait_for_stop)
+            await group.spawn(self.stop_on_signal)
 
     async def run_housekeeping(self) -> None:
         """Pass changes of membership and configuration to the parts until cancelled."""
@@ -463,10 +466,9 @@
                 continue
             self.relay.budgets[name] = RetryBudget(team.retries)
 
-    async def wait_for_stop(self) -> None:
+    async def stop_on_signal(self) -> None:
         """Wait for SIGTERM or SIGINT, then stop gracefully."""
-        while await self.stop_signal.wait():
-            logger.info("ignoring SIGHUP: settings come from flags and need a restart")
+        await wait_for_stop(self.signals)
         await self.shutdown.run()
 
     def status(self) -> dict[str, object]:
@@ -504,6 +506,12 @@
         }
 
 
+async def wait_for_stop(signals: SignalWaiter) -> None:
+    """Wait for SIGTERM or SIGINT."""
+    while await signals.wait():
+        logger.info("ignoring SIGHUP: settings come from flags and need a restart")
+
+
 def finite_or_none(seconds: float) -> float | None:
     """Return a time rounded for JSON, or None if it is infinite."""
     return round(seconds, 3) if seconds < float("inf") else None
--- a/src/carawaywheel/signals.py
+++ b/src/carawaywheel/signals.py
@@ -14,10 +14,14 @@
     The interpreter writes the number of an arriving signal to a socket
     (``signal.set_wakeup_fd``). The handlers do nothing, so they cannot disturb the
     event loop.
+
+    Attributes:
+        stop_requested: Whether a signal to stop was read.
     """
 
     def __init__(self) -> None:
         """Install the signal handlers; must be called in the main thread."""
+        self.stop_requested = False
         self.reader, self.writer = socket.socketpair()
         self.writer.setblocking(False)
         for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
@@ -27,4 +31,6 @@
     async def wait(self) -> bool:
         """Wait for a signal; return True to reload the settings, False to stop."""
         number = await self.reader.recv(1)
-        return number == bytes([RELOAD_SIGNAL])
+        reload = number == bytes([RELOAD_SIGNAL])
+        self.stop_requested = self.stop_requested or not reload
+        return reload
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -3,8 +3,11 @@
 import base64
 import http.client
 import json
+import os
 import signal
 import socket
+import subprocess
+import sys
 import threading
 import time
 
@@ -285,3 +288,22 @@
     shared.control(shared.log_address, {"delay": 0.0})
     repeated = [dispatch("n1", index).status for index in range(8)]
     assert repeated == [200] * 8
+
+
+def test_stop_before_the_start_is_complete_ends_with_success(shared):
+    """Guards against signals that kill a node while it reads the log at its start."""
+    with socket.create_server(("127.0.0.1", 0)) as silent_log:
+        silent_log.settimeout(10.0)
+        address = "{}:{}".format(*silent_log.getsockname())
+        process = subprocess.Popen(
+            [sys.executable, "-m", "carawaywheel", "node", "--node-id", "s2",
+             "--domain", "west", "--domains", "west", "--log", address],
+            env=os.environ | {"CARAWAYWHEEL_FLEET_SECRET": FLEET_SECRET},
+            stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
+        )  # fmt: skip
+        connection, _ = silent_log.accept()
+        with connection:
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+            output, _ = process.communicate(timeout=10.0)
+    assert process.returncode == 0 and output == b""
