--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -11,6 +11,7 @@
 from ..platform.headers import decode_caller_headers
 from ..refusals import Ran, Reason, Refusal
 from ..serverexchange import JSON_HEADER, ServerExchange, refusal_body
+from ..stalls import StallDetector
 from ..streaming import TruncatedResponseError
 from .callgraph import CallGraph
 from .configuration import Account, RouteKind
@@ -30,7 +31,6 @@
 from .sender import NO_TARGET_RETRY_SECONDS, RequestSender
 from .settings import HostSettings
 from .shedding import AdmissionLevelTable
-from .stalls import StallDetector
 
 STEP = "entry"
 RATE_RETRY_SECONDS = 1.0
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -24,6 +24,8 @@
 from ..signals import SignalWaiter
 from ..signing import Signer
 from ..sockets import open_listener, split_address
+from ..stalls import StallDetector
+from ..supervisor import Component
 from .callgraph import CallGraph
 from .configuration import InputLimits, MeshConfiguration
 from .entry import EntryHandler
@@ -42,8 +44,7 @@
 from .settings import HostSettings
 from .shedding import AdmissionLevelTable
 from .shutdown import schedule_stop
-from .stalls import StallDetector
-from .supervisor import Component, Supervisor
+from .supervisor import JournalSupervisor
 from .target import LocalTarget, Phase
 
 FLUSH_INTERVAL_SECONDS = 0.1
@@ -89,7 +90,7 @@
         self.journal.install()
         self.signal_waiter = SignalWaiter()
         self.stopping = False
-        self.supervisor = Supervisor(self.journal, self.clock)
+        self.supervisor = JournalSupervisor(self.journal, self.clock)
         self.stalls = StallDetector(self.clock)
         self.hangup_monitor = HangupMonitor()
         self.body_budget = BodyBudget(int(settings.memory_bytes * BUFFERED_BODY_SHARE))
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -20,11 +20,13 @@
 from .entry import EntryHandler
 from .events import EventBuffer, EventKind
 from .executor import TargetExecutor
+from .failures import RecordingSupervisor
 from .fleetcollector import FleetCollector
 from .follower import StreamFollower
 from .gossip import GossipService
 from .http import BodyBudget
 from .incarnations import event_incarnation, first_incarnation, start_incarnation
+from .intake import Intake
 from .lenders import Lender
 from .levels import OverloadLevelTable
 from .listener import HangupMonitor, Listener
@@ -41,18 +43,19 @@
 from .routing import Router, TargetState
 from .runner import CallRunner
 from .settings import NodeSettings
+from .shutdown import Shutdown
 from .signals import SignalWaiter
 from .signing import Signer
 from .slots import SlotMember, SlotTable
 from .slotservice import SHARES_STREAM, SlotService
 from .sockets import open_listener, open_tcp_and_udp, split_address
 from .sources import RecordSources
+from .stalls import StallDetector
 from .statemonitor import StateMonitor
 from .summarizer import Summarizer
 from .targets import AnnouncedTarget
 
 HOUSEKEEPING_SECONDS = 0.25
-IDLE_POLL_SECONDS = 0.05
 MAX_PORT_ATTEMPTS = 20
 # A withdrawal of a key must reach all nodes within 5 s, including one relay by a peer.
 CONFIGURATION_LONG_POLL_SECONDS = 1.0
@@ -66,22 +69,22 @@
 
     Attributes:
         settings: Settings of the node.
-        stopping: Whether a graceful stop has begun.
-        failed: Whether a part ended with an error.
     """
 
-    def __init__(self, settings: NodeSettings, last_incarnation: int) -> None:
+    def __init__(
+        self, settings: NodeSettings, last_incarnation: int, signals: SignalWaiter
+    ) -> None:
         """Open the sockets and build the parts.
 
         Args:
             settings: Settings of the node.
             last_incarnation: Highest incarnation of this node id that is known.
+            signals: Signals to the process.
         """
         self.settings = settings
-        self.stop_signal = SignalWaiter()
-        self.stopping = False
-        self.failed = False
+        self.signals = signals
         self.clock = SystemClock()
+        self.stalls = StallDetector(self.clock)
         self.rng = random.Random(secrets.randbits(64))
         self.signer = Signer(settings.fleet_secret)
         self.log: LogService = HttpLogService(settings.log, settings.log_timeout)
@@ -97,13 +100,14 @@
         """Build the event buffer, the summarizer and the recorder."""
         settings = self.settings
         now = self.clock.now()
-        started_at = wall_time()
+        started_at = time.time()
         self.started_at = now
         self.incarnation = first_incarnation(started_at, last_incarnation)
         start = event_incarnation(self.incarnation)
         buffer = EventBuffer(settings.node_id, settings.event_bytes, start)
         summarizer = Summarizer(settings.node_id, self.incarnation, started_at)
         self.recorder = Recorder(buffer, summarizer, self.clock, settings.statsd)
+        self.supervisor = RecordingSupervisor(self.recorder, self.clock)
 
     def build_network(self) -> None:
         """Open the peer listener and the gossip socket, on the same port number."""
@@ -241,6 +245,7 @@
         """Build the handlers of requests and the executor of the local target."""
         settings = self.settings
         self.announced_target = AnnouncedTarget()
+        self.intake = Intake()
         self.executor = TargetExecutor(
             self.announced_target,
             settings.admission,
@@ -275,6 +280,8 @@
             OverloadLevelTable(settings.level),
             self.executor.in_flight,
             self.relay,
+            self.intake,
+            self.stalls,
             self.recorder,
             self.clock,
             settings.max_body,
@@ -285,6 +292,8 @@
             self.membership,
             self.followers,
             self.signer,
+            self.intake,
+            self.stalls,
             self.recorder,
             self.clock,
             settings.max_body,
@@ -300,6 +309,7 @@
             self.fleet_collector,
             self.slot_service,
             self.publish_target,
+            self.intake,
             self.clock,
         )
         limit = self.settings.max_connections
@@ -315,6 +325,18 @@
             ),
             "admin": self.make_listener("admin", admin_socket, admin_handler, limit),
         }
+        self.shutdown = Shutdown(
+            self.settings,
+            self.intake,
+            self.executor,
+            list(self.listeners.values()),
+            self.gossip,
+            self.slot_service,
+            self.claim_service,
+            self.log_writer,
+            self.supervisor,
+            self.recorder,
+        )
 
     def make_listener(self, name: str, sock: Any, handler: Any, limit: int) -> Listener:
         """Build the listener for one listening socket."""
@@ -363,6 +385,7 @@
         gc.collect()
         gc.freeze()
         tasks = [
+            self.stalls.run,
             self.datagram_socket.run,
             self.hangup_monitor.run,
             self.gossip.run,
@@ -377,22 +400,12 @@
             self.log_writer.run_summaries,
         ]
         tasks += [follower.run for follower in self.followers.values()]
-        tasks += [listener.run for listener in self.listeners.values()]
         self.recorder.state_event(EventKind.NODE_STARTED, self.settings.domain)
+        await self.shutdown.start_listeners()
         async with curio.TaskGroup(wait=any) as group:
             for task in tasks:
-                await group.spawn(self.run_part, task)
-            await group.spawn(self.wait_for_stop)
-
-    async def run_part(self, task: Any) -> None:
-        """Run a part; an unexpected error is logged and stops the node."""
-        try:
-            await task()
-        except curio.CancelledError:
-            raise
-        except Exception:
-            logger.exception("part {} failed", task.__qualname__)
-            self.failed = True
+                await group.spawn(self.supervisor.run, task)
+            await group.spawn(self.stop_on_signal)
 
     async def run_housekeeping(self) -> None:
         """Pass changes of membership and configuration to the parts until cancelled."""
@@ -453,37 +466,10 @@
                 continue
             self.relay.budgets[name] = RetryBudget(team.retries)
 
-    async def wait_for_stop(self) -> None:
+    async def stop_on_signal(self) -> None:
         """Wait for SIGTERM or SIGINT, then stop gracefully."""
-        while await self.stop_signal.wait():
-            logger.info("ignoring SIGHUP: settings come from flags and need a restart")
-        await self.stop()
-
-    async def stop(self) -> None:
-        """Stop gracefully, without cutting off a request.
-
-        The other nodes are notified first. They may still send requests for a moment,
-        so the node serves requests until ``leave_wait`` is over.
-        """
-        self.stopping = True
-        logger.info("node {} is stopping", self.settings.node_id)
-        self.recorder.state_event(EventKind.NODE_STOPPING, "")
-        await self.gossip.leave()
-        await self.slot_service.release_slots()
-        for name in ("callers", "peers"):
-            self.listeners[name].drain()
-        await curio.sleep(self.settings.leave_wait)
-        self.executor.shutting_down = True
-        await curio.ignore_after(self.settings.stop_grace, self.wait_until_idle)
-        await self.log_writer.write_summary(True)
-        self.recorder.flush()
-
-    async def wait_until_idle(self) -> None:
-        """Wait until no request is in flight, then close the idle connections."""
-        while self.hangup_monitor.busy:
-            await curio.sleep(IDLE_POLL_SECONDS)
-        for listener in self.listeners.values():
-            listener.close_idle_connections()
+        await wait_for_stop(self.signals)
+        await self.shutdown.run()
 
     def status(self) -> dict[str, object]:
         """Return the status of this node for operators."""
@@ -496,7 +482,7 @@
             "domain": self.settings.domain,
             "incarnation": self.incarnation,
             "uptime": round(now - self.started_at, 1),
-            "stopping": self.stopping,
+            "stopping": self.shutdown.begun,
             "members": len(self.membership.members(now)),
             "position": configuration.position,
             "news_age": finite_or_none(configuration.age),
@@ -520,11 +506,12 @@
         }
 
 
+async def wait_for_stop(signals: SignalWaiter) -> None:
+    """Wait for SIGTERM or SIGINT."""
+    while await signals.wait():
+        logger.info("ignoring SIGHUP: settings come from flags and need a restart")
+
+
 def finite_or_none(seconds: float) -> float | None:
     """Return a time rounded for JSON, or None if it is infinite."""
     return round(seconds, 3) if seconds < float("inf") else None
-
-
-def wall_time() -> float:
-    """Return the wall clock time in seconds since the epoch."""
-    return time.time()
--- a/src/carawaywheel/peers.py
+++ b/src/carawaywheel/peers.py
@@ -18,6 +18,7 @@
     SIGNATURE_HEADER,
 )
 from .http import Request
+from .intake import Intake
 from .listener import RequestHandler
 from .logservice import encode_batch
 from .membership import Membership
@@ -33,6 +34,7 @@
     decode_request_context,
     encode_header,
 )
+from .stalls import StallDetector
 from .streaming import forward_response
 
 BINARY_HEADER = (b"content-type", b"application/msgpack")
@@ -50,6 +52,8 @@
         membership: Membership,
         followers: dict[str, StreamFollower],
         signer: Signer,
+        intake: Intake,
+        stalls: StallDetector,
         recorder: Recorder,
         clock: Clock,
         max_body: int,
@@ -61,6 +65,8 @@
         self.membership = membership
         self.followers = followers
         self.signer = signer
+        self.intake = intake
+        self.stalls = stalls
         self.recorder = recorder
         self.clock = clock
         self.max_body = max_body
@@ -75,9 +81,12 @@
             digest = request.header(DIGEST_HEADER)
             self.verify(connection, request, context_to_sign(header, digest))
             context = decode_request_context(header, connection.peer)
+            remaining = context.remaining - self.stalls.input_age()
+            context = context._replace(remaining=remaining)
             body = await connection.read_body(self.max_body)
             check_body_digest(body, digest, connection.peer)
-            await self.handle_call(connection, request, body, context)
+            with self.intake.take():
+                await self.handle_call(connection, request, body, context)
             return
         digest = request.header(DIGEST_HEADER)
         self.verify(connection, request, digest.encode("latin-1"))
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -12,8 +12,8 @@
 from carawaywheel.mesh.execution import TargetRunner
 from carawaywheel.mesh.messages import Call
 from carawaywheel.mesh.shedding import AdmissionLevelTable
-from carawaywheel.mesh.stalls import StallDetector
 from carawaywheel.mesh.target import Heartbeat, LocalTarget, Phase
+from carawaywheel.stalls import StallDetector
 
 from .test_policy import HOST_SETTINGS
 
