Move the platform's ports, settings files and configurations to the stand-ins

The tests of the mesh node wrote them; other programs that start nodes on loopback addresses need the same.

--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -6,8 +6,6 @@
 import base64
 import json
 import os
-import random
-import socket
 import subprocess
 import sys
 import threading
@@ -19,97 +17,38 @@
 
 from standins.caller import request
 from standins.mesh import Mesh
-
-HOST = "mesh.example"
-KEY = "key-of-the-mill"
-PORTS = {"outbound": 0, "inbound": 1, "ready": 2, "control": 3, "app": 4}
-METRICS_OFFSET, DATAGRAM_OFFSET = 5, 6
-ROUTES = (
-    ("read", "idempotent", "desk", 1),
-    ("order", "non_idempotent", "yard", 0),
-    ("bundle", "upload", "yard", 1),
-    ("inner", "idempotent", "yard", 2),
+from standins.platform import (
+    HOST,
+    KEY,
+    HostAddresses,
+    configuration,
+    find_free_port_base,
+    route,
 )
 
+__all__ = ["HOST", "KEY", "Platform", "configuration", "route", "wait"]
 
-def route(name, kind, service, priority, **changes):
-    """Return a route of a configuration document."""
-    document = {
-        "name": f"r-{name}",
-        "path_prefix": f"/{name}/",
-        "kind": kind,
-        "timeout_s": 5.0,
-        "target_latency_s": 1.0,
-        "priority": priority,
-        "service": service,
-        "attempts": 2,
-        "allow_anonymous": name == "inner",
-    }
-    return {**document, **changes}
-
-
-def configuration(version, routes=None, **changes):
-    """Return a configuration document for the platform's store."""
-    document = {
-        "version": f"r{version}",
-        "services": [
-            {"name": name, "health_path": "/h", "max_connections": 90}
-            for name in ("desk", "yard")
-        ],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 26},
-        "tenants": [{"name": "mill", "api_keys": [KEY], "rate_per_s": 0, "burst": 0}],
-        "virtual_hosts": [
-            {
-                "hostname": HOST,
-                "paths": routes or [route(*fields) for fields in ROUTES],
-            }
-        ],
-    }
-    return {**document, **changes}
-
-
-# Below the range of ephemeral ports.
-PORT_RANGE = range(12000, 32000, 10)
 HOSTS = 6
 
 
-def find_free_port_base():
-    """Return the first of a range of ports that are free on all hosts."""
-    while True:
-        port_base = random.SystemRandom().choice(PORT_RANGE)
-        if all(are_ports_free(index, port_base) for index in range(1, HOSTS + 1)):
-            return port_base
-
-
-def are_ports_free(index, port_base):
-    """Return whether all ports of one host can be bound."""
-    for port in range(port_base, port_base + len(PORTS) + 2):
-        with socket.socket() as probe:
-            try:
-                probe.bind((f"127.0.{index}.1", port))
-            except OSError:
-                return False
-    return True
-
-
 class Platform(Mesh):
     """Store, hosts and callers of a platform; use it as a context manager."""
 
     def __init__(self):
         super().__init__()
-        self.port_base = find_free_port_base()
+        self.port_base = find_free_port_base(HOSTS)
         self.hosts = {}
         self.start("store", ["-m", "standins.provider"])
         self.store_address = self.processes["store"].startup_info["address"]
 
-    def ip(self, name):
-        """Return the IP address of a host; ports are the same on all hosts."""
+    def addresses(self, name):
+        """Return the addresses of a host; ports are the same on all hosts."""
         index = self.hosts.setdefault(name, len(self.hosts) + 1)
-        return f"127.0.{index}.1"
+        return HostAddresses(index, self.port_base)
 
     def address(self, name, listener):
         """Return the address and port of one listener of a host."""
-        return f"{self.ip(name)}:{self.port_base + PORTS[listener]}"
+        return self.addresses(name).listener(listener)
 
     def publish(self, document):
         """Write a configuration to the store as an operator does."""
@@ -118,32 +57,14 @@
 
     def write_boot_file(self, name, service, store=""):
         """Write the settings file of a host and return its path."""
-        lines = [
-            f'node_name = "{name}"',
-            f'ip = "{self.ip(name)}"',
-            'zone = "a"',
-            (
-                f"port_range = [{self.port_base + METRICS_OFFSET}, "
-                f"{self.port_base + DATAGRAM_OFFSET}]"
-            ),
-            f'service = "{service}"',
-            f'app_addr = "{self.address(name, "app")}"',
-            "heartbeat_s = 0.3",
-            "[listen]",
-            *(
-                f'{listener} = "{self.address(name, listener)}"'
-                for listener in ("inbound", "outbound", "ready", "control")
-            ),
-            "[limits]",
-            "memory_mb = 300",
-            "[bounds]",
-            "grace_s = 6",
-            "drain_s = 2",
-            "[provider]",
-            f'address = "{store or self.store_address}"',
-        ]
         path = self.work_dir / f"{name}.toml"
-        path.write_text("\n".join(lines) + "\n")
+        text = self.addresses(name).boot_file(
+            name,
+            service,
+            store or self.store_address,
+            self.address(name, "app"),
+        )
+        path.write_text(text)
         return path
 
     def start_node(self, name, service, store="", program="carawaywheel"):
@@ -175,10 +96,9 @@
 
     def start_endpoint(self, name, service, *arguments, identity=""):
         """Start the target of a host."""
-        command = ["-m", "standins.endpoint", "--id", identity or f"i-{name}"]
-        command += ["--service", service, "--address", self.address(name, "app")]
-        command += ["--control", self.address(name, "control")]
-        command += ["--outbound", self.address(name, "outbound")]
+        command = self.addresses(name).endpoint_arguments(
+            identity or f"i-{name}", service
+        )
         return self.start(f"target-{name}", [*command, *arguments])
 
     def readiness_status(self, name):
