Let targets record what they ran to a file, and relays reset connections

Targets also take the time and size of one answer from its query, and can announce another address than their own, so that a relay may stand between node and target. Relays can lose what clients send. Nothing changes without the new options.

--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -1,16 +1,19 @@
 """Stand-in for a target on the platform, with its heartbeats and sub-calls.
 
 It reports the requests that it ran, so that tests check what targets and callers
-observed rather than what nodes report.
+observed rather than what nodes report. With ``--record`` it also writes them to a file,
+with the heartbeats that its node has acknowledged.
 """
 
 import argparse
 import json
 import time
+from pathlib import Path
 from typing import Any
 
 import curio
 
+from .caller import ClientResponse
 from .caller import request as send_request
 from .httpserver import (
     EndlessBytes,
@@ -54,6 +57,14 @@
         self.max_running = 0
         self.rejected = 0
         self.runs: list[dict[str, Any]] = []
+        self.record_file = Path(options.record).open("a") if options.record else None
+
+    def record(self, event: str, **fields: Any) -> None:
+        """Write one event to the record file, with its time in Unix seconds."""
+        if self.record_file is not None:
+            line = {"event": event, "at": time.time(), "target": self.identity}
+            self.record_file.write(json.dumps({**line, **fields}) + "\n")
+            self.record_file.flush()
 
     async def handle(self, request: Request) -> Response | EndlessBytes | None:
         """Handle one request."""
@@ -82,14 +93,18 @@
         run["body"] = len(request.body)
         run["done"] = False
         self.runs.append(run)
+        attempt_id = request.headers.get("x-attempt-id", "")
+        self.record("run", id=attempt_id, path=request.path, mode=self.mode)
         self.running += 1
         self.max_running = max(self.max_running, self.running)
         try:
             call_succeeded = not self.options.call or await self.make_call()
-            await curio.sleep(self.service_time)
+            extra_time = float(request.query.get("work", "0"))
+            await curio.sleep(self.service_time + extra_time)
+            run["done"] = True
         finally:
             self.running -= 1
-        run["done"] = True
+            self.record("end", id=attempt_id, done=run["done"])
         return self.make_response(request, "" if call_succeeded else "fail")
 
     async def make_call(self) -> bool:
@@ -117,7 +132,7 @@
         """
         mode = mode or self.mode
         content = json.dumps({"id": self.identity, "path": request.path}).encode()
-        content = content.ljust(self.options.bytes)
+        content = content.ljust(int(request.query.get("bytes", self.options.bytes)))
         headers = [
             attempt_header(request),
             ("x-response-signature", RESPONSE_SIGNATURE),
@@ -155,11 +170,13 @@
         """Send a heartbeat, or deregister in phase ``gone``."""
         self.sequence += 1
         path = f"/api/instances/{self.identity}"
-        if self.phase == "gone":
-            await send_request(self.options.control, "DELETE", path, [])
+        phase = self.phase
+        if phase == "gone":
+            response = await send_request(self.options.control, "DELETE", path, [])
+            self.record_acknowledgement(phase, response)
             return
         document = {
-            "address": self.options.address,
+            "address": self.options.announce or self.options.address,
             "born": self.started_at_ms,
             "info": {
                 "service": self.options.service,
@@ -168,13 +185,19 @@
                 "capacity": self.options.slots,
             },
             "status": {
-                "phase": self.phase,
+                "phase": phase,
                 "sequence": self.sequence,
                 "warmup_left_s": 0,
             },
         }
         body = json.dumps(document).encode()
-        await send_request(self.options.control, "PUT", path, [], body)
+        response = await send_request(self.options.control, "PUT", path, [], body)
+        self.record_acknowledgement(phase, response)
+
+    def record_acknowledgement(self, phase: str, response: ClientResponse) -> None:
+        """Record that the node has acknowledged a heartbeat, if it has."""
+        if response.complete and 200 <= response.status < 300:
+            self.record("acknowledged", phase=phase)
 
     async def run_heartbeats(self) -> None:
         """Send heartbeats until cancelled, but none in phase ``gone``."""
@@ -233,12 +256,14 @@
     parser.add_argument("--service", required=True)
     parser.add_argument("--zone", default="a")
     parser.add_argument("--address", required=True)
+    parser.add_argument("--announce", default="", help="address told to the node")
     parser.add_argument("--control", required=True)
     parser.add_argument("--outbound", required=True)
     parser.add_argument("--slots", type=int, default=10)
     parser.add_argument("--work", type=float, default=0.01)
     parser.add_argument("--bytes", type=int, default=0)
     parser.add_argument("--call", default="")
+    parser.add_argument("--record", default="", help="file for runs and heartbeats")
     parser.add_argument("--heartbeat", type=float, default=0.3)
     curio.run(run, parser.parse_args())
 
--- a/standins/httpserver.py
+++ b/standins/httpserver.py
@@ -243,9 +243,13 @@
     def set_linger(self, reset: bool) -> None:
         """If ``reset``, make the following close send a TCP reset."""
         if reset:
-            linger = struct.pack("ii", 1, 0)
-            level = plain_socket.SOL_SOCKET
-            self.client.setsockopt(level, plain_socket.SO_LINGER, linger)
+            set_reset_on_close(self.client)
+
+
+def set_reset_on_close(sock: Any) -> None:
+    """Make the close of a socket send a TCP reset."""
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, linger)
 
 
 async def wait_for_signal(number: int = signal.SIGTERM) -> None:
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -18,6 +18,7 @@
     json_response,
     open_listener,
     serve,
+    set_reset_on_close,
 )
 
 READ_CHUNK_BYTES = 65536
@@ -34,6 +35,7 @@
         silent_old: Whether to discard the data of the connections that are open when
             this is set; later connections are relayed.
         lose_answers: Whether to discard what the upstream sends, in both protocols.
+        lose_requests: Whether to discard what the clients of connections send.
         delay: Delay of each chunk of a connection and of each datagram in seconds.
         copies: How often each datagram is sent.
         drop_every: Drop each n-th datagram; 0 drops none.
@@ -45,6 +47,7 @@
         self.silent = False
         self.silent_old = False
         self.lose_answers = False
+        self.lose_requests = False
         self.delay = 0.0
         self.copies = 1
         self.drop_every = 0
@@ -76,6 +79,11 @@
         unknown = changes.keys() - vars(self.settings).keys()
         if unknown:
             return json_response({"error": f"unknown settings: {sorted(unknown)}"}, 400)
+        await self.apply(changes)
+        return json_response(vars(self.settings))
+
+    async def apply(self, changes: dict[str, Any]) -> None:
+        """Change settings by their names."""
         for name, value in changes.items():
             setattr(self.settings, name, value)
         if "silent_old" in changes:
@@ -84,7 +92,6 @@
         if self.settings.cut:
             for connection in list(self.connections):
                 await self.close(connection)
-        return json_response(vars(self.settings))
 
     async def run_connections(self, listener: Any) -> None:
         """Accept TCP connections until cancelled."""
@@ -141,8 +148,18 @@
             settings.silent
             or connection.stalled
             or (from_upstream and settings.lose_answers)
+            or (not from_upstream and settings.lose_requests)
         )
 
+    async def reset_connections(self) -> None:
+        """Reset all open connections; later ones are relayed."""
+        for connection in list(self.connections):
+            connection.stalled = True
+            self.connections.discard(connection)
+            for sock in (connection.client, connection.upstream):
+                set_reset_on_close(sock)
+                await wake_reader(sock)
+
     async def close(self, connection: RelayedConnection) -> None:
         """Shut down both sides of a connection, which ends both of its pumps."""
         if connection not in self.connections:
@@ -205,6 +222,15 @@
         await sock.sendto(data, target)
 
 
+async def wake_reader(sock: Any) -> None:
+    """Make the reader of a socket see its end, without telling the peer."""
+    try:
+        await sock.shutdown(socket.SHUT_RD)
+    except OSError:
+        # The peer has closed the connection.
+        pass
+
+
 async def run(options: argparse.Namespace) -> None:
     """Relay until the process ends."""
     relay = Relay(options.upstream)
