Add the fault soak: real nodes, a seeded schedule, promises checked while it runs

The soak runs nodes, targets and the store's stand-in as processes, with relays to the store and to targets, and judges what callers and targets saw.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 CASES ?=
 
-.PHONY: test demo binary bench faults mutants search format check clean
+.PHONY: test demo binary bench faults mutants search soak format check clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -43,6 +43,11 @@
 search: $(STAMP)
 	HYPOTHESIS_PROFILE=search $(BIN)/pytest --hypothesis-seed=$(or $(SEED),0) $(CASES)
 
+# Faults against real nodes by a seeded schedule: make soak SEED=7 SECONDS=60
+# (docs/soak.md).
+soak: $(STAMP)
+	$(BIN)/python -m soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60) $(SOAK_OPTIONS)
+
 # The table of faults and the tests that prove them: docs/FAULTS.md.
 faults: $(STAMP)
 	$(BIN)/python -m bench.faults
--- /dev/null
+++ b/soak/installation.py
@@ -0,0 +1,256 @@
+"""The processes of a soak: the store, nodes and targets, with relays between them."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import curio
+
+from standins.caller import request
+from standins.httpserver import open_listener
+from standins.platform import (
+    KEY,
+    ROUTES,
+    STORE_RELAY_OFFSET,
+    TARGET_RELAY_OFFSET,
+    HostAddresses,
+    configuration,
+    find_free_port_base,
+    route,
+)
+from standins.relay import Relay
+
+from .client import version_key
+from .record import STORE, Lifetime, Publication, Record
+
+POLL_INTERVAL_SECONDS = 0.02
+MEMORY_INTERVAL_SECONDS = 1.0
+STORE_START_SECONDS = 10.0
+# A stand-in that is frozen or whose node does not take its heartbeat answers late.
+CONTROL_SECONDS = 2.0
+RESTART_SECONDS = 0.3
+SERVICES = ("desk", "yard")
+OPERATOR_TOPIC, HOSTS_TOPIC = "keyed.op", "keyed.hosts"
+
+
+class Installation:
+    """The processes of a soak on loopback addresses.
+
+    Attributes:
+        record: Where starts, ends and publications are recorded.
+        directory: Where settings files and logs are kept.
+        names: Names of the hosts.
+        addresses: Addresses of the hosts, by name.
+        nodes: Last process of each node, by host.
+        lifetimes: Lifetime of these processes, by host.
+        targets: Last process of each target, by host.
+        relays: Relays by link and host.
+    """
+
+    def __init__(self, record: Record, directory: Path, names: list[str]) -> None:
+        self.record = record
+        self.directory = directory
+        self.names = names
+        port_base = find_free_port_base(len(names))
+        self.addresses = {
+            name: HostAddresses(index, port_base)
+            for index, name in enumerate(names, start=1)
+        }
+        self.nodes: dict[str, subprocess.Popen[bytes]] = {}
+        self.lifetimes: dict[str, Lifetime] = {}
+        self.targets: dict[str, subprocess.Popen[bytes]] = {}
+        self.target_numbers: dict[str, int] = dict.fromkeys(names, 0)
+        self.relays: dict[tuple[str, str], Relay] = {}
+        self.store: subprocess.Popen[bytes] | None = None
+        self.store_address = ""
+
+    def note(self, text: str) -> None:
+        """Record what was done to the system."""
+        self.record.events.append((time.time(), text))
+
+    def launch(
+        self, log: str, arguments: list[str], environment: dict[str, str] | None = None
+    ) -> subprocess.Popen[bytes]:
+        """Start a Python program whose output goes to a log file."""
+        with (self.directory / log).open("a") as log_file:
+            return subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=log_file,
+                stderr=log_file,
+                env=os.environ | (environment or {}),
+            )
+
+    async def start(self) -> None:
+        """Start the store, the relays, the nodes and the targets.
+
+        Raises:
+            RuntimeError: If the store does not start.
+        """
+        self.store = self.launch("store.log", ["-m", "standins.provider"])
+        self.store_address = await self.read_store_address()
+        await self.publish()
+        for name in self.names:
+            addresses = self.addresses[name]
+            for link, offset, upstream in (
+                ("store-link", STORE_RELAY_OFFSET, self.store_address),
+                ("target-link", TARGET_RELAY_OFFSET, addresses.listener("app")),
+            ):
+                relay = self.relays[link, name] = Relay(upstream)
+                listener = open_listener(addresses.at(offset))
+                await curio.spawn(relay.run_connections, listener, daemon=True)
+            self.start_node(name)
+            self.start_target(name)
+
+    async def read_store_address(self) -> str:
+        """Return the address that the store has printed.
+
+        Raises:
+            RuntimeError: If it prints none in time.
+        """
+        deadline = time.monotonic() + STORE_START_SECONDS
+        while time.monotonic() < deadline:
+            line = (self.directory / "store.log").read_text()
+            if line.endswith("\n"):
+                return str(json.loads(line)["address"])
+            await curio.sleep(POLL_INTERVAL_SECONDS)
+        raise RuntimeError(f"the store did not start within {STORE_START_SECONDS} s")
+
+    def service(self, name: str) -> str:
+        """Return the service of a host's target."""
+        return SERVICES[self.names.index(name) % len(SERVICES)]
+
+    def start_node(self, name: str) -> None:
+        """Start the node of a host."""
+        addresses = self.addresses[name]
+        path = self.directory / f"{name}.toml"
+        path.write_text(
+            addresses.boot_file(
+                name,
+                self.service(name),
+                addresses.at(STORE_RELAY_OFFSET),
+                addresses.at(TARGET_RELAY_OFFSET),
+            )
+        )
+        number = self.record.current_lifetime(name) + 1
+        lifetime = Lifetime(name, number, time.time())
+        self.nodes[name] = self.launch(
+            f"{name}.log",
+            ["-m", "carawaywheel", "node"],
+            {"CARAWAYWHEEL_BOOT": str(path)},
+        )
+        self.lifetimes[name] = lifetime
+        self.record.lifetimes.append(lifetime)
+        self.note(f"{name}: start {number}")
+
+    def start_target(self, name: str) -> None:
+        """Start the target of a host, with a new id."""
+        self.target_numbers[name] += 1
+        identity = f"i-{name}-{self.target_numbers[name]}"
+        arguments = self.addresses[name].endpoint_arguments(
+            identity, self.service(name)
+        )
+        arguments += ["--announce", self.addresses[name].at(TARGET_RELAY_OFFSET)]
+        arguments += ["--record", str(self.directory / f"{name}.runs")]
+        if self.service(name) == SERVICES[0]:
+            arguments += ["--call", "mesh.example/inner/deep"]
+        self.targets[name] = self.launch(f"{name}.target.log", arguments)
+        self.note(f"{name}: target {identity} starts")
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a node that still runs."""
+        process = self.nodes[name]
+        if process.poll() is None:
+            self.note(f"{name}: {number.name}")
+            process.send_signal(number)
+
+    async def gone(self, name: str, number: int) -> None:
+        """Wait until one start of a node has ended."""
+        while True:
+            lifetime = self.record.lifetime_of(name, number)
+            if lifetime is None or lifetime.ended_at < time.time():
+                return
+            await curio.sleep(POLL_INTERVAL_SECONDS)
+
+    def restart(self, name: str, number: int) -> None:
+        """Start a node again after one of its starts, unless that was done."""
+        if self.record.current_lifetime(name) == number:
+            self.start_node(name)
+
+    async def watch(self) -> None:
+        """Record the ends of nodes and their memory until cancelled."""
+        next_memory = 0.0
+        while True:
+            for name, process in self.nodes.items():
+                lifetime = self.lifetimes[name]
+                status = process.poll()
+                if status is not None and lifetime.ended_at > time.time():
+                    lifetime.ended_at = time.time()
+                    lifetime.status = status
+                    self.note(f"{name}: gone with status {status}")
+            if time.time() >= next_memory:
+                self.measure_memory()
+                next_memory = time.time() + MEMORY_INTERVAL_SECONDS
+            await curio.sleep(POLL_INTERVAL_SECONDS)
+
+    def measure_memory(self) -> None:
+        """Record the highest memory of each node."""
+        for name, process in self.nodes.items():
+            try:
+                pages = Path(f"/proc/{process.pid}/statm").read_text().split()[1]
+            except OSError:
+                # The process has ended since it was polled.
+                continue
+            lifetime = self.lifetimes[name]
+            size = int(pages) * os.sysconf("SC_PAGE_SIZE")
+            lifetime.memory = max(lifetime.memory, size)
+
+    async def control(self, address: str, settings: dict[str, Any]) -> bool:
+        """Change settings of a stand-in; return whether it confirmed them."""
+        body = json.dumps(settings).encode()
+        response = await request(
+            address, "POST", "/control", [], body, timeout=CONTROL_SECONDS
+        )
+        return response.status == 200
+
+    async def control_store(self, settings: dict[str, Any]) -> bool:
+        """Change settings of the store; return whether it confirmed them."""
+        return await self.control(self.store_address, settings)
+
+    async def control_target(self, name: str, settings: dict[str, Any]) -> bool:
+        """Change settings of a target; return whether it confirmed them."""
+        return await self.control(self.addresses[name].listener("app"), settings)
+
+    async def publish(self) -> None:
+        """Publish a configuration with a route and a key that no other one has."""
+        while self.record.disturbed(
+            STORE, frozenset({"store-down"}), time.time(), time.time()
+        ):
+            await curio.sleep(POLL_INTERVAL_SECONDS)
+        publications = self.record.publications
+        version = publications[-1].version + 1 if publications else 1
+        routes = [route(*fields) for fields in ROUTES]
+        routes.append(route(f"v{version}", "idempotent", "desk", 1))
+        keys = [KEY, version_key(version)]
+        tenant = {"name": "mill", "api_keys": keys, "rate_per_s": 0, "burst": 0}
+        document = configuration(version, routes, tenants=[tenant])
+        publication = Publication(version, time.time())
+        publications.append(publication)
+        command = {"topic": OPERATOR_TOPIC, "key": "config", "put": document}
+        if await self.control_store(command):
+            publication.confirmed_at = time.time()
+            self.note(f"configuration r{version} confirmed")
+
+    def end(self) -> None:
+        """Kill all processes."""
+        processes = [*self.nodes.values(), *self.targets.values()]
+        if self.store is not None:
+            processes.append(self.store)
+        for process in processes:
+            process.kill()
+        for process in processes:
+            process.wait()
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,361 @@
+"""The promises that a soak checks, from what callers and targets saw."""
+
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from standins.platform import DRAIN_SECONDS, GRACE_SECONDS
+
+from .client import DEADLINE_SECONDS, PROMISE_STATUSES
+from .record import ANSWERED, CLOSED, STORE, Attempt, Lifetime, Record, Run
+
+# Bounds in seconds from the users' installations.
+STABLE_SECONDS = 3.0
+CONFIG_APPLY_SECONDS = 2.0
+ROLLBACK_SLACK_SECONDS = 0.25
+# A node that stood still may take so many times longer, by the users' rules.
+SLOWED_FACTOR = 8
+# What is sent so late after SIGTERM is owed an answer however long its target works.
+LATE_REQUEST_SECONDS = 3.0
+LAST_PART_OF_GRACE = 5 / 6
+MEMORY_BYTES = 150 << 20
+# The poll of processes and the start of a target's handler take this long at most.
+OBSERVATION_SECONDS = 0.1
+CALL_PREFIX = "call-"
+DENIAL_STATUSES = frozenset({401, 403, 404})
+FAULTS_OF_HOSTS = frozenset(
+    {"kill", "freeze", "target-kill", "target-link", "target-mode"}
+)
+TARGET_FAULTS = frozenset({"target-kill", "target-link", "target-mode"})
+FAULTS_OF_NODES = frozenset({"kill", "freeze", "stop", "store-link"})
+FAULTS_OF_STORE = frozenset({"store-down", "store-slow", "store-lose", "store-compact"})
+
+
+class Violation(NamedTuple):
+    """A broken promise.
+
+    Attributes:
+        promise: Name of the promise.
+        text: What was seen.
+        begin: Unix time from which a time line shows it.
+        end: Unix time until which a time line shows it.
+        hosts: Hosts that took part.
+        attempt: Id of the attempt; empty if there is none.
+    """
+
+    promise: str
+    text: str
+    begin: float
+    end: float
+    hosts: frozenset[str]
+    attempt: str = ""
+
+
+class Promise(ABC):
+    """One promise; each method yields what breaks it.
+
+    Attributes:
+        record: What was seen.
+    """
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+
+    @property
+    @abstractmethod
+    def name(self) -> str:
+        """Name of the promise."""
+
+    def check_run(self, run: Run) -> Iterator[Violation]:
+        """Check a run as soon as its target has recorded it."""
+        yield from ()
+
+    def check_attempt(self, attempt: Attempt) -> Iterator[Violation]:
+        """Check an attempt some time after it has ended."""
+        yield from ()
+
+    def check_lifetime(self, lifetime: Lifetime) -> Iterator[Violation]:
+        """Check a start of a node once its process is gone, or at the end."""
+        yield from ()
+
+    def attempt_violation(self, attempt: Attempt, text: str) -> Violation:
+        """Return the violation that an attempt shows."""
+        runs = self.record.runs.get(attempt.id, [])
+        hosts = frozenset({attempt.host, *(run.host for run in runs)})
+        end = attempt.ended_at
+        return Violation(self.name, text, attempt.sent_at, end, hosts, attempt.id)
+
+    def lifetime_violation(self, lifetime: Lifetime, text: str) -> Violation:
+        """Return the violation that the life of a process shows."""
+        end = min(time.time(), lifetime.ended_at)
+        begin = min(lifetime.stopped_at, end)
+        return Violation(self.name, text, begin, end, frozenset({lifetime.host}))
+
+
+class AtMostOnce(Promise):
+    """What is not idempotent runs at most once; nothing runs unasked."""
+
+    name = "runs at most once"
+
+    def check_run(self, run: Run) -> Iterator[Violation]:
+        """Check that the run is the only one, unless it may be repeated."""
+        if run.id.startswith(CALL_PREFIX) or not run.id:
+            return
+        attempt = self.record.attempts.get(run.id)
+        if attempt is None:
+            hosts = frozenset({run.host})
+            text = f"{run.target} ran {run.id}, which no client sent"
+            yield Violation(self.name, text, run.at, run.at, hosts, run.id)
+        elif attempt.kind != "idempotent" and len(self.record.runs[run.id]) > 1:
+            targets = [item.target for item in self.record.runs[run.id]]
+            yield self.attempt_violation(attempt, f"ran at {', '.join(targets)}")
+
+
+class WholeAnswer(Promise):
+    """An answer belongs to its request and is whole."""
+
+    name = "whole answers"
+
+    def check_attempt(self, attempt: Attempt) -> Iterator[Violation]:
+        """Check the answer, and that a success was run."""
+        if attempt.fault:
+            yield self.attempt_violation(attempt, attempt.fault)
+        is_success = attempt.outcome == ANSWERED and 200 <= attempt.status < 300
+        if is_success and attempt.id not in self.record.runs:
+            yield self.attempt_violation(attempt, "success of a request that never ran")
+
+
+class Refusal(Promise):
+    """A refusal means that the request has not run and will not run."""
+
+    name = "refused means not run"
+
+    def check_attempt(self, attempt: Attempt) -> Iterator[Violation]:
+        """Check the runs that came before the refusal."""
+        if attempt.outcome == ANSWERED and attempt.status in PROMISE_STATUSES:
+            for run in self.record.runs.get(attempt.id, []):
+                yield self.attempt_violation(
+                    attempt,
+                    f"{attempt.kind}: {attempt.status}, but {run.target} ran it",
+                )
+
+    def check_run(self, run: Run) -> Iterator[Violation]:
+        """Check that the run did not come long after a refusal."""
+        attempt = self.record.attempts.get(run.id)
+        if attempt is not None and attempt.ended_at + 1 < run.at:
+            yield from self.check_attempt(attempt)
+
+
+class PlannedStop(Promise):
+    """A planned stop cuts off no request that was passed on to a target."""
+
+    name = "planned stop cuts nothing off"
+
+    def check_attempt(self, attempt: Attempt) -> Iterator[Violation]:
+        """Check a request whose connection ended without its answer."""
+        runs = self.record.runs.get(attempt.id, [])
+        if attempt.outcome != CLOSED or not runs:
+            return
+        lifetime = self.record.lifetime_of(attempt.host, attempt.lifetime)
+        if lifetime is None or attempt.ended_at < lifetime.stopped_at:
+            return
+        since = attempt.sent_at - STABLE_SECONDS
+        hosts = {attempt.host, *(run.host for run in runs)}
+        if any(
+            self.record.disturbed(host, FAULTS_OF_HOSTS, since, attempt.ended_at)
+            for host in hosts
+        ):
+            return
+        if attempt.ended_at - attempt.sent_at >= DEADLINE_SECONDS:
+            return
+        late = attempt.sent_at > lifetime.stopped_at + LATE_REQUEST_SECONDS
+        last_part = lifetime.stopped_at + GRACE_SECONDS * LAST_PART_OF_GRACE
+        if not late and any(run.ended_at >= last_part for run in runs):
+            return
+        seconds = attempt.sent_at - lifetime.stopped_at
+        yield self.attempt_violation(
+            attempt, f"sent {seconds:.2f} s after SIGTERM, run, and cut off"
+        )
+
+
+class GraceTime(Promise):
+    """A stopping process is gone within the grace time."""
+
+    name = "gone within the grace time"
+
+    def check_lifetime(self, lifetime: Lifetime) -> Iterator[Violation]:
+        """Check the time from SIGTERM to the end."""
+        seconds = min(lifetime.ended_at, time.time()) - lifetime.stopped_at
+        excused = lifetime.frozen_during_stop
+        if seconds > GRACE_SECONDS + OBSERVATION_SECONDS and not excused:
+            yield self.lifetime_violation(
+                lifetime, f"still there {seconds:.2f} s after SIGTERM"
+            )
+
+
+class OwnEnd(Promise):
+    """A process never ends by itself."""
+
+    name = "no end by itself"
+
+    def check_lifetime(self, lifetime: Lifetime) -> Iterator[Violation]:
+        """Check that the end followed a signal, with the status of a stop."""
+        if lifetime.ended_at > time.time() or lifetime.killed:
+            return
+        late = lifetime.ended_at - lifetime.stopped_at > GRACE_SECONDS
+        if lifetime.stopped_at > lifetime.ended_at or (lifetime.status and not late):
+            yield self.lifetime_violation(
+                lifetime, f"ended with status {lifetime.status}"
+            )
+
+
+class Memory(Promise):
+    """A process stays below its memory."""
+
+    name = "memory"
+
+    def check_lifetime(self, lifetime: Lifetime) -> Iterator[Violation]:
+        """Check the highest memory that was measured."""
+        if lifetime.memory > MEMORY_BYTES:
+            megabytes = lifetime.memory / (1 << 20)
+            yield self.lifetime_violation(lifetime, f"used {megabytes:.0f} MB")
+
+
+class Drain(Promise):
+    """A draining target gets nothing late."""
+
+    name = "nothing for a drained target"
+
+    def check_run(self, run: Run) -> Iterator[Violation]:
+        """Check a run against the acknowledgement of its target's leaving."""
+        acknowledgement = self.record.acknowledgements.get(run.target)
+        if acknowledgement is None:
+            return
+        seconds = run.at - acknowledgement.at
+        if seconds <= DRAIN_SECONDS + OBSERVATION_SECONDS:
+            return
+        kinds = frozenset({"freeze", "target-link"})
+        if self.record.disturbed(run.host, kinds, acknowledgement.at, run.at):
+            return
+        text = f"{run.target} ran it {seconds:.2f} s after its leaving was acknowledged"
+        hosts = frozenset({run.host})
+        attempt = self.record.attempts.get(run.id)
+        begin = attempt.sent_at if attempt is not None else run.at
+        if attempt is not None:
+            hosts |= {attempt.host}
+        yield Violation(self.name, text, begin, run.at, hosts, run.id)
+
+
+class Configuration(Promise):
+    """A confirmed configuration is in force in time and never goes back."""
+
+    name = "configuration"
+
+    def __init__(self, record: Record) -> None:
+        super().__init__(record)
+        self.seen: dict[tuple[str, int], list[tuple[float, int]]] = {}
+
+    def check_attempt(self, attempt: Attempt) -> Iterator[Violation]:
+        """Check what an answer says about the version in force at the node."""
+        if attempt.outcome != ANSWERED:
+            return
+        denied = attempt.status in DENIAL_STATUSES
+        if not attempt.version:
+            if denied or attempt.status in (400, 413, 431):
+                yield self.attempt_violation(
+                    attempt, f"{attempt.status}, though all configurations allow it"
+                )
+            return
+        accepted = 200 <= attempt.status < 300
+        if not (accepted or denied):
+            return
+        what = "key" if attempt.withdrawn_key else "route"
+        if accepted and self.is_withdrawn(attempt):
+            yield self.attempt_violation(
+                attempt, f"{what} of r{attempt.version} accepted after a new start"
+            )
+        bound = self.lower_bound(attempt)
+        if accepted and attempt.version < bound:
+            yield self.attempt_violation(
+                attempt, f"{what} of r{attempt.version} accepted, r{bound} is owed"
+            )
+        if denied and self.version_is_owed(attempt, bound):
+            yield self.attempt_violation(
+                attempt, f"{what} of r{attempt.version} denied, though it is owed"
+            )
+        if accepted:
+            place = attempt.host, attempt.lifetime
+            self.seen.setdefault(place, []).append((attempt.ended_at, attempt.version))
+
+    def lower_bound(self, attempt: Attempt) -> int:
+        """Return the oldest version by which the node may handle an attempt."""
+        bound = 0
+        if self.is_in_touch(attempt):
+            bound = self.confirmed(attempt.sent_at - CONFIG_APPLY_SECONDS)
+        slack = ROLLBACK_SLACK_SECONDS
+        if self.is_slowed(attempt):
+            slack *= SLOWED_FACTOR
+        for at, version in self.seen.get((attempt.host, attempt.lifetime), []):
+            if at + slack < attempt.sent_at:
+                bound = max(bound, version)
+        return bound
+
+    def confirmed(self, at: float) -> int:
+        """Return the newest version that the store had confirmed at a time."""
+        return max(
+            (
+                item.version
+                for item in self.record.publications
+                if item.confirmed_at < at
+            ),
+            default=0,
+        )
+
+    def version_is_owed(self, attempt: Attempt, bound: int) -> bool:
+        """Return whether the version of an attempt must have been in force."""
+        newer_sent = any(
+            item.version > attempt.version and item.sent_at < attempt.ended_at
+            for item in self.record.publications
+        )
+        return bound == attempt.version and not newer_sent
+
+    def is_withdrawn(self, attempt: Attempt) -> bool:
+        """Return whether the version had long gone when the node started."""
+        lifetime = self.record.lifetime_of(attempt.host, attempt.lifetime)
+        if lifetime is None:
+            return False
+        settled = lifetime.started_at - STABLE_SECONDS - CONFIG_APPLY_SECONDS
+        return self.confirmed(settled) > attempt.version
+
+    def is_in_touch(self, attempt: Attempt) -> bool:
+        """Return whether node and store were undisturbed long enough."""
+        since = attempt.sent_at - STABLE_SECONDS
+        until = attempt.ended_at
+        lifetime = self.record.lifetime_of(attempt.host, attempt.lifetime)
+        return (
+            lifetime is not None
+            and lifetime.started_at < since
+            and until < lifetime.stopped_at
+            and not self.record.disturbed(attempt.host, FAULTS_OF_NODES, since, until)
+            and not self.record.disturbed(STORE, FAULTS_OF_STORE, since, until)
+        )
+
+    def is_slowed(self, attempt: Attempt) -> bool:
+        """Return whether the node stood still shortly before."""
+        since = attempt.sent_at - STABLE_SECONDS
+        freeze = frozenset({"freeze"})
+        return self.record.disturbed(attempt.host, freeze, since, attempt.ended_at)
+
+
+PROMISES: tuple[type[Promise], ...] = (
+    AtMostOnce,
+    WholeAnswer,
+    Refusal,
+    PlannedStop,
+    GraceTime,
+    OwnEnd,
+    Memory,
+    Drain,
+    Configuration,
+)
