--- a/soak/client.py
+++ b/soak/client.py
@@ -52,10 +52,17 @@
 
 
 class ClientConnection:
-    """One kept connection of a client to a node."""
+    """One kept connection of a client to a node.
 
-    def __init__(self, sock: Any) -> None:
+    Attributes:
+        sock: Its socket.
+        lifetime: Number of the node's start that it leads to.
+        unread: Bytes after the last answer.
+    """
+
+    def __init__(self, sock: Any, lifetime: int) -> None:
         self.sock = sock
+        self.lifetime = lifetime
         self.unread = b""
 
     async def exchange(self, requests: list[tuple[Attempt, str]]) -> list[Answer]:
@@ -226,7 +233,7 @@
         connection = self.connection
         assert connection is not None
         for attempt, _ in requests:
-            attempt.lifetime = self.record.current_lifetime(self.host)
+            attempt.lifetime = connection.lifetime
         try:
             async with curio.timeout_after(DEADLINE_SECONDS + PATIENCE_SECONDS):
                 answers = await connection.exchange(requests)
@@ -256,7 +263,8 @@
             await sock.close()
             return False
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.connection = ClientConnection(sock)
+        lifetime = self.record.current_lifetime(self.host)
+        self.connection = ClientConnection(sock, lifetime)
         return True
 
     async def close(self) -> None:
--- a/soak/disturbance.py
+++ b/soak/disturbance.py
@@ -18,6 +18,8 @@
 FREEZE_IN_STOP_SECONDS = 1.0
 DRAIN_MARGIN_SECONDS = 1.5
 GONE_SECONDS = 0.5
+# A node takes a third of a second to start.
+START_RELOAD_SECONDS = 0.15
 STORE_DELAY_SECONDS = 0.4
 LINK_DELAY_SECONDS = 0.3
 SLOW_TARGET_SECONDS = 1.5
@@ -64,8 +66,7 @@
             for delay, name in action.extras:
                 await group.spawn(self.play_extra, action.host, delay, name)
             await group.spawn(self.end_in_time, action.host, lifetime.number)
-        await curio.sleep(RESTART_SECONDS + action.seconds)
-        installation.restart(action.host, lifetime.number)
+        await start_again(installation, action, lifetime.number)
         span.end = time.time()
 
     async def end_in_time(self, host: str, number: int) -> None:
@@ -117,14 +118,22 @@
     return lifetime.number
 
 
+async def start_again(installation: Installation, action: Action, number: int) -> None:
+    """Start a node after one of its starts, unless that was done; maybe reload it."""
+    await curio.sleep(RESTART_SECONDS + action.seconds)
+    installation.restart(action.host, number)
+    if action.variant == "reload-at-start":
+        await curio.sleep(START_RELOAD_SECONDS)
+        installation.signal(action.host, signal.SIGHUP)
+
+
 class Kill(Disturbance):
     """SIGKILL to a node, and a new start."""
 
     async def play(self, action: Action) -> None:
         """Kill the node and start it again."""
         number = await kill(self.installation, action.host)
-        await curio.sleep(action.seconds)
-        self.installation.restart(action.host, number)
+        await start_again(self.installation, action, number)
 
 
 class Freeze(Disturbance):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -1,5 +1,6 @@
 """The promises that a soak checks, from what callers and targets saw."""
 
+import signal
 import time
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
@@ -90,6 +91,7 @@
         """Return the violation that the life of a process shows."""
         end = min(time.time(), lifetime.ended_at)
         begin = min(lifetime.stopped_at, end)
+        text = f"{lifetime.host} (start {lifetime.number}) {text}"
         return Violation(self.name, text, begin, end, frozenset({lifetime.host}))
 
 
@@ -203,12 +205,21 @@
         """Check that the end followed a signal, with the status of a stop."""
         if lifetime.ended_at > time.time() or lifetime.killed:
             return
-        late = lifetime.ended_at - lifetime.stopped_at > GRACE_SECONDS
-        if lifetime.stopped_at > lifetime.ended_at or (lifetime.status and not late):
+        excused = lifetime.ended_at - lifetime.stopped_at > GRACE_SECONDS or (
+            lifetime.status == -signal.SIGTERM and not self.has_served(lifetime)
+        )
+        if lifetime.stopped_at > lifetime.ended_at or (lifetime.status and not excused):
             yield self.lifetime_violation(
                 lifetime, f"ended with status {lifetime.status}"
             )
 
+    def has_served(self, lifetime: Lifetime) -> bool:
+        """Return whether a client had a connection to a start of a node."""
+        return any(
+            (attempt.host, attempt.lifetime) == (lifetime.host, lifetime.number)
+            for attempt in self.record.attempts.values()
+        )
+
 
 class Memory(Promise):
     """A process stays below its memory."""
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -3,7 +3,7 @@
 import random
 from typing import NamedTuple
 
-SHORTEST_GAP_SECONDS, LONGEST_GAP_SECONDS = 0.2, 2.0
+SHORTEST_GAP_SECONDS, LONGEST_GAP_SECONDS = 0.1, 1.5
 SHORTEST_FAULT_SECONDS, LONGEST_FAULT_SECONDS = 0.3, 4.0
 # At the end, faults end and what they have delayed is still checked.
 CALM_END_SECONDS = 5.0
@@ -26,7 +26,7 @@
 OPERATOR_KINDS = {"configure": 2.0}
 KINDS = {**NODE_KINDS, **STORE_KINDS, **LINK_KINDS, **TARGET_KINDS, **OPERATOR_KINDS}
 FAMILIES = (NODE_KINDS, STORE_KINDS, LINK_KINDS, TARGET_KINDS, OPERATOR_KINDS)
-EMPHASES = (0.0, 0.5, 1.0, 3.0)
+EMPHASES = (0.3, 1.0, 3.0)
 
 LINK_FAULTS = (
     "delay",
@@ -49,6 +49,8 @@
     "endless-chunks",
     "endless-garbage",
 )
+# A reload right after a start, and twice as often none.
+START_VARIANTS = ("reload-at-start", "", "")
 STOP_EXTRAS = ("TERM", "HUP", "FREEZE", "KILL")
 STOP_EXTRA_WEIGHTS = (4, 3, 1, 1)
 
@@ -97,8 +99,6 @@
     for family in FAMILIES:
         emphasis = choices.choice(EMPHASES)
         weights |= {kind: weight * emphasis for kind, weight in family.items()}
-    if not any(weights.values()):
-        weights = dict(KINDS)
     actions: list[Action] = []
     now = 0.0
     while True:
@@ -119,23 +119,29 @@
         count = choices.randint(1, max(1, len(hosts) // 2))
         step = choices.uniform(0.0, 1.5)
         series = choices.sample(hosts, count)
+        variant = choices.choice(START_VARIANTS)
         return [
             Action(
-                at + i * step, kind, series[i], seconds / 4, "", draw_extras(choices)
+                at + i * step,
+                kind,
+                series[i],
+                seconds / 4,
+                variant,
+                draw_extras(choices),
             )
             for i in range(count)
         ]
+    if kind == "kill":
+        return [Action(at, kind, host, seconds, choices.choice(START_VARIANTS))]
     if kind in LINK_KINDS:
         return [Action(at, kind, host, seconds, choices.choice(LINK_FAULTS))]
     if kind == "target-mode":
         return [Action(at, kind, host, seconds, choices.choice(TARGET_MODES))]
-    if kind in ("reload", "target-kill", "target-leave", "target-slow", "kill"):
-        return [Action(at, kind, host, seconds)]
-    if kind == "freeze":
-        return [Action(at, kind, host, seconds)]
     if kind in ("configure", "store-compact"):
         return [Action(at, kind)]
-    return [Action(at, kind, "", seconds)]
+    if kind in STORE_KINDS:
+        return [Action(at, kind, "", seconds)]
+    return [Action(at, kind, host, seconds)]
 
 
 def draw_extras(choices: random.Random) -> tuple[tuple[float, str], ...]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -155,6 +155,18 @@
     assert judge(record, tmp_path) == ["no end by itself"]
 
 
+@pytest.mark.parametrize("reached", [False, True])
+def test_sigterm_may_end_a_start_only_before_clients_reach_it(
+    record, tmp_path, reached
+):
+    record.lifetimes[0].stopped_at = NOW
+    record.lifetimes[0].ended_at = NOW + 0.1
+    record.lifetimes[0].status = -15
+    if reached:
+        add_attempt(record, at=NOW - 1, outcome=CLOSED)
+    assert judge(record, tmp_path) == ["no end by itself"] * reached
+
+
 def test_memory_over_the_bound_is_found(record, tmp_path):
     record.lifetimes[0].memory = 151 << 20
     assert judge(record, tmp_path) == ["memory"]
