Keep a SIGHUP that comes while a node starts, instead of ending by it

What callers saw: a host without a node until the platform started it again.

Cause: the handlers are installed once curio and the node's modules are imported and the settings are read; until then SIGHUP ends a process by default. Ruled out: the reload itself, as no log line of these starts was written.

SIGHUP is now blocked from the program's first line on until its handler is there, and then reloads the settings. What comes before that line still ends the interpreter.

Before: tests/test_start.py failed with status -1. After: 1 passed, and the reload is logged.

--- a/src/carawaywheel/__main__.py
+++ b/src/carawaywheel/__main__.py
@@ -1,6 +1,7 @@
 """Entry point of ``python -m carawaywheel``."""
 
 import os
+import signal
 import sys
 
 SETTINGS_FILE_VARIABLE = "CARAWAYWHEEL_BOOT"
@@ -9,8 +10,11 @@
 def start() -> None:
     """Run the command line, or a mesh node if the platform started the process.
 
-    A mesh node does not import the operators' commands, to save memory.
+    A mesh node does not import the operators' commands, to save memory. SIGHUP waits
+    until a node handles it, because by default it ends the process.
     """
+    if sys.argv[1:2] == ["node"]:
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     path = os.environ.get(SETTINGS_FILE_VARIABLE)
     if path and sys.argv[1:] == ["node"]:
         from .mesh.main import run_mesh_node
--- a/src/carawaywheel/signals.py
+++ b/src/carawaywheel/signals.py
@@ -17,12 +17,16 @@
     """
 
     def __init__(self) -> None:
-        """Install the signal handlers; must be called in the main thread."""
+        """Install the signal handlers; must be called in the main thread.
+
+        A reload that was requested while the signal was blocked comes now.
+        """
         self.reader, self.writer = socket.socketpair()
         self.writer.setblocking(False)
         for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
             signal.signal(number, lambda *_: None)
         signal.set_wakeup_fd(self.writer.fileno(), warn_on_full_buffer=False)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {RELOAD_SIGNAL})
 
     async def wait(self) -> bool:
         """Wait for a signal; return True to reload the settings, False to stop."""
