Judge cuts at all times, and count how often each promise was owed

A request that a target runs and that is cut off while no stop is under way was not judged at all. A fault of a target excuses the requests that it ran, no longer those of its host's clients. The verdict shows how often each promise was owed, so that a pass that tested nothing shows.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -25,10 +25,9 @@
 OBSERVATION_SECONDS = 0.1
 CALL_PREFIX = "call-"
 DENIAL_STATUSES = frozenset({401, 403, 404})
-FAULTS_OF_HOSTS = frozenset(
-    {"kill", "freeze", "target-kill", "target-link", "target-mode"}
-)
-TARGET_FAULTS = frozenset({"target-kill", "target-link", "target-mode"})
+FAULTS_OF_PROCESSES = frozenset({"kill", "freeze"})
+FAULTS_OF_TARGETS = frozenset({"target-kill", "target-link", "target-mode"})
+FAULTS_OF_HOSTS = FAULTS_OF_PROCESSES | FAULTS_OF_TARGETS
 FAULTS_OF_NODES = frozenset({"kill", "freeze", "stop", "store-link"})
 FAULTS_OF_STORE = frozenset({"store-down", "store-slow", "store-lose", "store-compact"})
 
@@ -58,10 +57,12 @@
 
     Attributes:
         record: What was seen.
+        judged: How often the promise was owed and checked.
     """
 
     def __init__(self, record: Record) -> None:
         self.record = record
+        self.judged = 0
 
     @property
     @abstractmethod
@@ -104,6 +105,7 @@
         """Check that the run is the only one, unless it may be repeated."""
         if run.id.startswith(CALL_PREFIX) or not run.id:
             return
+        self.judged += 1
         attempt = self.record.attempts.get(run.id)
         if attempt is None:
             hosts = frozenset({run.host})
@@ -121,6 +123,7 @@
 
     def check_attempt(self, attempt: Attempt) -> Iterator[Violation]:
         """Check the answer, and that a success was run."""
+        self.judged += attempt.outcome == ANSWERED
         if attempt.fault:
             yield self.attempt_violation(attempt, attempt.fault)
         is_success = attempt.outcome == ANSWERED and 200 <= attempt.status < 300
@@ -136,6 +139,7 @@
     def check_attempt(self, attempt: Attempt) -> Iterator[Violation]:
         """Check the runs that came before the refusal."""
         if attempt.outcome == ANSWERED and attempt.status in PROMISE_STATUSES:
+            self.judged += 1
             for run in self.record.runs.get(attempt.id, []):
                 yield self.attempt_violation(
                     attempt,
@@ -149,36 +153,40 @@
             yield from self.check_attempt(attempt)
 
 
-class PlannedStop(Promise):
-    """A planned stop cuts off no request that was passed on to a target."""
+class CutOff(Promise):
+    """No request that was passed on to a target is cut off, in a stop or not."""
 
-    name = "planned stop cuts nothing off"
+    name = "nothing is cut off"
 
     def check_attempt(self, attempt: Attempt) -> Iterator[Violation]:
         """Check a request whose connection ended without its answer."""
         runs = self.record.runs.get(attempt.id, [])
-        if attempt.outcome != CLOSED or not runs:
-            return
         lifetime = self.record.lifetime_of(attempt.host, attempt.lifetime)
-        if lifetime is None or attempt.ended_at < lifetime.stopped_at:
+        if lifetime is None or not runs:
+            return
+        in_stop = attempt.ended_at >= lifetime.stopped_at
+        self.judged += in_stop
+        if attempt.outcome != CLOSED:
             return
         since = attempt.sent_at - STABLE_SECONDS
-        hosts = {attempt.host, *(run.host for run in runs)}
+        places = [(attempt.host, FAULTS_OF_PROCESSES)]
+        places += [(run.host, FAULTS_OF_HOSTS) for run in runs]
         if any(
-            self.record.disturbed(host, FAULTS_OF_HOSTS, since, attempt.ended_at)
-            for host in hosts
+            self.record.disturbed(host, kinds, since, attempt.ended_at)
+            for host, kinds in places
         ):
             return
         if attempt.ended_at - attempt.sent_at >= DEADLINE_SECONDS:
             return
         late = attempt.sent_at > lifetime.stopped_at + LATE_REQUEST_SECONDS
         last_part = lifetime.stopped_at + GRACE_SECONDS * LAST_PART_OF_GRACE
-        if not late and any(run.ended_at >= last_part for run in runs):
+        if in_stop and not late and any(run.ended_at >= last_part for run in runs):
             return
-        seconds = attempt.sent_at - lifetime.stopped_at
-        yield self.attempt_violation(
-            attempt, f"sent {seconds:.2f} s after SIGTERM, run, and cut off"
-        )
+        when = "while its node ran"
+        if in_stop:
+            seconds = attempt.sent_at - lifetime.stopped_at
+            when = f"in a stop, sent {seconds:.2f} s after SIGTERM"
+        yield self.attempt_violation(attempt, f"run, and cut off {when}")
 
 
 class GraceTime(Promise):
@@ -189,6 +197,7 @@
     def check_lifetime(self, lifetime: Lifetime) -> Iterator[Violation]:
         """Check the time from SIGTERM to the end."""
         seconds = min(lifetime.ended_at, time.time()) - lifetime.stopped_at
+        self.judged += seconds > 0
         excused = lifetime.frozen_during_stop
         if seconds > GRACE_SECONDS + OBSERVATION_SECONDS and not excused:
             yield self.lifetime_violation(
@@ -203,6 +212,7 @@
 
     def check_lifetime(self, lifetime: Lifetime) -> Iterator[Violation]:
         """Check that the end followed a signal, with the status of a stop."""
+        self.judged += 1
         if lifetime.ended_at > time.time() or lifetime.killed:
             return
         excused = lifetime.ended_at - lifetime.stopped_at > GRACE_SECONDS or (
@@ -228,6 +238,7 @@
 
     def check_lifetime(self, lifetime: Lifetime) -> Iterator[Violation]:
         """Check the highest memory that was measured."""
+        self.judged += lifetime.memory > 0
         if lifetime.memory > MEMORY_BYTES:
             megabytes = lifetime.memory / (1 << 20)
             yield self.lifetime_violation(lifetime, f"used {megabytes:.0f} MB")
@@ -243,6 +254,7 @@
         acknowledgement = self.record.acknowledgements.get(run.target)
         if acknowledgement is None:
             return
+        self.judged += 1
         seconds = run.at - acknowledgement.at
         if seconds <= DRAIN_SECONDS + OBSERVATION_SECONDS:
             return
@@ -287,6 +299,7 @@
                 attempt, f"{what} of r{attempt.version} accepted after a new start"
             )
         bound = self.lower_bound(attempt)
+        self.judged += bound > 0
         if accepted and attempt.version < bound:
             yield self.attempt_violation(
                 attempt, f"{what} of r{attempt.version} accepted, r{bound} is owed"
@@ -363,7 +376,7 @@
     AtMostOnce,
     WholeAnswer,
     Refusal,
-    PlannedStop,
+    CutOff,
     GraceTime,
     OwnEnd,
     Memory,
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -165,6 +165,8 @@
             lines.append(text)
             if promises[violation.promise] <= SHOWN_VIOLATIONS:
                 shown.append(text)
+        judged = {promise.name: promise.judged for promise in self.judge.promises}
+        shown.append(f"judged: {judged}")
         verdict = f"FAILED {dict(promises)}" if violations else "passed"
         lines.append(f"seed {self.settings.seed}: {verdict}")
         (self.settings.directory / "report.txt").write_text("\n\n".join(lines) + "\n")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -117,7 +117,7 @@
 def test_request_cut_off_in_a_planned_stop_is_found(record, tmp_path):
     attempt = cut_off_in_stop(record)
     promises = judge(record, tmp_path, run_of(attempt, done=False))
-    assert promises == ["planned stop cuts nothing off"]
+    assert promises == ["nothing is cut off"]
 
 
 def test_request_that_no_target_got_is_no_loss_in_a_stop(record, tmp_path):
@@ -125,6 +125,17 @@
     assert judge(record, tmp_path) == []
 
 
+def test_request_cut_off_without_a_stop_is_found(record, tmp_path):
+    attempt = add_attempt(record, outcome=CLOSED)
+    assert judge(record, tmp_path, run_of(attempt)) == ["nothing is cut off"]
+
+
+def test_fault_of_a_target_that_did_not_run_it_excuses_no_cut(record, tmp_path):
+    attempt = cut_off_in_stop(record)
+    record.begin("h1", "target-kill", NOW + 3).end = NOW + 4.2
+    assert judge(record, tmp_path, run_of(attempt)) == ["nothing is cut off"]
+
+
 def test_fault_of_the_target_excuses_a_cut_in_a_stop(record, tmp_path):
     attempt = cut_off_in_stop(record)
     record.begin("h2", "target-kill", NOW + 3).end = NOW + 4.2
