--- a/soak/disturbance.py
+++ b/soak/disturbance.py
@@ -151,7 +151,8 @@
     """SIGHUP to a node."""
 
     async def play(self, action: Action) -> None:
-        """Send the signal."""
+        """Send the signal, to a process that just starts once its interpreter is up."""
+        await self.installation.worked(action.host, START_WORK_SECONDS)
         self.installation.signal(action.host, signal.SIGHUP)
 
 
--- a/soak/installation.py
+++ b/soak/installation.py
@@ -202,11 +202,18 @@
                     lifetime.ended_at = time.time()
                     lifetime.status = status
                     self.note(f"{name}: gone with status {status}")
+                if self.ended_by_itself(lifetime):
+                    self.restart(name, lifetime.number)
             if time.time() >= next_memory:
                 self.measure_memory()
                 next_memory = time.time() + MEMORY_INTERVAL_SECONDS
             await curio.sleep(POLL_INTERVAL_SECONDS)
 
+    def ended_by_itself(self, lifetime: Lifetime) -> bool:
+        """Return whether a start ended unasked, and long enough ago for a new one."""
+        is_unasked = lifetime.stopped_at > lifetime.ended_at and not lifetime.killed
+        return is_unasked and lifetime.ended_at + RESTART_SECONDS < time.time()
+
     def measure_memory(self) -> None:
         """Record the highest memory of each node."""
         for name, process in self.nodes.items():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,11 +2,13 @@
 
 import json
 import math
+import time
 
 import h11
 import pytest
 
 from soak.client import encode_request, find_fault
+from soak.installation import RESTART_SECONDS, Installation
 from soak.judge import Judge
 from soak.record import ANSWERED, CLOSED, STORE, Attempt, Lifetime, Publication, Record
 from soak.schedule import KINDS, draw_schedule
@@ -159,6 +161,22 @@
     assert judge(record, tmp_path) == ["no end by itself"]
 
 
+@pytest.mark.parametrize(
+    ("change", "restarts"),
+    [({}, True), ({"killed": True}, False), ({"stopped_at": 1.0}, False)],
+)
+def test_host_is_not_left_without_a_node_that_ended_by_itself(
+    record, tmp_path, change, restarts
+):
+    installation = Installation(record, tmp_path, HOSTS)
+    lifetime = record.lifetimes[0]
+    assert not installation.ended_by_itself(lifetime)
+    lifetime.ended_at = time.time() - RESTART_SECONDS - 1
+    for name, value in change.items():
+        setattr(lifetime, name, value)
+    assert installation.ended_by_itself(lifetime) == restarts
+
+
 def test_stop_that_ends_in_a_crash_is_found(record, tmp_path):
     record.lifetimes[0].stopped_at = NOW
     record.lifetimes[0].ended_at = NOW + 3
