--- a/soak/disturbance.py
+++ b/soak/disturbance.py
@@ -10,7 +10,7 @@
 from standins.platform import DRAIN_SECONDS, GRACE_SECONDS
 
 from .installation import HOSTS_TOPIC, OPERATOR_TOPIC, RESTART_SECONDS, Installation
-from .record import STORE
+from .record import STORE, Lifetime
 from .schedule import Action
 
 # The platform kills a process that is still there; the margin shows that it was late.
@@ -65,7 +65,7 @@
         installation.signal(action.host, signal.SIGTERM)
         async with curio.TaskGroup() as group:
             for delay, name in action.extras:
-                await group.spawn(self.play_extra, action.host, delay, name)
+                await group.spawn(self.play_extra, lifetime, delay, name)
             await group.spawn(self.end_in_time, action.host, lifetime.number)
         await start_again(installation, action, lifetime.number)
         span.end = time.time()
@@ -81,12 +81,12 @@
             self.installation.signal(host, signal.SIGKILL)
             await self.installation.gone(host, number)
 
-    async def play_extra(self, host: str, delay: float, name: str) -> None:
-        """Send one more signal to the stopping process."""
+    async def play_extra(self, lifetime: Lifetime, delay: float, name: str) -> None:
+        """Send one more signal to the stopping process, and to no later one."""
         await curio.sleep(delay)
         installation = self.installation
-        lifetime = installation.lifetimes[host]
-        if lifetime.ended_at < time.time():
+        host = lifetime.host
+        if lifetime.ended_at < time.time() or installation.lifetimes[host] != lifetime:
             return
         if name == "FREEZE":
             lifetime.frozen_during_stop = True
