--- a/tests/test_platform_harness.py
+++ b/tests/test_platform_harness.py
@@ -3,7 +3,9 @@
 import itertools
 import random
 
-from .platform_harness import PORT_RANGE, Platform
+from standins.platform import PORT_RANGE
+
+from .platform_harness import Platform
 
 
 def test_test_runs_side_by_side_use_different_ports(monkeypatch):
