Take the reset of a connection with pipelined requests as its end

Cause: a failed pipelined request shuts its connection down for reading, which is an error if the client has reset it. Change: it uses the same method as the end of idle connections, which takes this as the end. Before / after: test_failed_pipelined_request_of_a_reset_connection_is_no_error failed with OSError, and passes.

--- a/src/carawaywheel/http.py
+++ b/src/carawaywheel/http.py
@@ -338,7 +338,7 @@
         self.is_pipelined()
 
     def end_input(self) -> None:
-        """Shut an idle connection down for reading, so that its task closes it."""
+        """Shut the connection down for reading, so that its task closes it."""
         self.input_ended = True
         try:
             self.sock._socket.shutdown(socket.SHUT_RD)
--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -1,7 +1,6 @@
 """Listeners: accept connections, run request handlers, detect client hang-ups."""
 
 import select
-import socket
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Any
@@ -280,7 +279,7 @@
             return
         if not complete or exchange.close_after_response:
             exchange.connection.disconnected = True
-            exchange.sock._socket.shutdown(socket.SHUT_RD)
+            exchange.connection.end_input()
 
     async def serve_exclusively(
         self, connection: ServerConnection, request: Request, fd: int
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -4,9 +4,11 @@
 
 import curio
 
-from carawaywheel.http import CALLER_KEEPALIVE, BodyBudget
+from carawaywheel.http import CALLER_KEEPALIVE, BodyBudget, ServerConnection
 from carawaywheel.listener import HangupMonitor, Listener, RequestHandler
+from carawaywheel.pipelining import Pipeline
 from carawaywheel.sockets import open_listener
+from standins.httpserver import set_reset_on_close
 
 
 class EchoHandler(RequestHandler):
@@ -106,3 +108,25 @@
 
     response = curio.run(run)
     assert response.startswith(b"HTTP/1.1 503") and response.endswith(b"refused")
+
+
+def test_failed_pipelined_request_of_a_reset_connection_is_no_error():
+    """Its task ended with a traceback in the log."""
+
+    async def run():
+        sock = open_listener("127.0.0.1", 0)
+        monitor, budget = HangupMonitor(), BodyBudget(0)
+        listener = Listener("test", sock, EchoHandler(), monitor, 10, budget)
+        client = await curio.open_connection(*sock.getsockname())
+        accepted, _ = await sock.accept()
+        set_reset_on_close(client)
+        await client.close()
+        connection = ServerConnection(accepted, "client", budget)
+        assert await connection.next_request() is None
+        fd = accepted.fileno()
+        listener.connections[fd] = connection
+        pipeline = Pipeline(connection)
+        await listener.finish_pipelined(pipeline.add(), pipeline, fd, False)
+        await accepted.close()
+
+    curio.run(run)
