--- a/bench/faults.py
+++ b/bench/faults.py
@@ -97,6 +97,10 @@
             "test_large_response_is_fetched_from_a_stopping_node",
             "tests/test_listener.py::"
             "test_refusal_reaches_a_client_that_still_sends_its_body",
+            "tests/test_shutdown.py::"
+            "test_response_is_complete_though_a_request_behind_it_is_unread",
+            "tests/test_stop.py::"
+            "test_stop_under_load_refuses_new_requests_and_cuts_off_none",
             "tests/test_mesh.py::test_graceful_stop_completes_requests_in_flight",
         ),
     ),
