Log the rate limit that a target states

The adapter decodes the limit, the node beside the target logs each change of it (target_rate_limit, rate_limit_invalid). Nothing is enforced yet.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -27,6 +27,7 @@
 from .settings import CONNECT_TIMEOUT_SECONDS, HostSettings
 from .shedding import AdmissionLevel, AdmissionLevelTable, offered_load
 from .target import LocalTarget, Phase
+from .targetrate import TargetRateLimit, parse_rate
 
 BODY_METHODS = ("POST", "PUT", "PATCH")
 SUCCESS_STATUSES = range(200, 300)
@@ -53,6 +54,7 @@
     Attributes:
         target: The local target.
         gate: Admission gate of its current incarnation; None before that is known.
+        rate_limit: Rate limit that this incarnation states.
         level: Admission level of the target.
         shutting_down: Whether the node shuts down and admits no more calls.
         active_calls: Calls that wait or run.
@@ -86,6 +88,7 @@
         self.fanout = FanoutEstimator()
         self.level = AdmissionLevel(1.0)
         self.gate: AdmissionGate | None = None
+        self.rate_limit = TargetRateLimit()
         self.incarnation: tuple[str, int] | None = None
         self.shutting_down = False
         self.active_calls = 0
@@ -137,6 +140,8 @@
             queue = AdmissionQueue(
                 AdmissionSettings(fair=False), limit, heartbeat.slots, self.rng
             )
+            if self.gate is not None:
+                self.rate_limit = TargetRateLimit(trusts_peers=False)
             self.gate = AdmissionGate(self.target, queue, self.clock)  # type: ignore[arg-type]
         return self.gate
 
@@ -299,6 +304,7 @@
             PeerError: If the response is truncated or lacks its digest.
         """
         metadata = decode_target_headers(response.status, response.headers)
+        self.record_rate_limit(call, metadata.rate_limit)
         if metadata.wrong_target:
             self.target.heartbeat = None
         if not metadata.wrong_target:
@@ -327,6 +333,25 @@
 
         return StreamedResponse(response, chunks, close)
 
+    def record_rate_limit(self, call: Call, text: str) -> None:
+        """Note the rate limit that a response states, and log each change of it."""
+        rate = parse_rate(text) if text else None
+        if text and rate is None:
+            # The limit that was stated before stays in force.
+            self.journal.write(
+                "rate_limit_invalid", request=call.attempt_id, stated=text[:80]
+            )
+            return
+        former = self.rate_limit.rate
+        if self.rate_limit.record_response(rate, self.clock.now()):
+            self.log_rate_limit(former, "target")
+
+    def log_rate_limit(self, former: float | None, origin: str) -> None:
+        """Log a change of the rate limit of the target."""
+        self.journal.write(
+            "target_rate_limit", rate=self.rate_limit.rate, former=former, origin=origin
+        )
+
     def record_acceptance(self, accepted: bool) -> None:
         """Note whether a call was accepted, by the queue and by the target."""
         self.accept_ratio += ACCEPT_RATIO_SMOOTHING * (accepted - self.accept_ratio)
--- a/src/carawaywheel/mesh/messages.py
+++ b/src/carawaywheel/mesh/messages.py
@@ -58,12 +58,17 @@
         has_digest: Whether the response carries the target's digest.
         rejected: Whether the target states that it did not run the request.
         wrong_target: Whether another target now has the address.
+        rate_limit: Requests per second that the target takes from all nodes together,
+            as it states them; empty if it states no limit.
+        leaving: Whether the target is about to leave and takes no new requests.
     """
 
     attempt_id: str
     has_digest: bool
     rejected: bool
     wrong_target: bool
+    rate_limit: str = ""
+    leaving: bool = False
 
 
 class Call(NamedTuple):
--- a/src/carawaywheel/platform/headers.py
+++ b/src/carawaywheel/platform/headers.py
@@ -9,6 +9,7 @@
     TargetRequestMetadata,
     TargetResponseMetadata,
 )
+from ..mesh.targetrate import parse_rate
 
 ATTEMPT_ID_HEADER = b"x-attempt-id"
 DEADLINE_HEADER = b"x-deadline-ms"
@@ -19,6 +20,9 @@
 DIGEST_HEADER = b"x-response-signature"
 LOAD_HEADER = b"x-server-load"
 TARGET_ID_HEADER = b"x-instance-id"
+RATE_LIMIT_HEADER = b"server-limit"
+LEAVING_HEADER = b"server-leaving"
+LEAVING_VALUE = b"1"
 HOST_HEADER = b"host"
 AUTHORIZATION_HEADER = b"authorization"
 KEY_SCHEME = "token"
@@ -89,8 +93,8 @@
 
 def decode_target_headers(status: int, headers: Headers) -> TargetResponseMetadata:
     """Decode the headers of a target's response."""
-    attempt_id = ""
-    has_digest = False
+    attempt_id = rate_limit = ""
+    has_digest = leaving = False
     rejected = status == WRONG_TARGET_STATUS
     for name, value in headers:
         if name == ATTEMPT_ID_HEADER:
@@ -99,5 +103,19 @@
             has_digest = True
         elif name == NOT_RUN_HEADER:
             rejected = True
+        elif name == RATE_LIMIT_HEADER:
+            rate_limit = value.decode("latin-1")
+        elif name == LEAVING_HEADER:
+            leaving = value == LEAVING_VALUE
     wrong_target = status == WRONG_TARGET_STATUS
-    return TargetResponseMetadata(attempt_id, has_digest, rejected, wrong_target)
+    return TargetResponseMetadata(
+        attempt_id, has_digest, rejected, wrong_target, rate_limit, leaving
+    )
+
+
+def decode_rate_limit(headers: Headers) -> float | None:
+    """Return the rate limit that a response states; None if it states none."""
+    for name, value in headers:
+        if name == RATE_LIMIT_HEADER:
+            return parse_rate(value.decode("latin-1"))
+    return None
