--- a/src/carawaywheel/mesh/targetrate.py
+++ b/src/carawaywheel/mesh/targetrate.py
@@ -41,8 +41,8 @@
     Attributes:
         bucket: Requests that the target takes now; None while it states no limit.
         stated_at: Time at which the limit was stated last, in seconds.
-        trusts_peers: Whether to apply a limit that another node remembers. It may be that
-            of a former incarnation if this process has known one.
+        trusts_peers: Whether to apply a limit that another node remembers. It may be
+            that of a former incarnation if this process has known one.
     """
 
     def __init__(self, trusts_peers: bool = True) -> None:
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -43,6 +43,8 @@
         call: Host and path of the sub-call of each request; empty for none.
         call_delay: Seconds between the start of a request and its sub-call.
         mode: Fault of its responses; empty for none.
+        rate_limit: Rate limit that its responses state; empty for none.
+        leaving: Whether its responses say that it is leaving.
         max_running: Highest number of requests that ran at the same time.
         rejected: Requests that were shed.
         runs: Path, headers and state of all requests that ran.
@@ -58,6 +60,8 @@
         self.call = options.call
         self.call_delay = 0.0
         self.mode = ""
+        self.rate_limit = ""
+        self.leaving = False
         self.sequence = 0
         self.running = 0
         self.max_running = 0
@@ -85,14 +89,24 @@
                 }
             )
         headers = request.headers
+        stated = [attempt_header(request), *self.stated_headers()]
         if headers.get("x-expected-instance") not in (None, self.identity):
-            return Response(421, [attempt_header(request)], single_chunk(b""), 0)
+            return Response(421, stated, single_chunk(b""), 0)
         if self.mode == "shed":
             self.rejected += 1
-            rejection = [attempt_header(request), ("x-not-executed", "1")]
+            rejection = [*stated, ("x-not-executed", "1")]
             return Response(503, rejection, single_chunk(b""), 0)
         return await self.run_request(request)
 
+    def stated_headers(self) -> list[tuple[str, str]]:
+        """Return the headers by which responses tell the state of the target."""
+        headers = []
+        if self.rate_limit:
+            headers.append(("server-limit", self.rate_limit))
+        if self.leaving:
+            headers.append(("server-leaving", "1"))
+        return headers
+
     async def run_request(self, request: Request) -> Response | EndlessBytes | None:
         """Run a request with its sub-call and return the response."""
         run = {"path": request.path, "at": time.time(), "headers": request.headers}
@@ -143,6 +157,7 @@
         headers = [
             attempt_header(request),
             ("x-response-signature", RESPONSE_SIGNATURE),
+            *self.stated_headers(),
         ]
         if mode == "lost":
             return None
@@ -166,6 +181,8 @@
     async def control(self, settings: dict[str, Any]) -> Response:
         """Apply the settings of a control request; a new phase is sent at once."""
         self.mode = settings.get("mode", self.mode)
+        self.rate_limit = settings.get("rate_limit", self.rate_limit)
+        self.leaving = settings.get("leaving", self.leaving)
         self.service_time = settings.get("work", self.service_time)
         self.response_bytes = settings.get("bytes", self.response_bytes)
         self.call = settings.get("call", self.call)
