Stop sending to a target whose responses say that it leaves

What targets would see: a target that says in its responses that it leaves went on getting requests until its heartbeat said so too, and that may come late or never. Cause: the phase of a target came from its heartbeats only; the header was not read. Change: the node beside the target, which is the only way to it, takes the header as a heartbeat that says draining: for this incarnation and for good. The record in the store tells the other nodes, and the node itself after a restart.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import curio
@@ -26,7 +27,7 @@
 from .responses import BufferedResponse, CallResult, StreamedResponse, buffer_response
 from .settings import CONNECT_TIMEOUT_SECONDS, HostSettings
 from .shedding import AdmissionLevel, AdmissionLevelTable, offered_load
-from .target import LocalTarget, Phase
+from .target import Heartbeat, LocalTarget, Phase
 from .targetrate import TargetRateLimit, parse_rate
 
 BODY_METHODS = ("POST", "PUT", "PATCH")
@@ -61,6 +62,7 @@
         unreachable_until: Local time until which the target gets no calls, in seconds.
         accept_ratio: Moving average of the share of calls that are accepted, by the
             queue and by the target.
+        on_target_changed: Awaited when a response has changed the phase of the target.
         offered_calls: Calls that requested a slot since the last update of the level.
         offered_target_calls: Those of them that targets made for other requests.
     """
@@ -75,8 +77,10 @@
         clock: Clock,
         stalls: StallDetector,
         rng: random.Random,
+        on_target_changed: Callable[[], Awaitable[None]],
     ) -> None:
         self.settings = settings
+        self.on_target_changed = on_target_changed
         self.stalls = stalls
         self.target = target
         self.call_graph = call_graph
@@ -306,6 +310,7 @@
         try:
             await connection.send(request.method, request.target, headers, body)
             response = await self.receiver.receive_response(call, connection)
+            await self.apply_target_state(call, heartbeat, response)
             return await self.read_response(call, connection, response, release_slot)
         except PeerError as error:
             await self.pool.discard(connection)
@@ -337,7 +342,6 @@
             PeerError: If the response is truncated or lacks its digest.
         """
         metadata = decode_target_headers(response.status, response.headers)
-        self.record_rate_limit(call, metadata.rate_limit)
         if metadata.wrong_target:
             self.target.heartbeat = None
         if not metadata.wrong_target:
@@ -366,6 +370,24 @@
 
         return StreamedResponse(response, chunks, close)
 
+    async def apply_target_state(
+        self, call: Call, heartbeat: Heartbeat, response: Response
+    ) -> None:
+        """Apply what a response tells of the target.
+
+        Args:
+            call: The call that it responds to.
+            heartbeat: Newest heartbeat of the target when the call was sent.
+            response: The response.
+        """
+        metadata = decode_target_headers(response.status, response.headers)
+        self.record_rate_limit(call, metadata.rate_limit)
+        if metadata.leaving and self.target.mark_leaving(heartbeat):
+            self.journal.write(
+                "target_leaving", request=call.attempt_id, target=heartbeat.target_id
+            )
+            await self.on_target_changed()
+
     def record_rate_limit(self, call: Call, text: str) -> None:
         """Note the rate limit that a response states, and log each change of it."""
         rate = parse_rate(text) if text else None
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -158,6 +158,7 @@
             self.clock,
             self.stalls,
             self.rng,
+            self.publish_target,
         )
         self.peer_monitor.on_hosts_changed = self.update_targets
         self.peer_monitor.serving = lambda: self.runner.current_gate() is not None
--- a/src/carawaywheel/mesh/target.py
+++ b/src/carawaywheel/mesh/target.py
@@ -103,6 +103,25 @@
             self.heartbeat = current._replace(phase=Phase.GONE)
             self.deregistered[target_id] = current.incarnation
 
+    def mark_leaving(self, heartbeat: Heartbeat) -> bool:
+        """Mark an incarnation as leaving since its responses say so.
+
+        Args:
+            heartbeat: Newest heartbeat of the incarnation when the request was sent.
+
+        Returns:
+            Whether it is the present incarnation and was not known to leave.
+        """
+        current = self.heartbeat
+        if current is None or current.phase is not Phase.READY:
+            return False
+        if current.target_id != heartbeat.target_id:
+            return False
+        if current.incarnation != heartbeat.incarnation:
+            return False
+        self.heartbeat = current._replace(phase=Phase.DRAINING)
+        return True
+
     @property
     def ready(self) -> bool:
         """Whether the target accepts new work."""
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -94,6 +94,7 @@
             self.clock,
             StallDetector(self.clock),
             random.Random(1),
+            None,
         )
         self.target = SlowTarget(self.clock)
         self.runner.pool = self.runner.receiver = self.target
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -81,3 +81,20 @@
     assert not target.receive(make_heartbeat(incarnation=200, sequence=1))
     assert target.receive(make_heartbeat(incarnation=200, sequence=2))
     assert target.ready
+
+
+def test_incarnation_whose_responses_say_that_it_leaves_stays_leaving():
+    target = make_target()
+    target.receive(make_heartbeat(sequence=1))
+    assert target.mark_leaving(target.heartbeat)
+    assert not target.mark_leaving(target.heartbeat)
+    target.receive(make_heartbeat(sequence=2))
+    assert target.phase is Phase.DRAINING
+
+
+def test_late_response_of_a_former_incarnation_says_nothing_of_the_present_one():
+    target = make_target()
+    former = make_heartbeat(incarnation=100)
+    target.receive(make_heartbeat(incarnation=200))
+    assert not target.mark_leaving(former)
+    assert target.ready
