Log which requests are in flight when a target ends

The node beside the target blames the requests in flight at each crash, by what they ask for, and tells the other nodes; a request that was in flight at three crashes and never got a response is logged as quarantined. A failed connection is no crash: the target must accept no new one, or another incarnation must have come. No request is refused yet.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -21,6 +21,8 @@
 from ..settings import AdmissionSettings, RetrySettings
 from ..stalls import StallDetector
 from .callgraph import CallGraph, FanoutEstimator
+from .crashes import CrashDetector
+from .crashreports import CrashReporter
 from .journal import Journal
 from .messages import Call, CallReply, ServiceDemand, TargetRequestMetadata
 from .receiving import ResponseReceiver
@@ -78,6 +80,7 @@
         stalls: StallDetector,
         rng: random.Random,
         on_target_changed: Callable[[], Awaitable[None]],
+        crash_reporter: CrashReporter,
     ) -> None:
         self.settings = settings
         self.on_target_changed = on_target_changed
@@ -89,6 +92,7 @@
         self.clock = clock
         self.rng = rng
         self.pool = ConnectionPool(CONNECT_TIMEOUT_SECONDS)
+        self.crashes = CrashDetector(target, self.pool, crash_reporter)
         self.receiver = ResponseReceiver(journal)
         self.fanout = FanoutEstimator()
         self.level = AdmissionLevel(1.0)
@@ -307,18 +311,25 @@
             )
         )
         self.fanout.record_request(call.route, call.is_retry or call.caused_by_retry)
+        number = self.crashes.begin(call, request, body, heartbeat)
+        responded = False
         try:
             await connection.send(request.method, request.target, headers, body)
             response = await self.receiver.receive_response(call, connection)
             await self.apply_target_state(call, heartbeat, response)
-            return await self.read_response(call, connection, response, release_slot)
+            result = await self.read_response(call, connection, response, release_slot)
+            responded = not isinstance(result, Refusal)
+            return result
         except PeerError as error:
             await self.pool.discard(connection)
             await self.pool.close_idle(peer)
+            await self.crashes.check(heartbeat)
             return Refusal(Reason.TARGET_FAILED, Ran.UNKNOWN, None, error.step, peer)
         except BaseException:
             await self.pool.discard(connection)
             raise
+        finally:
+            await self.crashes.end(number, responded)
 
     def mark_unreachable(self, error: PeerError) -> None:
         """Refuse calls for a while after the target refused a connection."""
@@ -483,6 +494,8 @@
             busy = gate is not None and gate.queue.queued
             await curio.sleep(QUEUE_POLL_SECONDS if busy else IDLE_POLL_SECONDS)
             now = self.clock.now()
+            if self.target.heartbeat is not None:
+                await self.crashes.observe(self.target.heartbeat)
             if gate is not None:
                 await gate.poll()
                 self.update_level(gate, now)
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -28,6 +28,7 @@
 from ..supervisor import Component
 from .callgraph import CallGraph
 from .configuration import InputLimits, MeshConfiguration
+from .crashreports import CrashReporter
 from .entry import EntryHandler
 from .execution import TargetRunner
 from .health import HeartbeatHandler, ReadinessHandler
@@ -36,6 +37,7 @@
 from .links import LinkServer
 from .metrics import MetricsHandler
 from .monitor import PeerMonitor
+from .quarantine import Quarantine
 from .quotas import Quotas
 from .ratelimiter import RateLimiter
 from .replication.directory import Directory, HostRecord
@@ -145,6 +147,16 @@
             self.clock,
         )
 
+        self.quarantine = Quarantine()
+        self.crash_reporter = CrashReporter(
+            self.quarantine,
+            self.datagram_socket,
+            self.directory,
+            own_address,
+            self.journal,
+            self.clock,
+        )
+
     def build_request_handling(self) -> None:
         """Build the components that process requests."""
         call_graph = CallGraph()
@@ -159,6 +171,7 @@
             self.stalls,
             self.rng,
             self.publish_target,
+            self.crash_reporter,
         )
         self.peer_monitor.on_hosts_changed = self.update_targets
         self.peer_monitor.serving = lambda: self.runner.current_gate() is not None
@@ -272,6 +285,7 @@
             self.hangup_monitor.run,
             self.datagram_socket.run,
             self.rate_limiter.run,
+            self.crash_reporter.run,
             self.peer_monitor.run,
             self.synchronizer.run,
             self.synchronizer.configuration_follower.run,
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -11,6 +11,7 @@
 from carawaywheel.mesh.callgraph import CallGraph
 from carawaywheel.mesh.execution import TargetRunner
 from carawaywheel.mesh.messages import Call
+from carawaywheel.mesh.quarantine import Quarantine
 from carawaywheel.mesh.shedding import AdmissionLevelTable
 from carawaywheel.mesh.target import Heartbeat, LocalTarget, Phase
 from carawaywheel.stalls import StallDetector
@@ -95,6 +96,7 @@
             StallDetector(self.clock),
             random.Random(1),
             None,
+            SimpleNamespace(quarantine=Quarantine()),
         )
         self.target = SlowTarget(self.clock)
         self.runner.pool = self.runner.receiver = self.target
