--- a/src/carawaywheel/mesh/crashreports.py
+++ b/src/carawaywheel/mesh/crashreports.py
@@ -18,8 +18,8 @@
 DATAGRAM_KIND = b"c"
 # Ages at which a report is sent again in full.
 REPEAT_AGES_SECONDS = (0.2, 0.8)
-# Interval at which the quarantined requests of a report are repeated, for nodes that have
-# started meanwhile.
+# Interval at which the quarantined requests of a report are repeated, for nodes that
+# have started meanwhile.
 REMINDER_SECONDS = 2.0
 POLL_SECONDS = 0.2
 # Reports are forgotten at this age unless a request in them is quarantined.
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -7,6 +7,7 @@
 
 import argparse
 import json
+import os
 import time
 from pathlib import Path
 from typing import Any
@@ -44,6 +45,8 @@
         call_delay: Seconds between the start of a request and its sub-call.
         mode: Fault of its responses; empty for none.
         rate_limit: Rate limit that its responses state; empty for none.
+        deadly: Prefix of the paths of requests that end the process as it begins to run
+            them; empty for none.
         leaving: Whether its responses say that it is leaving.
         max_running: Highest number of requests that ran at the same time.
         rejected: Requests that were shed.
@@ -61,6 +64,7 @@
         self.call_delay = 0.0
         self.mode = ""
         self.rate_limit = ""
+        self.deadly = options.deadly
         self.leaving = False
         self.sequence = 0
         self.running = 0
@@ -115,6 +119,8 @@
         self.runs.append(run)
         attempt_id = request.headers.get("x-attempt-id", "")
         self.record("run", id=attempt_id, path=request.path, mode=self.mode)
+        if self.deadly and request.path.startswith(self.deadly):
+            os._exit(1)
         self.running += 1
         self.max_running = max(self.max_running, self.running)
         try:
@@ -291,6 +297,7 @@
     parser.add_argument("--bytes", type=int, default=0)
     parser.add_argument("--call", default="")
     parser.add_argument("--record", default="", help="file for runs and heartbeats")
+    parser.add_argument("--deadly", default="", help="paths that end the process")
     parser.add_argument("--heartbeat", type=float, default=0.3)
     curio.run(run, parser.parse_args())
 
