Bound what a crash costs: fewer reports, the least suspect are forgotten first

Cause, found in review: each request that was in flight at one crash and then got its response was told to all nodes, three times each; a suspect could be forgotten within its quarantine (600 s, a quarantine of up to 960 s), and the oldest one was when there were too many, as a rule the one to blame; a clearance that arrived before its crash was dropped. Change: only requests blamed for two crashes are cleared at all nodes; a quarantine lasts at most 480 s; when there are too many suspects, those with the fewest crashes go first; a clearance is kept from its arrival on. The headers of a response are decoded once.

--- a/src/carawaywheel/mesh/crashreports.py
+++ b/src/carawaywheel/mesh/crashreports.py
@@ -12,7 +12,7 @@
 from ..clock import Clock
 from ..datagrams import Address, DatagramHandler, DatagramSocket
 from .journal import Journal
-from .quarantine import Quarantine
+from .quarantine import MAX_CRASHES, Quarantine
 from .replication.directory import Directory
 
 DATAGRAM_KIND = b"c"
@@ -95,9 +95,12 @@
         )
 
     async def exonerate(self, fingerprint: bytes) -> None:
-        """Clear a request that got a response, and tell all nodes."""
+        """Clear a request that got a response, and tell all nodes.
+
+        One that was in flight at few crashes is not worth telling.
+        """
         crashes = self.quarantine.blamed_crashes(fingerprint)
-        if crashes:
+        if len(crashes) >= MAX_CRASHES - 1:
             self.journal.count("suspect_cleared")
             await self.start_report(
                 CrashMessage(exonerated={crash: [fingerprint] for crash in crashes})
@@ -132,7 +135,7 @@
         now = self.clock.now()
         for crash, fingerprints in message.exonerated.items():
             for fingerprint in fingerprints:
-                self.quarantine.exonerate(fingerprint, [crash])
+                self.quarantine.exonerate(fingerprint, [crash], now)
         for crash, fingerprints in message.crashes.items():
             for fingerprint in self.quarantine.record_crash(crash, fingerprints, now):
                 self.journal.write(
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -24,7 +24,13 @@
 from .crashes import CrashDetector
 from .crashreports import CrashReporter
 from .journal import Journal
-from .messages import Call, CallReply, ServiceDemand, TargetRequestMetadata
+from .messages import (
+    Call,
+    CallReply,
+    ServiceDemand,
+    TargetRequestMetadata,
+    TargetResponseMetadata,
+)
 from .receiving import ResponseReceiver
 from .responses import BufferedResponse, CallResult, StreamedResponse, buffer_response
 from .settings import CONNECT_TIMEOUT_SECONDS, HostSettings
@@ -318,8 +324,11 @@
         try:
             await connection.send(request.method, request.target, headers, body)
             response = await self.receiver.receive_response(call, connection)
-            await self.apply_target_state(call, heartbeat, response)
-            result = await self.read_response(call, connection, response, release_slot)
+            metadata = decode_target_headers(response.status, response.headers)
+            await self.apply_target_state(call, heartbeat, metadata)
+            result = await self.read_response(
+                connection, response, metadata, release_slot
+            )
             responded = not isinstance(result, Refusal)
             return result
         except PeerError as error:
@@ -344,9 +353,9 @@
 
     async def read_response(
         self,
-        call: Call,
         connection: ClientConnection,
         response: Response,
+        metadata: TargetResponseMetadata,
         release_slot: Any,
     ) -> CallResult:
         """Check a response and buffer it, or stream it if it is large.
@@ -354,7 +363,6 @@
         Raises:
             PeerError: If the response is truncated or lacks its digest.
         """
-        metadata = decode_target_headers(response.status, response.headers)
         if metadata.wrong_target:
             self.target.heartbeat = None
         if not metadata.wrong_target:
@@ -384,16 +392,15 @@
         return StreamedResponse(response, chunks, close)
 
     async def apply_target_state(
-        self, call: Call, heartbeat: Heartbeat, response: Response
+        self, call: Call, heartbeat: Heartbeat, metadata: TargetResponseMetadata
     ) -> None:
         """Apply what a response tells of the target.
 
         Args:
             call: The call that it responds to.
             heartbeat: Newest heartbeat of the target when the call was sent.
-            response: The response.
+            metadata: Metadata of the response.
         """
-        metadata = decode_target_headers(response.status, response.headers)
         self.record_rate_limit(call, metadata.rate_limit)
         if metadata.leaving and self.target.mark_leaving(heartbeat):
             self.journal.write(
--- a/src/carawaywheel/mesh/quarantine.py
+++ b/src/carawaywheel/mesh/quarantine.py
@@ -23,10 +23,12 @@
 # First duration of a quarantine. After it the request may run once more, and a further
 # crash doubles the duration.
 QUARANTINE_SECONDS = 60.0
-MAX_DOUBLINGS = 4
+MAX_DOUBLINGS = 3
 # Age of the newest crash from which a suspect is forgotten; longer than a quarantine.
 SUSPECT_SECONDS = 600.0
 MAX_SUSPECTS = 4096
+# Part of the suspects that is forgotten when there are too many.
+EVICTED_SHARE = 0.25
 FINGERPRINT_BYTES = 8
 
 
@@ -58,10 +60,10 @@
         crashed_at: Time at which the newest crash became known, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
         self.crashes: set[str] = set()
         self.exonerated: set[str] = set()
-        self.crashed_at = 0.0
+        self.crashed_at = now
 
     @property
     def blamed(self) -> int:
@@ -81,7 +83,7 @@
     """Suspects that one node knows of.
 
     Attributes:
-        suspects: Suspects by fingerprint, the one with the oldest first crash first.
+        suspects: Suspects by fingerprint.
     """
 
     def __init__(self) -> None:
@@ -102,7 +104,7 @@
         """
         caught = []
         for fingerprint in fingerprints:
-            suspect = self.suspect(fingerprint)
+            suspect = self.suspect(fingerprint, now)
             if crash in suspect.crashes:
                 continue
             suspect.crashes.add(crash)
@@ -111,18 +113,26 @@
                 caught.append(fingerprint)
         return caught
 
-    def suspect(self, fingerprint: bytes) -> Suspect:
+    def suspect(self, fingerprint: bytes, now: float) -> Suspect:
         """Return a suspect, adding it if necessary."""
         suspect = self.suspects.get(fingerprint)
         if suspect is None:
             if len(self.suspects) >= MAX_SUSPECTS:
-                del self.suspects[next(iter(self.suspects))]
-            suspect = self.suspects[fingerprint] = Suspect()
+                self.evict()
+            suspect = self.suspects[fingerprint] = Suspect(now)
         return suspect
 
-    def exonerate(self, fingerprint: bytes, crashes: Iterable[str]) -> None:
+    def evict(self) -> None:
+        """Forget the suspects that are blamed for the fewest crashes, oldest first."""
+        ranked = sorted(
+            self.suspects.items(), key=lambda item: (item[1].blamed, item[1].crashed_at)
+        )
+        for fingerprint, _ in ranked[: int(EVICTED_SHARE * MAX_SUSPECTS)]:
+            del self.suspects[fingerprint]
+
+    def exonerate(self, fingerprint: bytes, crashes: Iterable[str], now: float) -> None:
         """Clear a request of crashes since it got a response after them."""
-        self.suspect(fingerprint).exonerated.update(crashes)
+        self.suspect(fingerprint, now).exonerated.update(crashes)
 
     def blamed_crashes(self, fingerprint: bytes) -> list[str]:
         """Return the crashes that a request may be to blame for."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -51,7 +51,7 @@
 def test_request_that_got_a_response_is_cleared_of_the_crashes_before_it():
     quarantine = Quarantine()
     crash_times(quarantine, OTHER, MAX_CRASHES - 1)
-    quarantine.exonerate(OTHER, quarantine.blamed_crashes(OTHER))
+    quarantine.exonerate(OTHER, quarantine.blamed_crashes(OTHER), 0.0)
     crash_times(quarantine, OTHER, MAX_CRASHES)
     assert not quarantine.remaining(OTHER, 1.0)
 
@@ -67,9 +67,11 @@
 
 def test_number_of_suspects_is_bounded():
     quarantine = Quarantine()
+    crash_times(quarantine, DEADLY, MAX_CRASHES)
     for index in range(MAX_SUSPECTS + 10):
         quarantine.record_crash("i/1", [index.to_bytes(4)], 0.0)
-    assert len(quarantine.suspects) == MAX_SUSPECTS
+        assert len(quarantine.suspects) <= MAX_SUSPECTS
+    assert quarantine.remaining(DEADLY, 1.0)
     quarantine.forget_old(10_000.0)
     assert not quarantine.suspects
 
@@ -89,7 +91,7 @@
             if is_crash:
                 quarantine.record_crash(f"i{crash}/1", [fingerprint], 0.0)
             else:
-                quarantine.exonerate(fingerprint, [f"i{crash}/1"])
+                quarantine.exonerate(fingerprint, [f"i{crash}/1"], 0.0)
     for fingerprint in (DEADLY, OTHER):
         blamed = [quarantine.blamed_crashes(fingerprint) for quarantine in nodes]
         assert blamed[0] == blamed[1]
