--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 import curio
+import msgspec
 import pytest
 from curio import socket
 from hypothesis import given
@@ -112,13 +113,35 @@
     assert curio.run(send_after_partial_write) == [CallFrame, CancelFrame]
 
 
+class FormerCallFrame(msgspec.Struct, array_like=True, tag=1):
+    """The frame of versions that know no rate limits of targets."""
+
+    number: int
+    call: Call
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+def test_calls_pass_between_this_version_and_one_without_rate_limits():
+    frame = make_call_frame(7)
+    frame.target_rate = 8.0
+    content = encode_frame(frame)[LENGTH_PREFIX.size :]
+    former = msgspec.msgpack.decode(content, type=FormerCallFrame)
+    assert (former.number, former.call) == (7, CALL)
+    data = msgspec.msgpack.encode(former)
+    (received,) = FrameDecoder("peer").feed(LENGTH_PREFIX.pack(len(data)) + data)
+    assert received == make_call_frame(7)
+
+
 class SlowRunner:
     """Runs a call until it is told to end, and returns a large response."""
 
     def __init__(self):
         self.ended = curio.Event()
 
-    async def run(self, call, request, headers, body):
+    async def run(self, call, request, headers, body, remembered_rate):
         await self.ended.wait()
         return BufferedResponse(200, [], bytes(500_000))
 
