Do not miss the end of a target whose listener still accepts a connection

What callers saw: a request that ends its targets was quarantined one or two crashes late. Cause: a crash was confirmed by one connection, right after another one failed. A process that is just ending may still accept it, and one that is replaced within milliseconds does. Ruled out: lost reports (no report was made; the node beside the target logged 'read head' and no 'target_crashed'). Change: the check is repeated after 0.1 s, which takes no new connection from a target that lives, and the requests in flight are kept until the next incarnation, which shows for 5 s that the former one has ended.

--- a/src/carawaywheel/mesh/crashes.py
+++ b/src/carawaywheel/mesh/crashes.py
@@ -14,6 +14,13 @@
 from .quarantine import request_fingerprint
 from .target import Heartbeat, LocalTarget, Phase
 
+# Delays before the checks whether a target accepts connections. The first one may reach
+# the listener of a process that is just ending.
+CHECK_DELAYS_SECONDS = (0.0, 0.1)
+# Time after a failed connection in which another incarnation shows that the former one
+# has ended then.
+DOUBT_SECONDS = 5.0
+
 
 class RunningRequest(NamedTuple):
     """A request that the target may run.
@@ -35,6 +42,20 @@
         return call_fingerprint(self.call, self.request, self.body)
 
 
+class Doubts(NamedTuple):
+    """Requests in flight at a failed connection, whose target may have ended.
+
+    Attributes:
+        name: Name of the incarnation.
+        suspects: Fingerprints of the requests.
+        noted_at: Time of the failure, in seconds.
+    """
+
+    name: str
+    suspects: list[bytes]
+    noted_at: float
+
+
 class CrashDetector:
     """Notes which requests the target may run, and blames them when it ends.
 
@@ -44,6 +65,7 @@
     Attributes:
         running: Requests without a response, by number.
         checked: Incarnation that is being checked, or that has ended.
+        doubts: Requests in flight when a connection failed last; None before that.
         current: Newest incarnation; empty before the first one.
         current_phase: Its phase.
     """
@@ -57,6 +79,7 @@
         self.numbers = itertools.count()
         self.running: dict[int, RunningRequest] = {}
         self.checked = ""
+        self.doubts: Doubts | None = None
         self.current = ""
         self.current_phase: Phase | None = None
 
@@ -105,15 +128,25 @@
 
     async def confirm(self, name: str, address: str, suspects: list[bytes]) -> None:
         """Blame the suspects if the target accepts no connection."""
+        self.doubts = Doubts(name, suspects, self.reporter.clock.now())
+        for delay in CHECK_DELAYS_SECONDS:
+            await curio.sleep(delay)
+            if not await self.accepts_connection(address):
+                self.doubts = None
+                if self.target.phase is Phase.READY:
+                    await self.reporter.report_crash(name, suspects)
+                return
+        if self.checked == name:
+            self.checked = ""
+
+    async def accepts_connection(self, address: str) -> bool:
+        """Return whether the target keeps a connection open or accepts a new one."""
         try:
             connection = await self.pool.acquire(address)
         except PeerError:
-            if self.target.phase is Phase.READY:
-                await self.reporter.report_crash(name, suspects)
-            return
+            return False
         await self.pool.release(connection)
-        if self.checked == name:
-            self.checked = ""
+        return True
 
     async def observe(self, heartbeat: Heartbeat) -> None:
         """Blame the requests of an incarnation in whose place another one has come.
@@ -125,8 +158,15 @@
         self.current, self.current_phase = incarnation_name(heartbeat), heartbeat.phase
         if former == self.current or former_phase is not Phase.READY:
             return
+        doubts, self.doubts = self.doubts, None
+        if doubts is None and former == self.checked:
+            # It has been reported.
+            return
         suspects = self.suspects(former)
-        if suspects and former != self.checked:
+        if doubts is not None and doubts.name == former:
+            if self.reporter.clock.now() - doubts.noted_at <= DOUBT_SECONDS:
+                suspects += doubts.suspects
+        if suspects:
             await self.reporter.report_crash(former, suspects)
 
     def suspects(self, name: str) -> list[bytes]:
