--- a/review/common/installation.py
+++ b/review/common/installation.py
@@ -26,7 +26,8 @@
 HOST = "hulo84.example"
 KEY = "6wsjnbanfqasnmgkcuyj"
 TENANT = "pulo780"
-READ, ORDER = "/read/", "/order/"
+READ, ORDER, LOOK = "/read/", "/order/", "/look/"
+FIRST_VERSION = 7
 PORTS = {"outbound": 0, "inbound": 1, "ready": 2, "control": 3, "app": 4}
 FIRST_INNER_PORT, LAST_INNER_PORT = 5, 6
 PORTS_PER_HOST = 8
@@ -68,15 +69,24 @@
     }
 
 
-def configuration() -> dict[str, Any]:
-    """Return the configuration that the operator publishes."""
+def configuration(version: int, keys: list[str]) -> dict[str, Any]:
+    """Return a configuration that the operator publishes.
+
+    Args:
+        version: Its version.
+        keys: Keys of the tenant.
+    """
     services = [
         {"name": name, "health_path": "/healthz", "max_connections": 748}
         for name in ("desk", "yard")
     ]
-    routes = [route(READ, "idempotent", "desk"), route(ORDER, "non_idempotent", "yard")]
+    routes = [
+        route(READ, "idempotent", "desk"),
+        route(ORDER, "non_idempotent", "yard"),
+        route(LOOK, "idempotent", "yard"),
+    ]
     return {
-        "version": "r7",
+        "version": f"r{version}",
         "services": services,
         "limits": {
             "max_header_bytes": 16384,
@@ -84,7 +94,7 @@
             "header_timeout_s": 3,
             "idle_timeout_s": 15,
         },
-        "tenants": [{"name": TENANT, "api_keys": [KEY], "rate_per_s": 0, "burst": 0}],
+        "tenants": [{"name": TENANT, "api_keys": keys, "rate_per_s": 0, "burst": 0}],
         "virtual_hosts": [{"hostname": HOST, "paths": routes}],
     }
 
@@ -284,10 +294,18 @@
                 raise NotRun(f"{what}: not within {seconds} s")
             await asyncio.sleep(0.1)
 
-    async def publish(self) -> bool:
-        """Write the configuration as the operator does."""
+    async def publish(
+        self, version: int = FIRST_VERSION, keys: list[str] | None = None
+    ) -> bool:
+        """Write a configuration as the operator does; return whether it is confirmed.
+
+        Args:
+            version: Its version.
+            keys: Keys of the tenant; None for the usual one alone.
+        """
         key = b"config"
-        record = bytes([len(key)]) + key + json.dumps(configuration()).encode()
+        document = configuration(version, keys or [KEY])
+        record = bytes([len(key)]) + key + json.dumps(document).encode()
         body = len(record).to_bytes(4, "big") + record
         path = "/api/log-append?topic=keyed.op&part=0"
         return (await exchange(self.store, "POST", path, {}, body)).status == 200
@@ -304,10 +322,16 @@
         return response.status == 200
 
     async def send(
-        self, host: int, method: str, path: str, attempt: str, body: bytes = b""
+        self,
+        host: int,
+        method: str,
+        path: str,
+        attempt: str,
+        body: bytes = b"",
+        key: str = KEY,
     ) -> Message:
         """Send one request of a client and return the response."""
-        headers = client_headers(attempt)
+        headers = client_headers(attempt, key)
         address = self.address(host, "outbound")
         return await exchange(address, method, path, headers, body)
 
@@ -323,6 +347,11 @@
         body = json.dumps(command).encode()
         await exchange(self.address(host, "app"), "POST", "/control", {}, body)
 
+    def log_lines(self, host: int) -> list[dict[str, Any]]:
+        """Return what a node has logged."""
+        text = (self.folder / f"node-{host}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
+
     def kill_node(self, host: int) -> None:
         """Kill the node of a host."""
         self.nodes[host].send_signal(signal.SIGKILL)
@@ -348,13 +377,13 @@
                 self.note(f"{event['endpoint']} {event['event']} {fields}", event["at"])
 
 
-def client_headers(attempt: str) -> dict[str, str]:
+def client_headers(attempt: str, key: str = KEY) -> dict[str, str]:
     """Return the headers that a client sends."""
     return {
         "host": HOST,
         "x-attempt-id": attempt,
         "x-deadline-ms": "5000",
-        "authorization": f"Token {KEY}",
+        "authorization": f"Token {key}",
     }
 
 
