--- a/review/common/endpoint.py
+++ b/review/common/endpoint.py
@@ -20,7 +20,6 @@
 CHECK_IN_SECONDS = 1.0
 HEARTBEAT_SECONDS = 1.5
 RETRY_SECONDS = 0.3
-CALL_PREFIX = "call-"
 
 
 def signature(body: bytes) -> str:
@@ -34,6 +33,7 @@
     Attributes:
         leaving: Whether it has begun to leave.
         sequence: Number of its newest check-in.
+        late: Check-in that was sent and has not arrived yet; empty for none.
     """
 
     def __init__(self, options: Any) -> None:
@@ -41,7 +41,7 @@
         self.born = int(time.time() * 1000)
         self.leaving = False
         self.sequence = 0
-        self.calls = 0
+        self.late = b""
         self.file = open(options.record, "a", buffering=1)
 
     def note(self, event: str, **fields: Any) -> None:
@@ -91,6 +91,9 @@
 
     def control(self, command: dict[str, Any]) -> Reply:
         """Carry out a command of the script."""
+        if command.get("hold_up"):
+            self.late = self.check_in()
+            self.note("check-in sent that arrives late", sequence=self.sequence)
         if command.get("leave"):
             self.leaving = True
             asyncio.get_running_loop().create_task(
@@ -140,17 +143,14 @@
 
         Args:
             stays_s: Seconds for which the endpoint serves after the confirmation.
-            late_s: Seconds after the confirmation at which its last check-in arrives,
-                which was sent before.
+            late_s: Seconds after the confirmation at which the late check-in arrives.
         """
-        late = self.check_in()
-        self.note("check-in sent that arrives late", sequence=self.sequence)
         own = json.dumps({"born": self.born}).encode()
         while not await self.send("DELETE", own):
             await asyncio.sleep(RETRY_SECONDS)
         self.note("leaving confirmed")
         await asyncio.sleep(late_s)
-        confirmed = await self.send("PUT", late)
+        confirmed = await self.send("PUT", self.late)
         self.note("late check-in arrived", confirmed=confirmed)
         await asyncio.sleep(stays_s - late_s)
         self.note("exit")
--- a/review/common/installation.py
+++ b/review/common/installation.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -418,13 +419,20 @@
         await installation.start()
         return await play(installation, troubled)
 
+    signal.signal(signal.SIGTERM, stop)
     try:
         with Installation(case, services, faulty) as installation:
             try:
                 return asyncio.run(play_whole(installation))
-            except (NotRun, OSError) as error:
-                installation.note(f"the case could not run: {error}")
+            except (Exception, SystemExit) as error:
+                installation.note(f"the case could not run: {error!r}")
+                traceback.print_exc()
                 return NOT_RUN
-    except NotRun as error:
-        print(error)
+    except (NotRun, OSError) as error:
+        print(f"the case could not run: {error!r}")
         return NOT_RUN
+
+
+def stop(*_: object) -> None:
+    """End the play, so that its processes are ended."""
+    raise SystemExit("stopped by a signal")
