--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,8 +1,8 @@
 """An endpoint deregisters at a node that has just started again.
 
 The node is killed and started. Before the first check-in reaches the new process, the
-endpoint deregisters there and gets its confirmation. Its last check-in, which it had
-sent before, arrives late.
+endpoint deregisters there and gets its confirmation. A check-in that it had sent before
+all that arrives late.
 """
 
 import asyncio
@@ -53,6 +53,7 @@
 
 async def play(installation: Installation, troubled: bool) -> int:
     """Play the case."""
+    await installation.command_endpoint(LEAVING_HOST, {"hold_up": True})
     if troubled:
         installation.kill_node(LEAVING_HOST)
     command = {"leave": True, "stays_s": STAYS_SECONDS, "late_s": LATE_SECONDS}
