Record every read of the case of a stop, and what its endpoints ran

Cause: the record of case 3 listed the reads that were not answered, and only counted the others. The issue asks for what was sent, answered and run.

What was done: the record lists each read and the events of the endpoints.

--- a/review/3/play.py
+++ b/review/3/play.py
@@ -188,6 +188,7 @@
     """Count the reads that were passed on and whose answers were cut."""
     answered = set()
     for host in installation.services:
+        installation.note_endpoint(host, ("check-in",))
         for event in installation.endpoint_events(host):
             if event["event"] == "answered":
                 answered.add(event["id"])
@@ -197,14 +198,13 @@
             for attempt in client.attempts:
                 sent += 1
                 whole += attempt.outcome == ANSWERED
-                if attempt.outcome == ANSWERED:
-                    continue
                 passed_on = attempt.id in answered
-                since = attempt.sent_at - began.get(host, attempt.sent_at)
-                lost += passed_on
+                lost += passed_on and attempt.outcome != ANSWERED
+                text = f"host {host}: read {attempt.id} sent"
+                if host in began:
+                    text += f" {attempt.sent_at - began[host]:.3f} s after SIGTERM"
                 installation.note(
-                    f"host {host}: read {attempt.id} sent {since:.3f} s after SIGTERM: "
-                    f"{attempt.outcome}, status {attempt.status}, "
+                    f"{text}: {attempt.outcome}, status {attempt.status}, "
                     f"{attempt.received} bytes of body; passed on to an endpoint that "
                     f"has answered it: {passed_on}",
                     attempt.sent_at,
