Linger on a connection until its client has the last response

Callers saw: after a SIGTERM, kept connections of clients that send reads in advance ended with a reset.

Cause: after the last pipelined response the node shut the connection down for reading, which made its task close the socket at once. A request that the client sent before it could read `Connection: close` then met a closed socket, or lay there unread; the kernel resets such a connection and drops what is still in its send buffer. After a response that did not overlap with others the node did wait, but for one second at most, whatever was still unsent. The limit for idle connections and the end of a stop closed connections in the same way, and the process did not wait for any of them.

Ruled out: that nodes stop responses that are still being written (each was whole in the send buffer as its connection closed), that the end of the grace time cuts them off (connections ended long before it), and lost links between nodes (the same happens with the target beside the node).

Change: the output of a connection ends first. Its task reads on and discards what arrives, and a monitor decides from what the client sends and acknowledges when it is given up (`lingering.py`, without I/O). A stop waits for the connections that linger at its end, but not for those that are opened later. A connection closes only behind a response that has announced it, also if the stop began while this was being sent.

Failed before, pass now: tests/test_pipelining.py (request that crosses the close, idle limit; 300,000 bytes were cut at about 4,000), tests/test_shutdown.py (requests that cross the close, with the target beside the node and beside another one, and clients that never close). test_idle_connection_with_a_request_is_not_closed and the test of the node with flags in tests/test_stop.py passed before as well.

`HangupMonitor` has moved to a module of its own as `ConnectionMonitor`.

--- a/src/carawaywheel/http.py
+++ b/src/carawaywheel/http.py
@@ -5,6 +5,7 @@
 """
 
 import re
+import select
 from typing import Any, NamedTuple
 
 import curio
@@ -59,10 +60,6 @@
 # lost twice in a row within a second.
 SERVER_KEEPALIVE = KeepaliveOptions(1, 1, 2, 1_500)
 
-# Time for a client to read its response and close the connection: some round trips, or
-# the rest of a body that it sends before it reads.
-LINGER_SECONDS = 1.0
-
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -127,7 +124,7 @@
         pipelined: Whether the client sends requests before it has the responses to
             earlier ones.
         request_complete: Whether the whole request was read.
-        input_ended: Whether the node itself has ended the input.
+        received: Whether bytes were received; cleared by whoever looks at it.
     """
 
     def __init__(self, sock: Any, peer: str, budget: BodyBudget) -> None:
@@ -137,7 +134,7 @@
         self.declared_length = 0
         self.close_after_response = False
         self.request_complete = False
-        self.input_ended = False
+        self.received = False
         self.expects_continue = False
         self.has_no_body = False
         self.has_idle_reaper = False
@@ -254,9 +251,11 @@
     async def receive_bytes(self) -> bytes:
         """Read available bytes; empty at the end of the connection."""
         try:
-            return await receive_when_ready(self.sock, READ_BYTES)
+            data = await receive_when_ready(self.sock, READ_BYTES)
         except OSError:
             return b""
+        self.received = self.received or bool(data)
+        return data
 
     async def read_body(self, limit: int) -> bytes:
         """Read the whole body of the current request.
@@ -337,32 +336,34 @@
             return
         self.is_pipelined()
 
-    def end_input(self) -> None:
-        """Shut the connection down for reading, so that its task closes it."""
-        self.input_ended = True
+    def end_output(self) -> bool:
+        """Shut the connection down for writing; return False if it is broken."""
+        self.closing = True
         try:
-            self.sock._socket.shutdown(socket.SHUT_RD)
+            self.sock._socket.shutdown(socket.SHUT_WR)
         except OSError:
-            # The client has disconnected, which its task will see.
-            return
+            # The client has disconnected.
+            return False
+        return True
 
-    async def discard_unread_input(self) -> None:
-        """Let the client read its response before the connection closes.
+    def end_input(self) -> None:
+        """Shut the connection down for reading, so that its task closes it.
 
-        Closing a connection with unread bytes resets it, and the client may then lose
-        the response: the refusal of a request whose body it is still sending, or a
-        response that closes the connection before a request that was sent behind it.
+        What the client has not yet acknowledged may be lost.
         """
-        if not self.response_finished:
-            return
         try:
-            self.sock._socket.shutdown(socket.SHUT_WR)
+            self.sock._socket.shutdown(socket.SHUT_RD)
         except OSError:
-            # The client has disconnected.
+            # The client has disconnected, which its task will see.
             return
-        await curio.ignore_after(LINGER_SECONDS, self.receive_until_end)
 
-    async def receive_until_end(self) -> None:
+    def has_unread_input(self) -> bool:
+        """Return whether bytes, or the end of the connection, have arrived."""
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    async def discard_input(self) -> None:
         """Discard input until the client closes the connection."""
         while await self.receive_bytes():
             pass
@@ -371,7 +372,7 @@
         """Prepare for the next request; return False if the connection must close."""
         if (
             self.disconnected
-            or self.close_after_response
+            or self.closing
             or not self.response_finished
             or not self.request_complete
         ):
--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -1,6 +1,5 @@
-"""Listeners: accept connections, run request handlers, detect client hang-ups."""
+"""Listeners: accept connections, run request handlers, end connections."""
 
-import select
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Any
@@ -9,6 +8,7 @@
 from curio.io import Socket
 from loguru import logger
 
+from .connectionmonitor import ConnectionMonitor
 from .datagrams import format_address
 from .errors import ProtocolError
 from .http import (
@@ -18,14 +18,12 @@
     ServerConnection,
     set_socket_options,
 )
+from .lingering import IDLE_LINGER_SECONDS
 from .pipelining import MAX_PIPELINED_REQUESTS, Pipeline, PipelinedExchange
 from .serverexchange import ServerExchange
 
 ACCEPT_RETRY_SECONDS = 0.05
-BUSY_POLL_SECONDS = 0.05
-IDLE_POLL_SECONDS = 0.25
 REAPER_INTERVAL_SECONDS = 1.0
-HANGUP_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
 class RequestHandler(ABC):
@@ -48,57 +46,6 @@
         return False
 
 
-class HangupMonitor:
-    """Cancels the tasks of connections that the client has closed.
-
-    One epoll object watches all connections, so that a request in flight needs no
-    second task that waits for the client to hang up.
-
-    Attributes:
-        tasks: Task that serves each connection, by file descriptor.
-        busy: File descriptors of connections on which a request runs.
-        hung_up: File descriptors of connections that the client has closed.
-    """
-
-    def __init__(self) -> None:
-        self.epoll = select.epoll()
-        self.tasks: dict[int, Any] = {}
-        self.busy: set[int] = set()
-        self.hung_up: set[int] = set()
-
-    def add(self, fd: int, task: Any) -> None:
-        """Start to monitor a connection on behalf of the task that serves it."""
-        self.tasks[fd] = task
-        self.epoll.register(fd, HANGUP_EVENTS | select.EPOLLET)
-
-    def remove(self, fd: int) -> None:
-        """Stop monitoring a connection; must be called before it is closed."""
-        self.epoll.unregister(fd)
-        self.tasks.pop(fd, None)
-        self.busy.discard(fd)
-        self.hung_up.discard(fd)
-
-    async def run(self) -> None:
-        """Poll for hang-ups until cancelled."""
-        while True:
-            idle = not self.busy
-            await curio.sleep(IDLE_POLL_SECONDS if idle else BUSY_POLL_SECONDS)
-            await self.poll()
-
-    async def poll(self) -> None:
-        """Cancel the tasks whose client hung up while a request runs."""
-        for fd, _ in self.epoll.poll(0):
-            self.hung_up.add(fd)
-        for fd in list(self.hung_up & self.busy):
-            self.hung_up.discard(fd)
-            await self.tasks[fd].cancel(blocking=False)
-
-    async def cancel_busy(self) -> None:
-        """Cancel the tasks of all connections on which a request runs."""
-        for fd in list(self.busy):
-            await self.tasks[fd].cancel(blocking=False)
-
-
 class Listener:
     """A listening socket and the connections accepted on it.
 
@@ -117,14 +64,14 @@
         name: str,
         sock: Any,
         handler: RequestHandler,
-        hangup_monitor: HangupMonitor,
+        monitor: ConnectionMonitor,
         max_connections: int,
         budget: BodyBudget,
     ) -> None:
         self.budget = budget
         self.name = name
         self.handler = handler
-        self.hangup_monitor = hangup_monitor
+        self.monitor = monitor
         self.max_connections = max_connections
         # Accepted connections inherit these options from the listening socket.
         set_socket_options(sock, CALLER_KEEPALIVE)
@@ -160,10 +107,11 @@
         connection.close_after_response = self.draining
         connection.has_idle_reaper = self.reaper_ticks is not None
         self.connections[fd] = connection
-        self.hangup_monitor.add(fd, await curio.current_task())
+        self.monitor.add(fd, await curio.current_task())
         try:
             await self.serve_connection(connection, fd)
-            await connection.discard_unread_input()
+            self.monitor.linger(fd, connection)
+            await connection.discard_input()
         except (OSError, curio.CancelledError):
             # The client disconnected or the node is stopping: no response is read.
             pass
@@ -174,7 +122,7 @@
             )
             self.on_protocol_error(self.name)
         finally:
-            self.hangup_monitor.remove(fd)
+            self.monitor.remove(fd)
             self.idle_since.pop(fd, None)
             del self.connections[fd]
             await sock.close()
@@ -187,7 +135,7 @@
         pipeline = Pipeline(connection)
         try:
             while True:
-                if not pipeline.pending:
+                if not pipeline.pending and not connection.closing:
                     self.idle_since[fd] = self.reaper_ticks or 0
                 request = await connection.next_request()
                 self.idle_since.pop(fd, None)
@@ -197,11 +145,11 @@
                     await pipeline.wait_for_responses()
                     return
         except ProtocolError as error:
-            if connection.input_ended:
-                # The rest of the request was not read because the node closes.
+            await pipeline.wait_for_responses()
+            if connection.closing and not connection.response_started:
+                # What arrives behind the last response is not served.
                 return
             self.on_protocol_error(self.name)
-            await pipeline.wait_for_responses()
             await self.send_input_error(connection, error)
         finally:
             connection.disconnected = True
@@ -216,9 +164,14 @@
     ) -> bool:
         """Serve a request, or start it if it is pipelined.
 
+        A request that crosses a response that closes the connection is not served: its
+        client sends it again.
+
         Returns:
             Whether another request may follow on the connection.
         """
+        if connection.closing:
+            return False
         overlaps = connection.is_complete_without_body() and connection.is_pipelined()
         if overlaps and self.handler.may_run_concurrently(request):
             await pipeline.wait_for_responses(MAX_PIPELINED_REQUESTS - 1)
@@ -227,7 +180,10 @@
                 self.serve_pipelined, exchange, request, pipeline, fd, daemon=True
             )
             connection.response_finished = True
-            return connection.prepare_next_request()
+            # While connections close, its response is the last one.
+            return not connection.close_after_response and (
+                connection.prepare_next_request()
+            )
         await pipeline.wait_for_responses()
         await self.serve_exclusively(connection, request, fd)
         if not connection.prepare_next_request():
@@ -239,7 +195,7 @@
         self, exchange: PipelinedExchange, request: Request, pipeline: Pipeline, fd: int
     ) -> None:
         """Run the handler for a request that overlaps with others of its connection."""
-        self.hangup_monitor.busy.add(fd)
+        self.monitor.busy.add(fd)
         complete = cancelled = False
         try:
             await self.handler.handle(exchange, request)
@@ -261,8 +217,9 @@
                 await self.finish_pipelined(exchange, pipeline, fd, complete)
             await pipeline.finish(exchange)
             if not pipeline.pending and not exchange.connection.disconnected:
-                self.hangup_monitor.busy.discard(fd)
-                self.idle_since[fd] = self.reaper_ticks or 0
+                self.monitor.busy.discard(fd)
+                if not exchange.connection.closing:
+                    self.idle_since[fd] = self.reaper_ticks or 0
 
     async def finish_pipelined(
         self, exchange: PipelinedExchange, pipeline: Pipeline, fd: int, complete: bool
@@ -272,25 +229,24 @@
         After a failure the requests behind it are cancelled, as the client could not
         tell their responses from the rest of the truncated one.
         """
+        connection = exchange.connection
         if not complete:
+            connection.closing = exchange.closing = True
             await pipeline.cancel(after=exchange)
             await exchange.wait_for_earlier_responses()
-        if exchange.connection.disconnected or fd not in self.connections:
-            return
-        if not complete or exchange.close_after_response:
-            exchange.connection.disconnected = True
-            exchange.connection.end_input()
+        if exchange.closing and self.connections.get(fd) is connection:
+            self.monitor.linger(fd, connection)
 
     async def serve_exclusively(
         self, connection: ServerConnection, request: Request, fd: int
     ) -> None:
         """Run the handler for a request that no other request overlaps."""
         self.idle_since.pop(fd, None)
-        self.hangup_monitor.busy.add(fd)
+        self.monitor.busy.add(fd)
         try:
             await self.handler.handle(connection, request)
         finally:
-            self.hangup_monitor.busy.discard(fd)
+            self.monitor.busy.discard(fd)
             connection.release_body()
 
     async def send_input_error(
@@ -309,9 +265,16 @@
             connection.close_after_response = True
 
     def close_idle_connections(self) -> None:
-        """Shut down idle connections for reading, so that their tasks close them."""
-        for fd in self.idle_since:
-            self.connections[fd].end_input()
+        """Close the idle connections on which nothing has arrived."""
+        for fd in list(self.idle_since):
+            self.close_idle(fd)
+
+    def close_idle(self, fd: int) -> None:
+        """Close an idle connection, unless a request has arrived on it."""
+        connection = self.connections[fd]
+        if not connection.has_unread_input():
+            del self.idle_since[fd]
+            self.monitor.linger(fd, connection, IDLE_LINGER_SECONDS)
 
     async def run_idle_reaper(self, idle_seconds: Callable[[], float]) -> None:
         """Close connections that are idle for too long, until cancelled.
@@ -326,7 +289,7 @@
             min_tick = self.reaper_ticks - idle_seconds() / REAPER_INTERVAL_SECONDS
             for fd, since in list(self.idle_since.items()):
                 if since < min_tick:
-                    self.connections[fd].end_input()
+                    self.close_idle(fd)
 
     async def close(self) -> None:
         """Stop listening; connections that clients have already opened are served.
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -12,10 +12,11 @@
 import curio
 
 from ..clock import SystemClock
+from ..connectionmonitor import ConnectionMonitor
 from ..datagrams import DatagramSocket
 from ..errors import SettingsError
 from ..http import BodyBudget
-from ..listener import HangupMonitor, Listener
+from ..listener import Listener
 from ..platform.configuration import CONFIGURATION_KEY
 from ..platform.settings import read_host_settings
 from ..platform.store import CONFIGURATION_TABLE, HOST_TABLE, MetadataStore
@@ -94,7 +95,7 @@
         self.stopping = False
         self.supervisor = JournalSupervisor(self.journal, self.clock)
         self.stalls = StallDetector(self.clock)
-        self.hangup_monitor = HangupMonitor()
+        self.connection_monitor = ConnectionMonitor(self.clock)
         self.body_budget = BodyBudget(int(settings.memory_bytes * BUFFERED_BODY_SHARE))
         self.build_shared_state()
         self.build_request_handling()
@@ -231,7 +232,12 @@
         """Open a listening socket and return its listener."""
         sock = open_listener(*split_address(address))
         listener = Listener(
-            name, sock, handler, self.hangup_monitor, MAX_CONNECTIONS, self.body_budget
+            name,
+            sock,
+            handler,
+            self.connection_monitor,
+            MAX_CONNECTIONS,
+            self.body_budget,
         )
         listener.on_protocol_error = lambda name: self.journal.count("bad_input", name)
         return listener
@@ -282,7 +288,7 @@
         gc.freeze()
         components: list[Component] = [
             self.stalls.run,
-            self.hangup_monitor.run,
+            self.connection_monitor.run,
             self.datagram_socket.run,
             self.rate_limiter.run,
             self.crash_reporter.run,
@@ -379,32 +385,37 @@
         await curio.ignore_after(remaining, self.wait_until_idle)
         self.log_running("stopped")
         self.entry.cutting_off = True
-        await self.hangup_monitor.cancel_busy()
+        await self.connection_monitor.cancel_busy()
         await curio.ignore_after(CANCEL_SECONDS, self.wait_until_idle)
 
     def log_running(self, event: str) -> None:
         """Log an event of the stop with what is still in flight."""
         self.journal.write(
             event,
-            running=len(self.hangup_monitor.busy),
+            running=len(self.connection_monitor.busy),
             calls=self.runner.active_calls,
         )
 
     def is_idle(self) -> bool:
         """Return whether no request, call or response is in flight."""
         return (
-            not self.hangup_monitor.busy
+            not self.connection_monitor.busy
             and not self.runner.active_calls
             and not self.peers.retained_responses
             and self.link_server.is_idle
         )
 
     async def wait_until_idle(self) -> None:
-        """Wait until no request is in flight, then close the idle connections."""
+        """Wait until no request is in flight, then close the idle connections.
+
+        Returns when the clients have closed the connections that were open until then,
+        or have had enough time for it. Those who connect later do not prolong it.
+        """
         while not self.is_idle():
             await curio.sleep(IDLE_POLL_SECONDS)
         for listener in self.listeners.values():
             listener.close_idle_connections()
+        await self.connection_monitor.wait_for_lingering()
 
 
 def file_version(path: str) -> tuple[int, int]:
--- a/src/carawaywheel/node.py
+++ b/src/carawaywheel/node.py
@@ -17,6 +17,7 @@
 from .claimservice import ClaimService
 from .clock import SystemClock
 from .configuration import Configuration
+from .connectionmonitor import ConnectionMonitor
 from .entry import EntryHandler
 from .events import EventBuffer, EventKind
 from .executor import TargetExecutor
@@ -29,7 +30,7 @@
 from .intake import Intake
 from .lenders import Lender
 from .levels import OverloadLevelTable
-from .listener import HangupMonitor, Listener
+from .listener import Listener
 from .logservice import HttpLogService, LogService
 from .logwriter import PeriodicLogWriter
 from .members import Member, MemberState
@@ -117,7 +118,7 @@
             host, port, self.signer, attempts
         )
         self.peer_address = self.settings.peer_advertise or self.datagram_socket.address
-        self.hangup_monitor = HangupMonitor()
+        self.connection_monitor = ConnectionMonitor(self.clock)
 
     def build_membership(self) -> None:
         """Build routing and membership."""
@@ -341,7 +342,7 @@
     def make_listener(self, name: str, sock: Any, handler: Any, limit: int) -> Listener:
         """Build the listener for one listening socket."""
         listener = Listener(
-            name, sock, handler, self.hangup_monitor, limit, self.body_budget
+            name, sock, handler, self.connection_monitor, limit, self.body_budget
         )
         listener.on_protocol_error = self.count_protocol_error
         return listener
@@ -387,7 +388,7 @@
         tasks = [
             self.stalls.run,
             self.datagram_socket.run,
-            self.hangup_monitor.run,
+            self.connection_monitor.run,
             self.gossip.run,
             self.gossip.run_discovery,
             self.charging_service.run,
--- a/src/carawaywheel/pipelining.py
+++ b/src/carawaywheel/pipelining.py
@@ -43,6 +43,10 @@
         """Whether the connection closes after this response."""
         return self.connection.close_after_response and self.is_newest
 
+    def announce_close(self) -> None:
+        """Note that this response announces the close; see the base class."""
+        self.closing = self.connection.closing = True
+
     async def read_body(self, limit: int) -> bytes:
         """Return no body, as pipelined requests have none; see the base class."""
         return b""
--- a/src/carawaywheel/serverexchange.py
+++ b/src/carawaywheel/serverexchange.py
@@ -25,6 +25,8 @@
         disconnected: Whether the connection is closed or is about to be.
         close_after_response: Whether the connection closes after the current
             response.
+        closing: Whether a response has announced that the connection closes, or its
+            output has ended; requests behind that are not served.
         response_started: Whether a part of the response was sent.
         response_finished: Whether the whole response was sent.
         is_head_request: Whether the request has the method HEAD, so that its response
@@ -38,6 +40,7 @@
         self.sock = sock
         self.peer = peer
         self.disconnected = False
+        self.closing = False
         self.response_started = False
         self.response_finished = False
         self.is_head_request = False
@@ -62,6 +65,17 @@
         """Wait until the responses to earlier pipelined requests are sent."""
         return
 
+    def close_fields(self) -> Headers:
+        """Return the header that announces the close, if this response does so."""
+        if not self.close_after_response:
+            return []
+        self.announce_close()
+        return [CLOSE_HEADER]
+
+    def announce_close(self) -> None:
+        """Note that this response announces the end of the connection."""
+        self.closing = True
+
     async def write(self, data: bytes) -> None:
         """Send bytes.
 
@@ -92,9 +106,8 @@
             ProtocolError: If a header is not valid or the client has disconnected.
         """
         await self.wait_for_earlier_responses()
-        fields = [*headers, (b"content-length", str(len(body)).encode())]
-        if self.close_after_response:
-            fields.append(CLOSE_HEADER)
+        length = (b"content-length", str(len(body)).encode())
+        fields = [*headers, length, *self.close_fields()]
         head = self.encode_header_block(status, fields)
         self.response_started = self.response_finished = True
         await self.write(head if self.is_head_request else head + body)
@@ -118,8 +131,7 @@
         """
         self.response_started = True
         self.body_writer = BodyWriter(status, headers, self.is_head_request)
-        fields = [*headers, CLOSE_HEADER] if self.close_after_response else headers
-        return self.encode_header_block(status, fields)
+        return self.encode_header_block(status, [*headers, *self.close_fields()])
 
     def encode_chunk(self, data: bytes) -> bytes:
         """Encode a part of the body of a streamed response.
--- a/src/carawaywheel/shutdown.py
+++ b/src/carawaywheel/shutdown.py
@@ -110,7 +110,8 @@
         await curio.ignore_after(CLOSE_WAIT_SECONDS, self.wait_for_clients)
         for listener in self.listeners:
             listener.close_idle_connections()
-        await curio.ignore_after(CLOSE_WAIT_SECONDS, self.wait_for_clients)
+        for listener in self.listeners:
+            await listener.monitor.wait_for_lingering()
 
     async def write_summary(self) -> None:
         """Append the last summary to the log."""
--- a/src/carawaywheel/sockets.py
+++ b/src/carawaywheel/sockets.py
@@ -1,5 +1,8 @@
-"""Listening sockets of a node."""
+"""Listening sockets of a node, and the state of connected ones."""
 
+import fcntl
+import struct
+import termios
 from typing import Any
 
 import curio
@@ -43,3 +46,13 @@
             listener._socket.close()
     listener = open_listener(host, port)
     return listener, DatagramSocket(host, listener.getsockname()[1], signer)
+
+
+def unacknowledged_bytes(sock: Any) -> int:
+    """Return how many bytes the peer has not acknowledged yet; 0 on a broken socket."""
+    try:
+        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    size: int = struct.unpack("i", answer)[0]
+    return size
--- a/tests/failing_former_node.py
+++ b/tests/failing_former_node.py
@@ -2,11 +2,12 @@
 
 from carawaywheel.charging import ChargingService
 from carawaywheel.claimservice import ClaimService
+from carawaywheel.connectionmonitor import ConnectionMonitor
 from carawaywheel.datagrams import DatagramSocket
 from carawaywheel.executor import TargetExecutor
 from carawaywheel.follower import StreamFollower
 from carawaywheel.gossip import GossipService
-from carawaywheel.listener import HangupMonitor, Listener
+from carawaywheel.listener import Listener
 from carawaywheel.logwriter import PeriodicLogWriter
 from carawaywheel.main import run
 from carawaywheel.node import Node
@@ -19,7 +20,7 @@
 PARTS = (
     (StallDetector, "run"),
     (DatagramSocket, "run"),
-    (HangupMonitor, "run"),
+    (ConnectionMonitor, "run"),
     (GossipService, "run"),
     (GossipService, "run_discovery"),
     (ChargingService, "run"),
--- a/tests/failing_node.py
+++ b/tests/failing_node.py
@@ -6,8 +6,9 @@
 
 import curio
 
+from carawaywheel.connectionmonitor import ConnectionMonitor
 from carawaywheel.datagrams import DatagramSocket
-from carawaywheel.listener import HangupMonitor, Listener
+from carawaywheel.listener import Listener
 from carawaywheel.mesh.execution import TargetRunner
 from carawaywheel.mesh.links import LinkServer
 from carawaywheel.mesh.main import run_mesh_node
@@ -24,7 +25,7 @@
 SECONDS_UNTIL_FAILURE = 2.5
 COMPONENTS = (
     (StallDetector, "run"),
-    (HangupMonitor, "run"),
+    (ConnectionMonitor, "run"),
     (DatagramSocket, "run"),
     (RateLimiter, "run"),
     (PeerMonitor, "run"),
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -4,8 +4,9 @@
 
 import curio
 
+from carawaywheel.connectionmonitor import ConnectionMonitor
 from carawaywheel.http import CALLER_KEEPALIVE, BodyBudget, ServerConnection
-from carawaywheel.listener import HangupMonitor, Listener, RequestHandler
+from carawaywheel.listener import Listener, RequestHandler
 from carawaywheel.pipelining import Pipeline
 from carawaywheel.sockets import open_listener
 from standins.httpserver import set_reset_on_close
@@ -29,7 +30,7 @@
         "test",
         open_listener("127.0.0.1", 0),
         EchoHandler(),
-        HangupMonitor(),
+        ConnectionMonitor(),
         10,
         BodyBudget(0),
     )
@@ -69,7 +70,7 @@
     async def run():
         sock = open_listener("127.0.0.1", 0)
         listener = Listener(
-            "test", sock, OptionsHandler(), HangupMonitor(), 10, BodyBudget(0)
+            "test", sock, OptionsHandler(), ConnectionMonitor(), 10, BodyBudget(0)
         )
         host, port = listener.address.split(":")
         task = await curio.spawn(listener.run, daemon=True)
@@ -91,7 +92,7 @@
     async def run():
         sock = open_listener("127.0.0.1", 0)
         listener = Listener(
-            "test", sock, RefusingHandler(), HangupMonitor(), 10, BodyBudget(0)
+            "test", sock, RefusingHandler(), ConnectionMonitor(), 10, BodyBudget(0)
         )
         host, port = listener.address.split(":")
         task = await curio.spawn(listener.run, daemon=True)
@@ -115,7 +116,7 @@
 
     async def run():
         sock = open_listener("127.0.0.1", 0)
-        monitor, budget = HangupMonitor(), BodyBudget(0)
+        monitor, budget = ConnectionMonitor(), BodyBudget(0)
         listener = Listener("test", sock, EchoHandler(), monitor, 10, budget)
         client = await curio.open_connection(*sock.getsockname())
         accepted, _ = await sock.accept()
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -5,10 +5,16 @@
 import curio
 import pytest
 
+from carawaywheel.connectionmonitor import ConnectionMonitor
 from carawaywheel.errors import ProtocolError
 from carawaywheel.http import BodyBudget
-from carawaywheel.listener import HangupMonitor, Listener, RequestHandler
+from carawaywheel.lingering import IDLE_LINGER_SECONDS, LINGER_SECONDS
+from carawaywheel.listener import Listener, RequestHandler
 from carawaywheel.sockets import open_listener
+from standins.pipeliner import PipeliningClient
+
+# More than the send buffer of a connection holds at first.
+LARGE_BYTES = 300_000
 
 
 class SleepingHandler(RequestHandler):
@@ -36,7 +42,10 @@
                     connection.encode_head(200, [(b"content-length", b"9")])
                 )
                 raise ProtocolError("the answer was cut", "test", "test")
-            await connection.respond(200, [], request.path.encode() + body)
+            content = request.path.encode() + body
+            if "large" in request.path:
+                content = content.ljust(LARGE_BYTES)
+            await connection.respond(200, [], content)
         except curio.CancelledError:
             self.cancelled.append(request.path)
             raise
@@ -57,14 +66,14 @@
             "test",
             open_listener("127.0.0.1", 0),
             handler,
-            HangupMonitor(),
+            ConnectionMonitor(),
             10,
             BodyBudget(999),
         )
         host, port = listener.address.split(":")
         tasks = [
             await curio.spawn(listener.run, daemon=True),
-            await curio.spawn(listener.hangup_monitor.run, daemon=True),
+            await curio.spawn(listener.monitor.run, daemon=True),
         ]
         client = await curio.open_connection(host, int(port))
         result = await curio.ignore_after(seconds, script, client, listener)
@@ -186,6 +195,126 @@
     ]
 
 
+def run_slow_client(script, idle_seconds=60.0):
+    """Run a script in a thread of its own, with the address of a listener.
+
+    Args:
+        script: Called with the address and the listener; returns a result.
+        idle_seconds: Longest idle time of a connection.
+
+    Returns:
+        The handler and the result.
+    """
+    handler = SleepingHandler()
+
+    async def run():
+        sock = open_listener("127.0.0.1", 0)
+        listener = Listener(
+            "test", sock, handler, ConnectionMonitor(), 10, BodyBudget(99)
+        )
+        components = [
+            (listener.run,),
+            (listener.monitor.run,),
+            (listener.run_idle_reaper, lambda: idle_seconds),
+        ]
+        for component in components:
+            await curio.spawn(*component, daemon=True)
+        await curio.sleep(0)
+        return await curio.run_in_thread(script, listener.address, listener)
+
+    return handler, curio.run(run)
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.02])
+def test_request_that_crosses_the_close_cuts_off_no_response(pause):
+    """Guards against a reset by unread input, which drops responses not yet received.
+
+    The client sends further requests until it has read that the connection closes.
+    """
+
+    def script(address, listener):
+        with PipeliningClient(address, pause) as client:
+            client.send(get("/100/a"), get("/100/large-b"))
+            time.sleep(0.05)
+            listener.drain()
+            time.sleep(0.2)
+            client.send(get("/1/c"))
+            time.sleep(0.1)
+            client.send(get("/1/d"), get("/1/e"))
+            return client.read_responses(), client.is_at_end()
+
+    handler, (responses, ended) = run_slow_client(script)
+    assert [(item.size, item.complete) for item in responses] == [
+        (len("/100/a"), True),
+        (LARGE_BYTES, True),
+    ]
+    assert responses[1].closes and ended
+    assert handler.started == ["/100/a", "/100/large-b"]
+
+
+def test_client_that_never_closes_is_given_up():
+    """Guards against connections that stay open until the idle limit, or for good."""
+
+    def script(address, listener):
+        with PipeliningClient(address) as client:
+            client.send(get("/50/a"), get("/100/b"))
+            time.sleep(0.02)
+            listener.drain()
+            responses = client.read_responses()
+            time.sleep(LINGER_SECONDS + 0.5)
+            return len(responses), len(listener.connections)
+
+    assert run_slow_client(script)[1] == (2, 0)
+
+
+def test_idle_limit_cuts_off_no_response_that_is_read_slowly():
+    """Guards against an idle connection that is reset below an unread response."""
+
+    def script(address, listener):
+        with PipeliningClient(address, 0.01) as client:
+            client.send(get("/1/large-a"))
+            time.sleep(0.2)
+            assert listener.connections
+            time.sleep(1.5)
+            client.send(get("/1/b"))
+            time.sleep(1.0)
+            first = client.read_response()
+            return first.size, first.complete, client.read_response()
+
+    handler, result = run_slow_client(script, 0.0)
+    assert result == (LARGE_BYTES, True, None)
+    assert handler.started == ["/1/large-a"]
+
+
+def test_idle_connection_with_a_request_is_not_closed():
+    """Guards against a request that is dropped though it came before the close."""
+
+    async def run():
+        handler = SleepingHandler()
+        sock = open_listener("127.0.0.1", 0)
+        listener = Listener(
+            "test", sock, handler, ConnectionMonitor(), 10, BodyBudget(99)
+        )
+        await curio.spawn(listener.run, daemon=True)
+        await curio.spawn(listener.monitor.run, daemon=True)
+        client = await curio.open_connection(*sock.getsockname())
+        await client.sendall(get("/1/a"))
+        await client.recv(1000)
+        await curio.sleep(0.05)
+        client._socket.send(get("/1/b!"))
+        listener.close_idle_connections()
+        received = await receive(client, 1)
+        listener.close_idle_connections()
+        started = time.monotonic()
+        ended = await client.recv(1000)
+        await client.close()
+        return bodies(received), ended, time.monotonic() - started
+
+    received, ended, seconds = curio.run(run)
+    assert received == ["/1/b!"] and ended == b""
+    assert seconds < IDLE_LINGER_SECONDS
+
+
 def test_exit_does_not_wait_for_pipelined_requests():
     """Guards against a process whose exit is held up by a pipelined request.
 
@@ -201,7 +330,7 @@
     async def run():
         sock = open_listener("127.0.0.1", 0)
         listener = Listener(
-            "test", sock, SleepingHandler(), HangupMonitor(), 10, BodyBudget(9)
+            "test", sock, SleepingHandler(), ConnectionMonitor(), 10, BodyBudget(9)
         )
         host, port = listener.address.split(":")
         await curio.spawn(listener.run, daemon=True)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -11,6 +11,7 @@
 import pytest
 
 from carawaywheel.mesh.shutdown import schedule_stop
+from standins.pipeliner import PipeliningClient
 
 from .platform_harness import HOST, KEY, Platform, configuration, route, wait
 
@@ -239,6 +240,48 @@
     assert len(receive_all(sock).partition(b"\r\n\r\n")[2]) == 60_000
 
 
+@pytest.mark.parametrize("name", ["h1", "h2"])
+def test_requests_that_cross_the_close_cut_off_no_response(platform, name):
+    """Guards against a stop that resets connections of clients that send in advance.
+
+    The target runs beside the node, or beside another one. The client reads slowly and
+    sends until it has read that the connection closes.
+    """
+    platform.configure_target("h2", work=0.3, bytes=150_000)
+    address = platform.address(name, "outbound")
+    with PipeliningClient(address, pause=0.01) as client:
+        client.send(*[request_head("GET", f"/inner/{index}") for index in range(3)])
+        platform.wait_for(lambda: len(platform.runs("h2", "/inner/")) >= 3, "they run")
+        platform.processes[name].signal(signal.SIGTERM)
+        platform.wait_for(lambda: platform.log_lines(name, "stop"), "it stops")
+        wait(0.6)
+        client.send(request_head("GET", "/inner/crossing"))
+        wait(0.5)
+        client.send(request_head("GET", "/inner/crossing-again"))
+        responses = client.read_responses()
+        assert [item.status for item in responses] == [200] * 3
+        assert [item.size for item in responses] == [150_000] * 3
+        assert responses[-1].closes and client.is_at_end()
+    assert platform.processes[name].process.wait(GRACE_SECONDS) == 0
+    assert not platform.runs("h2", "/inner/crossing")
+
+
+def test_stop_does_not_wait_for_clients_that_never_close(platform):
+    """Guards against connections that hold the exit up until the end of the grace."""
+    platform.configure_target("h2", work=0.5)
+    sock = open_raw_connection(platform, "h1")
+    sock.sendall(request_head("GET", "/inner/a") + request_head("GET", "/inner/b"))
+    platform.wait_for(lambda: platform.runs("h2", "/inner/b"), "they run")
+    platform.processes["h1"].signal(signal.SIGTERM)
+    received = receive_all(sock)
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert platform.processes["h1"].process.wait(GRACE_SECONDS) == 0
+    (begun,) = platform.log_lines("h1", "stop")
+    (stopped,) = platform.log_lines("h1", "stopped")
+    schedule = schedule_stop(GRACE_SECONDS)
+    assert stopped["time"] - begun["time"] < schedule.refuse_after + 1.5
+
+
 def test_half_a_head_at_the_exit_is_not_answered_as_malformed(platform):
     """Clients send a request again after a close, and never after a 400."""
     sock = open_raw_connection(platform, "h1")
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -18,6 +18,7 @@
 from carawaywheel.records import decode
 from carawaywheel.slotrecords import SlotClaim, SlotRelease
 from standins.mesh import FLEET_SECRET, ROOT_TOKEN, Mesh
+from standins.pipeliner import PipeliningClient
 
 from .fault_harness import CONNECTION_ERRORS, run_in_thread, send_request
 from .mesh_harness import new_mesh, start_mesh
@@ -216,6 +217,22 @@
     assert_none_lost(shared, senders)
 
 
+def test_requests_behind_the_last_response_do_not_cut_it_off(shared, node):
+    """Guards against a reset by unread input of a client that reads slowly."""
+    head = "GET /maps?size=400000 HTTP/1.1\r\nhost: a\r\nauthorization: Bearer "
+    head += f"{shared.key}\r\n\r\n"
+    with PipeliningClient(node.startup_info["callers"], pause=0.012) as client:
+        client.send(head.encode())
+        time.sleep(0.2)
+        node.signal(signal.SIGTERM)
+        time.sleep(0.2)
+        client.send(head.encode(), head.encode())
+        responses = client.read_responses()
+        assert [(item.size, item.complete) for item in responses] == [(400_000, True)]
+        assert responses[0].closes and client.is_at_end()
+    assert node.process.wait(3.0) == 0
+
+
 def test_request_whose_body_comes_after_the_intake_ended_is_refused(shared, node):
     """Guards against a slow body that runs in the last moment or holds up the stop."""
     host, _, port = node.startup_info["callers"].rpartition(":")
