Run no request behind a response that closes its connection

Callers saw: a request that must not run twice, sent behind reads on one connection, ran although the response before it had announced the close. Clients send such a request again, so that it could run twice.

Cause: a request that does not overlap with others waits for their responses and was then served whatever had become of the connection. The last of those responses did not count it as one that follows, as it is not among the pipelined ones while it waits.

Ruled out: the same among pipelined requests, where the newest one announces the close and those behind a broken response are cancelled.

Change: a request counts as the newest from its head on, so that the response before it does not announce the close; and whatever was waiting is dropped, unread, if the connection closes in the meantime.

Failed before, pass now: tests/test_pipelining.py, two tests named "behind".

--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -172,9 +172,12 @@
         """
         if connection.closing:
             return False
+        pipeline.note_request()
         overlaps = connection.is_complete_without_body() and connection.is_pipelined()
         if overlaps and self.handler.may_run_concurrently(request):
             await pipeline.wait_for_responses(MAX_PIPELINED_REQUESTS - 1)
+            if connection.closing:
+                return False
             exchange = pipeline.add()
             exchange.task = await curio.spawn(
                 self.serve_pipelined, exchange, request, pipeline, fd, daemon=True
@@ -185,6 +188,8 @@
                 connection.prepare_next_request()
             )
         await pipeline.wait_for_responses()
+        if connection.closing:
+            return False
         await self.serve_exclusively(connection, request, fd)
         if not connection.prepare_next_request():
             return False
--- a/src/carawaywheel/pipelining.py
+++ b/src/carawaywheel/pipelining.py
@@ -35,8 +35,6 @@
         self.done = curio.Event()
         self.is_newest = True
         self.task: Any = None
-        if previous is not None:
-            previous.is_newest = False
 
     @property
     def close_after_response(self) -> bool:  # type: ignore[override]
@@ -72,6 +70,11 @@
         self.connection = connection
         self.pending: list[PipelinedExchange] = []
 
+    def note_request(self) -> None:
+        """Note that a request was read, whose response is now the last one."""
+        if self.pending:
+            self.pending[-1].is_newest = False
+
     def add(self) -> PipelinedExchange:
         """Add the request that was read last and return its exchange."""
         exchange = PipelinedExchange(
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -181,6 +181,49 @@
     assert b"connection: close" in data.split(b"HTTP/1.1 ")[3]
 
 
+def test_request_behind_the_last_response_does_not_run():
+    """Guards against a second run: the client sends it again after that response."""
+
+    async def script(client, listener):
+        await client.sendall(get("/200/large-a"))
+        await curio.sleep(0.05)
+        listener.drain()
+        await curio.sleep(0.3)
+        await client.sendall(get("/1/once"))
+        return await receive(client, 9)
+
+    handler, data = run_script(script)
+    assert data.count(b"HTTP/1.1") == data.count(b"connection: close") == 1
+    assert handler.started == ["/200/large-a"]
+
+
+def test_draining_listener_announces_the_close_behind_what_it_has_read():
+    """Guards against a request that runs although its client was told to resend it."""
+
+    async def script(client, listener):
+        await client.sendall(get("/200/a", "/200/b", "/1/once"))
+        await curio.sleep(0.05)
+        listener.drain()
+        return await receive(client, 9)
+
+    handler, data = run_script(script)
+    responses = data.split(b"HTTP/1.1 ")[1:]
+    assert [b"connection: close" in part for part in responses] == [False, False, True]
+    assert bodies(data) == handler.started == ["/200/a", "/200/b", "/1/once"]
+
+
+def test_request_behind_a_truncated_response_does_not_run():
+    """Guards against foreign bytes that complete a response which broke off."""
+
+    async def script(client, listener):
+        await client.sendall(get("/100/a", "/150/cut", "/1/once"))
+        return await receive(client, 9)
+
+    handler, data = run_script(script)
+    assert bodies(data) == ["/100/a", ""]
+    assert handler.started == ["/100/a", "/150/cut"]
+
+
 @pytest.mark.parametrize("bad", [b"nonsense\r\n\r\n", get("/1/a\x01")])
 def test_bad_input_is_answered_after_earlier_requests(bad):
     async def script(client, listener):
