Remember a deregistration of a target whose heartbeats are not known

The node beside it had been killed and started again, and the target had deregistered before a heartbeat had reached the new process.

Cause: `LocalTarget.deregister` noted an id only if the newest heartbeat had it, and the handler confirmed it all the same. A heartbeat that had been sent before the deregistration and came late then made the target ready. For the same reason a late deregistration of a former lifetime ended the present one with the same id: which lifetime deregisters was not read, though targets tell it.

Ruled out: other nodes that had not learned of the leaving (all requests pass through the node beside the target, and its log has no `target` line for the deregistration).

Change: a deregistration is kept by id and lifetime, whatever is known of the target. Without a lifetime in it, it means the present one, or all that have begun until now. The host's record says that the target has left, although its number of slots is not known. The change is published before the response. A new lifetime with the same id is used from its first heartbeat on.

--- a/src/carawaywheel/mesh/health.py
+++ b/src/carawaywheel/mesh/health.py
@@ -1,5 +1,6 @@
 """Readiness checks of the platform and heartbeats of the local target."""
 
+import time
 from collections.abc import Awaitable, Callable
 
 from ..errors import ProtocolError
@@ -8,6 +9,7 @@
 from ..platform.heartbeats import (
     HEARTBEAT_RESPONSE,
     READINESS_PATH,
+    decode_deregistration,
     decode_heartbeat,
     target_id_from_path,
 )
@@ -38,6 +40,7 @@
 
     Attributes:
         on_change: Awaited when the state of the target that others know has changed.
+        time_of_day: Returns the Unix time in seconds.
     """
 
     def __init__(
@@ -45,26 +48,47 @@
         target: LocalTarget,
         on_change: Callable[[], Awaitable[None]],
         journal: Journal,
+        time_of_day: Callable[[], float] = time.time,
     ) -> None:
         self.target = target
         self.on_change = on_change
         self.journal = journal
+        self.time_of_day = time_of_day
 
     async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Handle one request; see the base class."""
         body = await connection.read_body(MAX_HEARTBEAT_BYTES)
         previous_state = self.published_state()
         if request.method == "DELETE" and target_id_from_path(request.path):
-            self.target.deregister(target_id_from_path(request.path))
+            self.deregister(request.path, body)
         elif request.method == "PUT":
             self.receive(request.path, body)
         else:
             await connection.respond(404, [JSON_HEADER], b"{}")
             return
-        await connection.respond(200, [JSON_HEADER], HEARTBEAT_RESPONSE)
         if self.published_state() != previous_state:
             self.journal.write("target", target=str(self.target.heartbeat))
             await self.on_change()
+        await connection.respond(200, [JSON_HEADER], HEARTBEAT_RESPONSE)
+
+    def deregister(self, path: str, body: bytes) -> None:
+        """Apply a deregistration.
+
+        Without an incarnation in it, the present one of this id is meant, or else any
+        that has begun until now.
+        """
+        target_id = target_id_from_path(path)
+        incarnation = None
+        try:
+            incarnation = decode_deregistration(path, body)
+        except ProtocolError as error:
+            self.journal.write("deregistration_invalid", error=str(error))
+        if incarnation is None:
+            incarnation = self.target.incarnation_of(target_id)
+        if incarnation is None:
+            incarnation = int(self.time_of_day() * 1000)
+        self.target.deregister(target_id, incarnation)
+        self.journal.write("deregistered", target=target_id, incarnation=incarnation)
 
     def receive(self, path: str, body: bytes) -> None:
         """Apply a heartbeat; a malformed or late one is logged and ignored."""
@@ -80,7 +104,7 @@
         """Return the state of the target that is published to other nodes."""
         heartbeat = self.target.heartbeat
         if heartbeat is None:
-            return ()
+            return (self.target.leaving,)
         return (
             heartbeat.target_id,
             heartbeat.incarnation,
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -266,7 +266,9 @@
         """Publish the state of the local target to the other nodes."""
         heartbeat = self.target.heartbeat
         stays = heartbeat is None or heartbeat.phase is Phase.READY
-        if heartbeat is None or (self.stopping and stays):
+        if heartbeat is None and self.target.leaving:
+            await self.synchronizer.publisher.publish(int(Phase.GONE), 1)
+        elif heartbeat is None or (self.stopping and stays):
             await self.synchronizer.publisher.publish(int(Phase.GONE), 0)
         else:
             await self.synchronizer.publisher.publish(
--- a/src/carawaywheel/mesh/target.py
+++ b/src/carawaywheel/mesh/target.py
@@ -41,7 +41,8 @@
         service: Service of the target.
         address: IP address and port of the target.
         heartbeat: Newest heartbeat; None before the first one.
-        deregistered: Incarnation in which each target deregistered, by target id.
+        deregistered: Newest incarnation in which each target deregistered, by target
+            id, whether or not a heartbeat of it was known.
         was_leaving: Whether the former process of this node knew that the target was
             leaving. A late heartbeat may still call it ready, so that the first such
             heartbeat needs a second one to confirm it.
@@ -96,12 +97,27 @@
         self.was_leaving = False
         return True
 
-    def deregister(self, target_id: str) -> None:
-        """Mark a target as gone at its own request."""
+    def deregister(self, target_id: str, incarnation: int) -> None:
+        """Mark an incarnation of a target, and all before it, as gone at its request.
+
+        Args:
+            target_id: Id of the target.
+            incarnation: The incarnation.
+        """
+        known = self.deregistered.get(target_id, incarnation)
+        self.deregistered[target_id] = max(known, incarnation)
         current = self.heartbeat
-        if current is not None and current.target_id == target_id:
+        if current is None or current.target_id != target_id:
+            return
+        if current.incarnation <= incarnation:
             self.heartbeat = current._replace(phase=Phase.GONE)
-            self.deregistered[target_id] = current.incarnation
+
+    def incarnation_of(self, target_id: str) -> int | None:
+        """Return the present incarnation of a target; None if another one is known."""
+        current = self.heartbeat
+        if current is None or current.target_id != target_id:
+            return None
+        return current.incarnation
 
     def mark_leaving(self, heartbeat: Heartbeat) -> bool:
         """Mark an incarnation as leaving since its responses say so.
@@ -131,3 +147,10 @@
     def phase(self) -> Phase | None:
         """Phase of the target; None before the first heartbeat."""
         return self.heartbeat.phase if self.heartbeat else None
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the newest target that this node knows of is leaving or has left."""
+        if self.heartbeat is not None:
+            return self.heartbeat.phase is not Phase.READY
+        return self.was_leaving or bool(self.deregistered)
--- a/src/carawaywheel/platform/heartbeats.py
+++ b/src/carawaywheel/platform/heartbeats.py
@@ -34,7 +34,14 @@
     born: int = 0
 
 
+class WireDeregistration(msgspec.Struct):
+    """Deregistration; ``born`` is as in a heartbeat."""
+
+    born: int = 0
+
+
 decoder = msgspec.json.Decoder(WireHeartbeat)
+deregistration_decoder = msgspec.json.Decoder(WireDeregistration)
 
 
 def target_id_from_path(path: str) -> str:
@@ -75,4 +82,19 @@
     )
 
 
+def decode_deregistration(path: str, body: bytes) -> int | None:
+    """Decode the incarnation that deregisters; None if the target does not tell it.
+
+    Raises:
+        ProtocolError: If the body is malformed; ``peer`` holds the path.
+    """
+    if not body:
+        return None
+    try:
+        wire = deregistration_decoder.decode(body)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise ProtocolError(str(error), "decode deregistration", path) from error
+    return wire.born or None
+
+
 HEARTBEAT_RESPONSE = b"{}"
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -14,7 +14,6 @@
 
 import curio
 
-from .caller import ClientResponse
 from .caller import request as send_request
 from .httpserver import (
     EndlessBytes,
@@ -48,6 +47,10 @@
         deadly: Prefix of the paths of requests that end the process as it begins to run
             them; empty for none.
         leaving: Whether its responses say that it is leaving.
+        silent: Whether it sends no heartbeats by itself.
+        tells_start: Whether its deregistration tells when it started.
+        held: Heartbeat that was held up on its way; empty for none.
+        acknowledged: Whether its last heartbeat or deregistration was acknowledged.
         max_running: Highest number of requests that ran at the same time.
         rejected: Requests that were shed.
         runs: Path, headers and state of all requests that ran.
@@ -66,6 +69,10 @@
         self.rate_limit = ""
         self.deadly = options.deadly
         self.leaving = False
+        self.silent = False
+        self.tells_start = True
+        self.held = b""
+        self.acknowledged = False
         self.sequence = 0
         self.running = 0
         self.max_running = 0
@@ -185,7 +192,10 @@
         return Response(200, headers, single_chunk(content), len(content))
 
     async def control(self, settings: dict[str, Any]) -> Response:
-        """Apply the settings of a control request; a new phase is sent at once."""
+        """Apply the settings of a control request; a new phase is sent at once.
+
+        ``hold`` prepares a heartbeat that is held up until ``release``.
+        """
         self.mode = settings.get("mode", self.mode)
         self.rate_limit = settings.get("rate_limit", self.rate_limit)
         self.leaving = settings.get("leaving", self.leaving)
@@ -194,20 +204,32 @@
         self.call = settings.get("call", self.call)
         self.call_delay = settings.get("call_delay", self.call_delay)
         self.identity = settings.get("identity", self.identity)
+        self.silent = settings.get("silent", self.silent)
+        self.tells_start = settings.get("tells_start", self.tells_start)
+        if "hold" in settings:
+            self.held = self.next_heartbeat()
         if "phase" in settings:
             self.phase = settings["phase"]
             await self.send_heartbeat()
-        return json_response({"running": self.running})
+        if "release" in settings:
+            await self.send_state("PUT", self.held)
+        return json_response(
+            {"running": self.running, "acknowledged": self.acknowledged}
+        )
 
     async def send_heartbeat(self) -> None:
         """Send a heartbeat, or deregister in phase ``gone``."""
+        if self.phase != "gone":
+            await self.send_state("PUT", self.next_heartbeat())
+        elif self.tells_start:
+            own = json.dumps({"born": self.started_at_ms}).encode()
+            await self.send_state("DELETE", own)
+        else:
+            await self.send_state("DELETE", b"")
+
+    def next_heartbeat(self) -> bytes:
+        """Return the next heartbeat."""
         self.sequence += 1
-        path = f"/api/instances/{self.identity}"
-        phase = self.phase
-        if phase == "gone":
-            response = await send_request(self.options.control, "DELETE", path, [])
-            self.record_acknowledgement(phase, response)
-            return
         document = {
             "address": self.options.announce or self.options.address,
             "born": self.started_at_ms,
@@ -218,24 +240,26 @@
                 "capacity": self.options.slots,
             },
             "status": {
-                "phase": phase,
+                "phase": self.phase,
                 "sequence": self.sequence,
                 "warmup_left_s": 0,
             },
         }
-        body = json.dumps(document).encode()
-        response = await send_request(self.options.control, "PUT", path, [], body)
-        self.record_acknowledgement(phase, response)
+        return json.dumps(document).encode()
 
-    def record_acknowledgement(self, phase: str, response: ClientResponse) -> None:
-        """Record that the node has acknowledged a heartbeat, if it has."""
-        if response.complete and 200 <= response.status < 300:
+    async def send_state(self, method: str, body: bytes) -> None:
+        """Send a heartbeat or a deregistration to the node."""
+        path = f"/api/instances/{self.identity}"
+        phase = self.phase
+        response = await send_request(self.options.control, method, path, [], body)
+        self.acknowledged = response.complete and 200 <= response.status < 300
+        if self.acknowledged:
             self.record("acknowledged", phase=phase)
 
     async def run_heartbeats(self) -> None:
         """Send heartbeats until cancelled, but none in phase ``gone``."""
         while True:
-            if self.phase != "gone":
+            if self.phase != "gone" and not self.silent:
                 try:
                     await self.send_heartbeat()
                 except OSError:
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -231,9 +231,12 @@
             fields.append(("authorization", f"Bearer {key}"))
         return curio.run(request, address, method, path, fields, body, timeout)
 
-    def control(self, address: str, settings: dict[str, Any]) -> None:
+    def control(self, address: str, settings: dict[str, Any]) -> Any:
         """Change control settings of the stand-in at an address.
 
+        Returns:
+            What the stand-in tells of its state.
+
         Raises:
             RuntimeError: If the stand-in did not accept them.
         """
@@ -241,6 +244,7 @@
         response = curio.run(request, address, "POST", "/control", [], body, 5.0)
         if response.status != 200:
             raise RuntimeError(f"control request to {address} failed: {response}")
+        return json.loads(response.body)
 
     def wait_for(
         self, condition: Any, what: str, seconds: float = CONDITION_TIMEOUT_SECONDS
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -37,7 +37,7 @@
 def test_deregistered_target_is_not_ready_before_its_next_incarnation():
     target = make_target()
     target.receive(make_heartbeat())
-    target.deregister("i-1")
+    target.deregister("i-1", 100)
     assert not target.receive(make_heartbeat(sequence=7))
     assert not target.ready
     assert target.receive(make_heartbeat(incarnation=300))
@@ -47,7 +47,7 @@
 def test_deregistration_of_another_target_is_ignored():
     target = make_target()
     target.receive(make_heartbeat())
-    target.deregister("i-9")
+    target.deregister("i-9", 100)
     assert target.ready
 
 
@@ -64,6 +64,27 @@
     assert not target.receive(make_heartbeat()._replace(address="10.0.0.1:81"))
 
 
+def test_deregistration_before_any_heartbeat_is_remembered():
+    """Guards against a node that forgets what it has confirmed."""
+    target = make_target()
+    target.deregister("i-1", 100)
+    assert target.leaving
+    assert not target.receive(make_heartbeat(sequence=7))
+    assert not target.ready
+
+
+def test_late_deregistration_of_a_former_incarnation_leaves_the_present_one():
+    """Guards against a target that is no longer used though it never left."""
+    target = make_target()
+    target.receive(make_heartbeat(incarnation=200))
+    target.deregister("i-1", 100)
+    assert target.ready
+    assert target.receive(make_heartbeat(incarnation=200, sequence=2))
+    target.deregister("i-1", 200)
+    target.deregister("i-1", 100)
+    assert not target.receive(make_heartbeat(incarnation=200, sequence=3))
+
+
 def test_late_heartbeat_after_a_restart_does_not_make_a_leaving_target_ready():
     """The former process of the node knew that the target was leaving."""
     target = make_target()
