Confirm a leaving only once the next process can know of it

Callers could see: requests that reach a target after its leaving has been confirmed, if the node beside it is killed after the confirmation and a heartbeat from before comes late.

Cause: three orders of events led to it. The confirmation did not wait for the store or for other nodes, so that with the store away nobody knew of it. A process that had just started believed any heartbeat before it had read the record of the former one; learned later, the record changed nothing. And its own first record took back what the former process had said, so that a second restart knew nothing.

Change: a leaving is confirmed when the store or another node has taken the host's record; the other nodes are told if the store has not taken it within 0.3 s, each change at once. Otherwise the answer is 503 within a second, and the target asks again. A process that is not part of the first start of all believes no ready heartbeat until it has read its former record, from other nodes only if the store does not respond. A former record that comes later takes back a first heartbeat, not a second one, and what it says goes into the new record.

Honest targets lose nothing while the store responds: the newest heartbeat is kept and believed as soon as the record is read. A target that nobody can be told of gets no confirmation, but no new requests either. Records and messages between nodes are unchanged, so older nodes beside this one see no difference.

Failed before, pass now: tests/test_deregistration.py (restart while the store is away, a heartbeat that is quicker than the record, a second restart, a leaving that nobody else can know).

What remains: two late heartbeats in a row, from before a restart, pass for a target that stays, as the record does not name the lifetime that left.

--- a/src/carawaywheel/mesh/health.py
+++ b/src/carawaywheel/mesh/health.py
@@ -15,7 +15,7 @@
 )
 from ..serverexchange import JSON_HEADER, ServerExchange
 from .journal import Journal
-from .target import LocalTarget
+from .target import LocalTarget, Phase
 
 MAX_HEARTBEAT_BYTES = 64 * 1024
 
@@ -38,8 +38,13 @@
 class HeartbeatHandler(RequestHandler):
     """Receives the heartbeats of the local target.
 
+    That the target leaves is confirmed once it is known outside of this process, as
+    the confirmation binds the next process, too.
+
     Attributes:
         on_change: Awaited when the state of the target that others know has changed.
+        wait_until_saved: Returns whether what was published last is known outside of
+            this process, after some time for it.
         time_of_day: Returns the Unix time in seconds.
     """
 
@@ -47,11 +52,13 @@
         self,
         target: LocalTarget,
         on_change: Callable[[], Awaitable[None]],
+        wait_until_saved: Callable[[], Awaitable[bool]],
         journal: Journal,
         time_of_day: Callable[[], float] = time.time,
     ) -> None:
         self.target = target
         self.on_change = on_change
+        self.wait_until_saved = wait_until_saved
         self.journal = journal
         self.time_of_day = time_of_day
 
@@ -60,19 +67,23 @@
         body = await connection.read_body(MAX_HEARTBEAT_BYTES)
         previous_state = self.published_state()
         if request.method == "DELETE" and target_id_from_path(request.path):
-            self.deregister(request.path, body)
+            is_leaving = self.deregister(request.path, body)
         elif request.method == "PUT":
-            self.receive(request.path, body)
+            is_leaving = self.receive(request.path, body)
         else:
             await connection.respond(404, [JSON_HEADER], b"{}")
             return
         if self.published_state() != previous_state:
             self.journal.write("target", target=str(self.target.heartbeat))
             await self.on_change()
+        if is_leaving and not await self.wait_until_saved():
+            self.journal.write("leaving_not_saved", path=request.path)
+            await connection.respond(503, [JSON_HEADER], b"{}")
+            return
         await connection.respond(200, [JSON_HEADER], HEARTBEAT_RESPONSE)
 
-    def deregister(self, path: str, body: bytes) -> None:
-        """Apply a deregistration.
+    def deregister(self, path: str, body: bytes) -> bool:
+        """Apply a deregistration; return whether the target is leaving.
 
         Without an incarnation in it, the present one of this id is meant, or else any
         that has begun until now.
@@ -89,16 +100,21 @@
             incarnation = int(self.time_of_day() * 1000)
         self.target.deregister(target_id, incarnation)
         self.journal.write("deregistered", target=target_id, incarnation=incarnation)
+        return self.target.leaving
+
+    def receive(self, path: str, body: bytes) -> bool:
+        """Apply a heartbeat; return whether it says that the target is leaving.
 
-    def receive(self, path: str, body: bytes) -> None:
-        """Apply a heartbeat; a malformed or late one is logged and ignored."""
+        A malformed or late one is logged and ignored.
+        """
         try:
             heartbeat = decode_heartbeat(path, body)
         except ProtocolError as error:
             self.journal.write("heartbeat_invalid", error=str(error))
-            return
+            return False
         if not self.target.receive(heartbeat):
             self.journal.write("heartbeat_late", target=str(heartbeat))
+        return heartbeat.phase is not Phase.READY and self.target.leaving
 
     def published_state(self) -> tuple[object, ...]:
         """Return the state of the target that is published to other nodes."""
--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -6,6 +6,7 @@
 no requests until a background probe succeeds.
 """
 
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import curio
@@ -476,8 +477,15 @@
         self.journal.write("state_passed_on", host=address)
         await self.state_client.push(address, self.encode_state())
 
-    async def broadcast_record(self, record: HostRecord) -> None:
-        """Send one record to all reachable hosts while the store is down."""
+    async def broadcast_record(
+        self, record: HostRecord, on_accepted: Callable[[HostRecord], None]
+    ) -> None:
+        """Send one record to all reachable hosts while the store is down.
+
+        Args:
+            record: The record.
+            on_accepted: Called with it for each host that has accepted it.
+        """
         state = msgspec.msgpack.encode(MeshState(b"", [record]))
         addresses = [
             address for address in self.reachable_hosts() if address != self.own_address
@@ -485,10 +493,19 @@
         for start in range(0, len(addresses), BROADCAST_WIDTH):
             async with curio.TaskGroup() as group:
                 for address in addresses[start : start + BROADCAST_WIDTH]:
-                    await group.spawn(self.send_record, address, state)
+                    await group.spawn(
+                        self.send_record, address, state, record, on_accepted
+                    )
 
-    async def send_record(self, address: str, state: bytes) -> None:
+    async def send_record(
+        self,
+        address: str,
+        state: bytes,
+        record: HostRecord,
+        on_accepted: Callable[[HostRecord], None],
+    ) -> None:
         """Send a record to a host and process the version in its reply."""
         reply = await self.state_client.push(address, state)
         if reply is not None:
+            on_accepted(record)
             self.observe_version(address, reply.version)
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -112,6 +112,7 @@
         )
         self.peer_monitor.on_configuration_changed = self.apply_configuration
         self.target = LocalTarget(settings.service, settings.target_address)
+        self.target.former_unknown = not settings.first_start
         record = HostRecord(
             settings.node_id,
             own_address,
@@ -138,7 +139,7 @@
             self.clock,
             self.rng,
         )
-        self.synchronizer.publisher.on_former_leaving = self.distrust_first_heartbeat
+        self.synchronizer.publisher.on_former_leaving = self.distrust_target
         self.quotas = Quotas(own_address)
         self.rate_limiter = RateLimiter(
             self.quotas,
@@ -218,7 +219,12 @@
             "ready": (listen.ready, ReadinessHandler(self.is_ready)),
             "heartbeats": (
                 listen.heartbeats,
-                HeartbeatHandler(self.target, self.publish_target, self.journal),
+                HeartbeatHandler(
+                    self.target,
+                    self.publish_target,
+                    self.synchronizer.publisher.wait_until_saved,
+                    self.journal,
+                ),
             ),
         }
         if listen.metrics:
@@ -275,11 +281,24 @@
                 int(heartbeat.phase), heartbeat.slots
             )
 
-    def distrust_first_heartbeat(self) -> None:
-        """Wait for a second heartbeat that calls the target ready."""
-        if self.target.heartbeat is None:
+    def distrust_target(self) -> bool:
+        """Wait for a second heartbeat that calls the target ready.
+
+        Returns:
+            Whether the target counts as leaving from now on.
+        """
+        distrusted = self.target.distrust()
+        if distrusted:
             self.journal.write("target_was_leaving")
-            self.target.was_leaving = True
+        return distrusted
+
+    async def believe_target(self) -> None:
+        """Use the target once the former record of its host is known."""
+        await self.synchronizer.learn_own_record()
+        self.target.learn_former()
+        if self.target.heartbeat is not None:
+            self.journal.write("target", target=str(self.target.heartbeat))
+            await self.publish_target()
 
     async def run(self) -> None:
         """Run all components until a graceful stop is complete."""
@@ -311,6 +330,7 @@
             partial(listener.run_idle_reaper, self.idle_seconds)
             for listener in self.listeners.values()
         ]
+        await curio.spawn(self.supervisor.attempt, self.believe_target, daemon=True)
         async with curio.TaskGroup(wait=any) as group:
             for component in components:
                 await group.spawn(self.supervisor.run, component)
--- a/src/carawaywheel/mesh/replication/publisher.py
+++ b/src/carawaywheel/mesh/replication/publisher.py
@@ -13,11 +13,17 @@
 from ...errors import LogError
 from ..journal import Journal
 from ..monitor import OWN_ORIGIN, PeerMonitor
+from ..target import Phase
 from .directory import Directory, HostRecord, encode_record
 from .follower import MAX_BACKOFF_SECONDS, MIN_BACKOFF_SECONDS
 from .store import START, Store
 
 REPEAT_BROADCAST_SECONDS = 2.0
+# Time for the store to take a record before the other nodes are told as well.
+STORE_PATIENCE_SECONDS = 0.3
+# Time for a record to be saved; whoever waits for this is answered within a second.
+SAVE_SECONDS = 0.8
+SAVE_POLL_SECONDS = 0.02
 # Records that all nodes together write again in a second when the store has come back
 # from a copy: half of the writes that the users' stores take.
 REWRITES_PER_SECOND = 200
@@ -31,11 +37,13 @@
         published: Whether this record must be in the store.
         stored_record: Record that the store has accepted last; None for none.
         stored_era: Era of the store in which it did.
+        told_record: Record that another node has accepted last; None for none.
         era: Newest era of the store that this node knows of.
+        broadcast: Record that the other nodes were told last; None for none.
         rewrite_at: Time from which on a record of an older era is written again, in
             seconds.
         on_former_leaving: Called if an earlier start of this node knew that its target
-            was leaving.
+            was leaving; returns whether it counts as leaving from now on.
     """
 
     def __init__(
@@ -60,27 +68,34 @@
         self.published = False
         self.stored_record: HostRecord | None = None
         self.stored_era = 0
+        self.told_record: HostRecord | None = None
+        self.broadcast: HostRecord | None = None
         self.era = 0
         self.rewrite_at = float("-inf")
         self.broadcast_at = float("-inf")
         self.record_changed = curio.Event()
-        self.on_former_leaving: Callable[[], None] = lambda: None
+        self.on_former_leaving: Callable[[], bool] = lambda: False
         peer_monitor.on_own_record = self.supersede_former
 
     def supersede_former(self, record: HostRecord) -> None:
         """Supersede a record of an earlier start of this node.
 
-        The time of day, from which incarnations come, may have stepped back.
+        The time of day, from which incarnations come, may have stepped back. If the
+        target was leaving, the new record says so as well, for the next start.
         """
-        if record.incarnation != self.record.incarnation and record.is_leaving:
-            self.on_former_leaving()
-        if record.revision < self.record.revision or record == self.record:
-            return
-        self.journal.write("record_superseded", former=record.revision)
-        self.record = self.record._replace(
-            incarnation=record.incarnation + 1, sequence=0
-        )
-        self.peer_monitor.merge_hosts([(START, self.record)], START, OWN_ORIGIN)
+        own = self.record
+        if record.incarnation != own.incarnation and record.is_leaving:
+            if self.on_former_leaving():
+                own = own._replace(
+                    phase=int(Phase.GONE), slots=1, sequence=own.sequence + 1
+                )
+                self.published = True
+        if record.revision >= own.revision and record != own:
+            self.journal.write("record_superseded", former=record.revision)
+            own = own._replace(incarnation=record.incarnation + 1, sequence=0)
+        if own != self.record:
+            self.record = own
+            self.peer_monitor.merge_hosts([(START, own)], START, OWN_ORIGIN)
 
     async def publish(self, phase: int, slots: int) -> None:
         """Publish a change of the local target."""
@@ -135,10 +150,37 @@
     async def broadcast_record(self, record: HostRecord) -> None:
         """Tell the other nodes a record that the store does not take."""
         now = self.clock.now()
-        if now - self.broadcast_at < REPEAT_BROADCAST_SECONDS:
+        is_repeat = record == self.broadcast
+        if is_repeat and now - self.broadcast_at < REPEAT_BROADCAST_SECONDS:
             return
-        self.broadcast_at = now
-        await self.peer_monitor.broadcast_record(record)
+        self.broadcast, self.broadcast_at = record, now
+        await self.peer_monitor.broadcast_record(record, self.note_told)
+
+    def note_told(self, record: HostRecord) -> None:
+        """Note that another node has accepted a record."""
+        self.told_record = record
+
+    def is_saved(self) -> bool:
+        """Return whether the newest record is known outside of this process."""
+        return self.record in (self.stored_record, self.told_record)
+
+    async def wait_until_saved(self) -> bool:
+        """Wait until the store or another node has the newest record.
+
+        Returns:
+            Whether it was saved in time.
+        """
+        started_at = self.clock.now()
+        told = False
+        while not self.is_saved():
+            elapsed = self.clock.now() - started_at
+            if elapsed >= SAVE_SECONDS:
+                return False
+            if elapsed >= STORE_PATIENCE_SECONDS and not told:
+                told = True
+                await curio.spawn(self.broadcast_record, self.record, daemon=True)
+            await curio.sleep(SAVE_POLL_SECONDS)
+        return True
 
     async def write_if_due(self) -> None:
         """Start a write if the store lacks the record, or may have lost it."""
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -53,6 +53,7 @@
 PEER_PATIENCE_SECONDS = 1.0
 # When all nodes start at once, the host records are read once most of them are written.
 FIRST_START_SECONDS = 2.5
+OWN_RECORD_POLL_SECONDS = 0.02
 # Spreads what many nodes do at the same event.
 SPREAD_SECONDS = 0.3
 
@@ -79,6 +80,8 @@
         configuration_follower: Follower of the operator's table.
         host_follower: Follower of the host records.
         choices: The readers that this node asks.
+        hosts_read: Whether this process has read the records of all hosts from the
+            store.
         followers: Nodes that ask this one, by address.
         sources: Nodes to fetch changes from, with their configuration version and the
             position up to which they know all host records.
@@ -152,6 +155,7 @@
         for follower in (self.configuration_follower, self.host_follower):
             follower.on_availability_changed = self.announce_changes
         self.choices = [ReaderChoice(own_record.address, rng) for _ in range(2)]
+        self.hosts_read = False
         self.ranked_generation = -1
         self.check_due_at = 0.0
         self.followers: dict[str, KnownFollower] = {}
@@ -200,11 +204,28 @@
         self.restorer.observe(changes, position, page.is_whole)
         self.peer_monitor.merge_hosts(changes, position, "store")
         self.peer_monitor.mark_hosts_known()
+        self.hosts_read = self.hosts_read or page.is_whole
         await self.announce_changes()
         if self.ranked_generation < 0:
             for choice in self.choices:
                 await self.follow(choice, self.clock.now())
 
+    async def learn_own_record(self) -> None:
+        """Wait until the record that a former process of this node wrote is known.
+
+        Other nodes may know an older one. They are believed only while the store does
+        not respond, as they are told then of what it does not take.
+        """
+        while not self.hosts_read:
+            if not self.directory.hosts_known:
+                await curio.sleep(OWN_RECORD_POLL_SECONDS)
+                continue
+            try:
+                await self.host_follower.read_all()
+            except LogError as error:
+                self.journal.write("own_record_not_read", error=str(error))
+                return
+
     async def run(self) -> None:
         """Ask the readers at intervals, and read while asked, until cancelled."""
         if self.first_start:
--- a/src/carawaywheel/mesh/target.py
+++ b/src/carawaywheel/mesh/target.py
@@ -41,19 +41,24 @@
         service: Service of the target.
         address: IP address and port of the target.
         heartbeat: Newest heartbeat; None before the first one.
+        confirmations: Heartbeats of its incarnation that have arrived in order.
         deregistered: Newest incarnation in which each target deregistered, by target
             id, whether or not a heartbeat of it was known.
+        former_unknown: Whether this node does not know yet what its former process
+            knew of the target. Until then no heartbeat is believed that calls it ready.
         was_leaving: Whether the former process of this node knew that the target was
             leaving. A late heartbeat may still call it ready, so that the first such
             heartbeat needs a second one to confirm it.
-        unconfirmed: That first heartbeat; None before it.
+        unconfirmed: Newest heartbeat that was not believed; None for none.
     """
 
     def __init__(self, service: str, address: str) -> None:
         self.service = service
         self.address = address
         self.heartbeat: Heartbeat | None = None
+        self.confirmations = 0
         self.deregistered: dict[str, int] = {}
+        self.former_unknown = False
         self.was_leaving = False
         self.unconfirmed: Heartbeat | None = None
 
@@ -70,10 +75,12 @@
         if not self.is_confirmed(heartbeat):
             return False
         current = self.heartbeat
+        continues = False
         if current is not None:
             if heartbeat.incarnation < current.incarnation:
                 return False
-            if heartbeat.incarnation == current.incarnation:
+            continues = heartbeat.incarnation == current.incarnation
+            if continues:
                 if heartbeat.target_id != current.target_id:
                     return False
                 if heartbeat.sequence <= current.sequence:
@@ -82,20 +89,68 @@
                     phase=max(current.phase, heartbeat.phase)
                 )
         self.heartbeat = heartbeat
+        if not continues:
+            self.confirmations = int(self.follows_unconfirmed(heartbeat))
+        self.confirmations += 1
         return True
 
     def is_confirmed(self, heartbeat: Heartbeat) -> bool:
         """Return whether a heartbeat may be believed after a restart of the node."""
-        if not self.was_leaving or heartbeat.phase is not Phase.READY:
+        if heartbeat.phase is not Phase.READY:
+            return True
+        if self.former_unknown:
+            self.unconfirmed = newer_heartbeat(heartbeat, self.unconfirmed)
+            return False
+        if not self.was_leaving:
+            return True
+        if heartbeat.target_id in self.deregistered:
+            # It is newer than the incarnation that has left.
+            return True
+        if self.follows_unconfirmed(heartbeat):
+            self.was_leaving = False
             return True
         earlier = self.unconfirmed
         if earlier is None or heartbeat.incarnation != earlier.incarnation:
             self.unconfirmed = heartbeat
+        return False
+
+    def follows_unconfirmed(self, heartbeat: Heartbeat) -> bool:
+        """Return whether a heartbeat is a later one of an unconfirmed incarnation."""
+        earlier = self.unconfirmed
+        if earlier is None or heartbeat.incarnation != earlier.incarnation:
             return False
-        if heartbeat.sequence <= earlier.sequence:
+        return heartbeat.sequence > earlier.sequence
+
+    def learn_former(self) -> None:
+        """Note that all is known that the former process has published.
+
+        If the target was not leaving, the newest heartbeat is believed now.
+        """
+        if not self.former_unknown:
+            return
+        self.former_unknown = False
+        if self.unconfirmed is not None and not self.was_leaving:
+            self.receive(self.unconfirmed)
+
+    def distrust(self) -> bool:
+        """Note that the former process knew that the target was leaving.
+
+        Returns:
+            Whether the target counts as leaving from now on, and did not before.
+        """
+        current = self.heartbeat
+        if current is None:
+            counted = self.leaving
+        elif current.phase is not Phase.READY or self.confirmations > 1:
             return False
-        self.was_leaving = False
-        return True
+        elif current.target_id in self.deregistered:
+            # It is newer than the incarnation that has left.
+            return False
+        else:
+            counted = False
+            self.unconfirmed, self.heartbeat = current, None
+        self.was_leaving = True
+        return not counted
 
     def deregister(self, target_id: str, incarnation: int) -> None:
         """Mark an incarnation of a target, and all before it, as gone at its request.
@@ -154,3 +209,10 @@
         if self.heartbeat is not None:
             return self.heartbeat.phase is not Phase.READY
         return self.was_leaving or bool(self.deregistered)
+
+
+def newer_heartbeat(heartbeat: Heartbeat, other: Heartbeat | None) -> Heartbeat:
+    """Return the newer one of two heartbeats."""
+    if other is None:
+        return heartbeat
+    return max(heartbeat, other, key=lambda each: (each.incarnation, each.sequence))
--- a/tests/test_deregistration.py
+++ b/tests/test_deregistration.py
@@ -78,6 +78,65 @@
     assert_used_again(platform, identity)
 
 
+def test_restart_after_a_deregistration_that_the_store_does_not_take(platform):
+    """Guards against a confirmation that the next process does not know of."""
+    platform.control(platform.store_address, {"down": True})
+    assert leave(platform)
+    restart_node(platform, "h2")
+    platform.configure_target("h2", release=True)
+    wait(0.3)
+    assert_not_used(platform)
+    platform.wait_for(
+        lambda: platform.log_lines("h2", "target_was_leaving"),
+        "h2 learns from h1 that its target was leaving",
+        8.0,
+    )
+    assert_not_used(platform)
+    platform.control(platform.store_address, {"down": False})
+    wait(1.0)
+    assert_not_used(platform)
+    assert_used_again(platform, "i-h2")
+
+
+def test_late_heartbeat_that_is_quicker_than_the_record_of_the_former_process(platform):
+    """Guards against a target that is used while its node reads the store."""
+    assert leave(platform)
+    platform.control(platform.store_address, {"delay": 1.2})
+    restart_node(platform, "h2")
+    platform.configure_target("h2", release=True)
+    for _ in range(4):
+        assert_not_used(platform)
+        wait(0.4)
+    platform.control(platform.store_address, {"delay": 0.0})
+    platform.wait_for(
+        lambda: platform.log_lines("h2", "target_was_leaving"), "h2 reads its record"
+    )
+    assert_not_used(platform)
+
+
+def test_second_restart_before_any_heartbeat(platform):
+    """Guards against a record that takes back what an earlier process confirmed."""
+    restart_node(platform, "h2")
+    assert leave(platform)
+    for _ in range(2):
+        restart_node(platform, "h2")
+        platform.wait_for(
+            lambda: platform.record_of("h2")[1][6] == 2, "its record tells of it"
+        )
+    platform.configure_target("h2", release=True)
+    wait(0.5)
+    assert_not_used(platform)
+
+
+def test_leaving_that_nobody_else_can_know_is_not_confirmed(platform):
+    platform.control(platform.store_address, {"down": True})
+    platform.processes["h1"].kill()
+    assert not leave(platform)
+    assert platform.send("h2", "/inner/late").status == 503
+    platform.control(platform.store_address, {"down": False})
+    platform.wait_for(lambda: leave(platform), "it is confirmed", 8.0)
+
+
 def test_late_deregistration_of_a_former_start_ends_nothing(platform):
     """Guards against a present target that is no longer used."""
     former = platform.processes.pop("target-h2")
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -39,20 +39,25 @@
     """A handler with the state that it publishes.
 
     Attributes:
+        saved: Whether what it publishes is saved in time.
         published: Phases that it has published.
     """
 
     def __init__(self):
+        self.saved = True
         self.published = []
         self.events = Events()
         self.target = LocalTarget(SERVICE, ADDRESS)
         self.handler = HeartbeatHandler(
-            self.target, self.publish, self.events, lambda: NOW
+            self.target, self.publish, self.is_saved, self.events, lambda: NOW
         )
 
     async def publish(self):
         self.published.append(self.target.phase)
 
+    async def is_saved(self):
+        return self.saved
+
     def send(self, method, document=None, body=b""):
         exchange = Exchange(json.dumps(document).encode() if document else body)
         curio.run(self.handler.handle, exchange, Request(method, PATH, []))
@@ -96,3 +101,26 @@
     assert not node.target.ready
     node.send("PUT", heartbeat(born=int(NOW * 1000) + 1))
     assert node.target.ready
+
+
+@pytest.mark.parametrize(
+    "request_", [("DELETE", None), ("PUT", heartbeat(2, "draining"))]
+)
+def test_leaving_that_is_not_saved_is_not_confirmed(request_):
+    """Guards against a confirmation that the next process does not know of."""
+    node = Node()
+    node.send("PUT", heartbeat())
+    node.saved = False
+    assert node.send(*request_) == 503
+    assert not node.target.ready and "leaving_not_saved" in node.events
+    assert node.send(*request_) == 503
+    node.saved = True
+    assert node.send(*request_) == 200
+
+
+def test_ready_heartbeat_does_not_wait_to_be_saved():
+    node = Node()
+    node.saved = False
+    assert node.send("PUT", heartbeat()) == 200
+    assert node.send("PUT", heartbeat(2)) == 200
+    assert node.published == [Phase.READY]
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -73,6 +73,16 @@
     assert not target.ready
 
 
+def test_same_id_is_used_again_with_its_first_heartbeat():
+    target = make_target()
+    target.former_unknown = True
+    target.deregister("i-1", 100)
+    target.distrust()
+    target.learn_former()
+    assert target.receive(make_heartbeat(incarnation=101, sequence=1))
+    assert target.ready and not target.leaving
+
+
 def test_late_deregistration_of_a_former_incarnation_leaves_the_present_one():
     """Guards against a target that is no longer used though it never left."""
     target = make_target()
@@ -85,6 +95,59 @@
     assert not target.receive(make_heartbeat(incarnation=200, sequence=3))
 
 
+def test_ready_target_is_not_believed_before_the_former_record_is_known():
+    """Guards against a late heartbeat that is quicker than the node's own record."""
+    target = make_target()
+    target.former_unknown = True
+    assert not target.receive(make_heartbeat(sequence=3))
+    assert not target.receive(make_heartbeat(sequence=2))
+    assert target.heartbeat is None
+    target.learn_former()
+    assert target.ready and target.heartbeat.sequence == 3
+
+
+def test_target_that_drains_is_believed_before_the_former_record_is_known():
+    target = make_target()
+    target.former_unknown = True
+    assert target.receive(make_heartbeat(phase=Phase.DRAINING))
+    target.learn_former()
+    assert target.phase is Phase.DRAINING
+
+
+def test_late_heartbeat_is_not_believed_once_the_former_record_tells_of_a_leaving():
+    target = make_target()
+    target.former_unknown = True
+    target.receive(make_heartbeat(sequence=3))
+    assert target.distrust()
+    target.learn_former()
+    assert target.heartbeat is None and target.leaving
+    assert not target.receive(make_heartbeat(sequence=3))
+    assert target.receive(make_heartbeat(sequence=4))
+
+
+def test_deregistration_that_comes_before_the_former_record_is_kept():
+    target = make_target()
+    target.former_unknown = True
+    target.receive(make_heartbeat(sequence=3))
+    target.deregister("i-1", 100)
+    target.learn_former()
+    assert target.heartbeat is None and target.leaving
+
+
+def test_former_record_that_comes_late_takes_back_only_a_first_heartbeat():
+    """A record that only one other node knows may be told long after the start."""
+    target = make_target()
+    target.receive(make_heartbeat(sequence=1))
+    assert target.distrust() and target.leaving
+    assert not target.distrust()
+    assert target.receive(make_heartbeat(sequence=2))
+    assert not target.distrust() and target.ready
+    target = make_target()
+    target.receive(make_heartbeat(sequence=1))
+    target.receive(make_heartbeat(sequence=2))
+    assert not target.distrust() and target.ready
+
+
 def test_late_heartbeat_after_a_restart_does_not_make_a_leaving_target_ready():
     """The former process of the node knew that the target was leaving."""
     target = make_target()
