Wait at a stop until other nodes have received the responses on links

Cause: the exit closes the links to other nodes, and a frame that lies unread there resets them, as with callers: what is in the send buffer is lost, and the calls end as "may have run". A link counted as idle as soon as the kernel had taken its bytes.

Change: it counts as idle once the other node has acknowledged them.

Failed before, passes now: tests/test_links.py, test_link_is_not_idle_while_a_response_waits_in_the_kernel ([True, True] instead of [False, True]).

--- a/src/carawaywheel/mesh/links.py
+++ b/src/carawaywheel/mesh/links.py
@@ -23,7 +23,7 @@
 from ..listener import ACCEPT_RETRY_SECONDS
 from ..refusals import Refusal
 from ..serverexchange import send_available
-from ..sockets import split_address
+from ..sockets import split_address, unacknowledged_bytes
 from .execution import TargetRunner
 from .frames import (
     CallFrame,
@@ -68,6 +68,12 @@
         """Whether bytes wait to be sent on a connection that has not failed."""
         return bool(self.unsent or self.sending) and not self.broken
 
+    def has_undelivered_bytes(self) -> bool:
+        """Return whether the other node has not acknowledged all bytes yet."""
+        if self.broken:
+            return False
+        return self.has_unsent_bytes or unacknowledged_bytes(self.sock) > 0
+
     async def write(self, frame: Frame) -> None:
         """Send a frame, or queue what the socket does not accept.
 
@@ -320,9 +326,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether the responses to all calls have been sent."""
+        """Whether the callers have received the responses to all calls."""
         return not self.calls_in_progress and not any(
-            connection.has_unsent_bytes for connection in self.connections
+            connection.has_undelivered_bytes() for connection in self.connections
         )
 
     async def run(self) -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -179,6 +179,48 @@
     assert curio.run(serve_large_response) == [True, False, False, True]
 
 
+async def connect_with_small_window():
+    """Return both ends of a connection; the first one has the larger buffer."""
+    async with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(1)
+        remote = socket.socket()
+        remote.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await remote.connect(listener.getsockname())
+        local, _ = await listener.accept()
+    local.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2_000_000)
+    return local, remote
+
+
+async def serve_slow_reader():
+    local, remote = await connect_with_small_window()
+    runner = SlowRunner()
+    monitor = SimpleNamespace(observe_caller=lambda peer, version: None)
+    server = LinkServer(None, runner, monitor, SimpleNamespace(), None)
+    connection = FrameConnection(local, "peer")
+    server_task = await curio.spawn(server.serve, connection)
+    await remote.sendall(encode_frame(make_call_frame(1)))
+    while not server.calls_in_progress:
+        await curio.sleep(0)
+    await runner.ended.set()
+    while server.calls_in_progress or connection.has_unsent_bytes:
+        await curio.sleep(0.01)
+    states = [server.is_idle]
+    decoder, decoded = FrameDecoder("peer"), []
+    while not decoded:
+        decoded = decoder.feed(await remote.recv(100_000))
+    await curio.sleep(0.1)
+    states.append(server.is_idle)
+    await remote.close()
+    await server_task.join()
+    return states
+
+
+def test_link_is_not_idle_while_a_response_waits_in_the_kernel():
+    """Guards against an exit that resets a link below the response of a call."""
+    assert curio.run(serve_slow_reader) == [False, True]
+
+
 async def receive_out_of_order():
     local, remote = socket.socketpair()
     link = Link(local, "peer")
