Test the end of a connection with a response beyond the send buffer

The kernel takes 2.8 MB on loopback, so that the 300,000 bytes of the test until now lay in the send buffer as a whole. 6,000,000 bytes pass as well.

--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -13,8 +13,10 @@
 from carawaywheel.sockets import open_listener
 from standins.pipeliner import PipeliningClient
 
-# More than the send buffer of a connection holds at first.
+# Many windows of a client with a small receive buffer; the send buffer holds the whole.
 LARGE_BYTES = 300_000
+# More than the send buffer holds.
+HUGE_BYTES = 6_000_000
 
 
 class SleepingHandler(RequestHandler):
@@ -45,6 +47,8 @@
             content = request.path.encode() + body
             if "large" in request.path:
                 content = content.ljust(LARGE_BYTES)
+            if "huge" in request.path:
+                content = content.ljust(HUGE_BYTES)
             await connection.respond(200, [], content)
         except curio.CancelledError:
             self.cancelled.append(request.path)
@@ -268,8 +272,15 @@
     return handler, curio.run(run)
 
 
-@pytest.mark.parametrize("pause", [0.0, 0.02])
-def test_request_that_crosses_the_close_cuts_off_no_response(pause):
+@pytest.mark.parametrize(
+    "name, size, pause",
+    [
+        ("large", LARGE_BYTES, 0.0),
+        ("large", LARGE_BYTES, 0.02),
+        ("huge", HUGE_BYTES, 0.0),
+    ],
+)
+def test_request_that_crosses_the_close_cuts_off_no_response(name, size, pause):
     """Guards against a reset by unread input, which drops responses not yet received.
 
     The client sends further requests until it has read that the connection closes.
@@ -277,7 +288,7 @@
 
     def script(address, listener):
         with PipeliningClient(address, pause) as client:
-            client.send(get("/100/a"), get("/100/large-b"))
+            client.send(get("/100/a"), get(f"/100/{name}"))
             time.sleep(0.05)
             listener.drain()
             time.sleep(0.2)
@@ -289,10 +300,10 @@
     handler, (responses, ended) = run_slow_client(script)
     assert [(item.size, item.complete) for item in responses] == [
         (len("/100/a"), True),
-        (LARGE_BYTES, True),
+        (size, True),
     ]
     assert responses[1].closes and ended
-    assert handler.started == ["/100/a", "/100/large-b"]
+    assert handler.started == ["/100/a", f"/100/{name}"]
 
 
 def test_client_that_never_closes_is_given_up():
