Accept routes of the kind download

A route of this kind made the whole document unreadable. Its requests may run more than once, as those of idempotent routes. The checks that asked for IDEMPOTENT ask RouteKind.may_repeat now. A second name for RouteKind.IDEMPOTENT in the decoder was ruled out, as the kind would be lost for later decisions on large responses.

The path of streamed responses stays as it is: the test shows that a download that breaks within the buffer is repeated, and that one that breaks after its first bytes were forwarded runs once and is cut off at the caller. With may_repeat false for DOWNLOAD the test fails.

--- a/src/carawaywheel/mesh/configuration.py
+++ b/src/carawaywheel/mesh/configuration.py
@@ -11,11 +11,19 @@
         IDEMPOTENT: A request may run more than once.
         ONCE: A request must not run more than once.
         UPLOAD: An upload, which is treated like ``ONCE``.
+        DOWNLOAD: A request with a large response, which is treated like
+            ``IDEMPOTENT``.
     """
 
     IDEMPOTENT = "idempotent"
     ONCE = "once"
     UPLOAD = "upload"
+    DOWNLOAD = "download"
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request may run more than once."""
+        return self in (RouteKind.IDEMPOTENT, RouteKind.DOWNLOAD)
 
 
 class WeightedService(NamedTuple):
--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -14,7 +14,7 @@
 from ..stalls import StallDetector
 from ..streaming import TruncatedResponseError
 from .callgraph import CallGraph
-from .configuration import Account, RouteKind
+from .configuration import Account
 from .execution import TargetRunner
 from .journal import Journal
 from .messages import CallerMetadata
@@ -78,13 +78,13 @@
         )
 
     def may_run_concurrently(self, request: Request) -> bool:
-        """Return whether a request is idempotent; see the base class."""
+        """Return whether a request may repeat; see the base class."""
         configuration = self.directory.configuration
         if configuration is None:
             return False
         host = decode_caller_headers(request).host
         route = configuration.find_route(host, request.path)
-        return route is not None and route.kind is RouteKind.IDEMPOTENT
+        return route is not None and route.kind.may_repeat
 
     async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Handle one request; see the base class."""
--- a/src/carawaywheel/mesh/sender.py
+++ b/src/carawaywheel/mesh/sender.py
@@ -10,7 +10,6 @@
 from ..routing import Candidate, Router
 from ..sockets import split_address
 from .callgraph import CallGraph
-from .configuration import RouteKind
 from .execution import TargetRunner
 from .journal import Journal
 from .messages import Call
@@ -165,7 +164,7 @@
             return False
         demands = self.call_graph.demands.get(admitted.route.name, {})
         leaf = all(service == admitted.service for service in demands)
-        return leaf and admitted.route.kind is RouteKind.IDEMPOTENT
+        return leaf and admitted.route.kind.may_repeat
 
     def may_retry_refusal(
         self,
@@ -179,7 +178,7 @@
             return False
         if refusal.step == "routing":
             return False
-        if progress.executions and admitted.route.kind is not RouteKind.IDEMPOTENT:
+        if progress.executions and not admitted.route.kind.may_repeat:
             return False
         return progress.executions < admitted.route.max_attempts
 
@@ -241,7 +240,7 @@
             admitted.from_target,
             progress.deliveries > 0,
             admitted.caused_by_retry,
-            admitted.route.kind is RouteKind.IDEMPOTENT,
+            admitted.route.kind.may_repeat,
             self.directory.configuration_version,
         )
 
--- a/src/carawaywheel/platform/configuration.py
+++ b/src/carawaywheel/platform/configuration.py
@@ -21,6 +21,7 @@
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.ONCE,
     "upload": RouteKind.UPLOAD,
+    "download": RouteKind.DOWNLOAD,
 }
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -400,6 +400,31 @@
     assert not (response.status == 200 and response.complete)
 
 
+def test_broken_download_is_repeated_only_before_it_reaches_the_caller(platform):
+    """A second response after the first bytes of another one would corrupt a file."""
+    routes = [
+        route("file", "download", "desk", 1),
+        route("read", "idempotent", "desk", 1),
+    ]
+    platform.publish(configuration(4, routes))
+    for name in ("h1", "h2"):
+        platform.start_host(name, "desk", "--bytes", "1500000")
+    platform.wait_until_served("h1", "/file/x")
+    wait_until_known(platform, "h2")
+    platform.configure_target("h2", mode="cut")
+    for index in range(8):
+        response = platform.send("h1", f"/file/early/{index}")
+        assert response.status == 200 and response.complete
+        assert len(response.body) == 1_500_000
+    assert platform.runs("h2", "/file/early/")
+    for name in ("h1", "h2"):
+        platform.configure_target(name, mode="cut-late")
+    for index in range(4):
+        path = f"/file/late/{index}"
+        assert not platform.send("h1", path).complete
+        assert len(platform.runs("h1", path) + platform.runs("h2", path)) == 1
+
+
 def test_body_over_the_limit_is_refused(platform):
     limits = {"max_body_bytes": 1000}
     platform.publish(configuration(4, limits=limits))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -67,6 +67,16 @@
     assert configuration.limits.body_bytes == 1000
 
 
+def test_download_may_repeat_like_an_idempotent_request():
+    """Otherwise one route of this kind makes the whole document unreadable."""
+    route = decode_with_route(kind="download").find_route("h.example", "/a/b")
+    assert route.kind is RouteKind.DOWNLOAD
+    assert [kind for kind in RouteKind if kind.may_repeat] == [
+        RouteKind.IDEMPOTENT,
+        RouteKind.DOWNLOAD,
+    ]
+
+
 def test_longest_matching_prefix_wins():
     paths = [ROUTE, {**ROUTE, "name": "r-2", "path_prefix": "/a/b/"}]
     configuration = decode_document(
