Report a configuration that cannot be read

A node without any configuration answered 503 with an empty body, and the log line of an unreadable document came again with each read. Now the line is logged once for each document, with its version if that can be read; carawaywheel_configuration_unreadable is 1 while the newest document seen is not in force; and the readiness check tells the reason, the version and the error. A node with an older configuration in force stays ready.

Only readers of the store saw such a document: in a run of four nodes the others reported no reason within 20 s. A node that has had no configuration for 5 s now reads the table itself, at most once in 5 s. Passing unreadable documents on between nodes was ruled out: it costs a field in messages that old nodes decode, and a transfer of the document to each node, for a state that ends with the next write of the operator.

Two documents ended the component that applies configurations instead of being skipped: deeply nested JSON (RecursionError) and a version above 64 bits, which no message between nodes can hold. Both count as unreadable.

--- a/src/carawaywheel/mesh/health.py
+++ b/src/carawaywheel/mesh/health.py
@@ -2,6 +2,9 @@
 
 import time
 from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
 
 from ..errors import ProtocolError
 from ..http import Request
@@ -21,18 +24,25 @@
 
 
 class ReadinessHandler(RequestHandler):
-    """Responds to the platform's readiness checks of this node."""
+    """Responds to the platform's readiness checks of this node.
+
+    Attributes:
+        find_obstacle: Returns why the node is not ready, as the JSON object to
+            respond; empty if it is ready.
+    """
 
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        self.is_ready = is_ready
+    def __init__(self, find_obstacle: Callable[[], dict[str, Any]]) -> None:
+        self.find_obstacle = find_obstacle
 
     async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Handle one request; see the base class."""
         await connection.read_body(0)
-        status = 404
-        if request.path == READINESS_PATH:
-            status = 200 if self.is_ready() else 503
-        await connection.respond(status, [JSON_HEADER], b"{}")
+        if request.path != READINESS_PATH:
+            await connection.respond(404, [JSON_HEADER], b"{}")
+            return
+        obstacle = self.find_obstacle()
+        content = msgspec.json.encode(obstacle)
+        await connection.respond(503 if obstacle else 200, [JSON_HEADER], content)
 
 
 class HeartbeatHandler(RequestHandler):
--- a/src/carawaywheel/mesh/metrics.py
+++ b/src/carawaywheel/mesh/metrics.py
@@ -1,7 +1,7 @@
-"""Counters and histograms in the text format of Prometheus."""
+"""Counters, gauges and histograms in the text format of Prometheus."""
 
-from collections.abc import Iterator
-from typing import Any
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, NamedTuple
 
 from ..http import Request
 from ..listener import RequestHandler
@@ -11,27 +11,56 @@
 CONTENT_TYPE = (b"content-type", b"text/plain; version=0.0.4")
 
 
+class Gauge(NamedTuple):
+    """One value of a gauge.
+
+    Attributes:
+        name: Name of the gauge.
+        help: What it tells, in one sentence.
+        labels: Labels of the value.
+        value: The value.
+    """
+
+    name: str
+    help: str
+    labels: dict[str, str]
+    value: float
+
+
 class MetricsHandler(RequestHandler):
-    """Handles scrapes of the metrics address."""
+    """Handles scrapes of the metrics address.
 
-    def __init__(self, journal: Journal) -> None:
+    Attributes:
+        read_gauges: Returns the present values of all gauges.
+    """
+
+    def __init__(
+        self, journal: Journal, read_gauges: Callable[[], list[Gauge]]
+    ) -> None:
         self.journal = journal
+        self.read_gauges = read_gauges
 
     async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Handle one request; see the base class."""
         await connection.read_body(0)
-        await connection.respond(200, [CONTENT_TYPE], render_metrics(self.journal))
+        content = render_metrics(self.journal, self.read_gauges())
+        await connection.respond(200, [CONTENT_TYPE], content)
 
 
 class JournalCollector:
-    """Collector that exports the counters and histograms of a journal."""
+    """Collector that exports gauges, and the counters and histograms of a journal."""
 
-    def __init__(self, journal: Journal) -> None:
+    def __init__(self, journal: Journal, gauges: Iterable[Gauge]) -> None:
         self.journal = journal
+        self.gauges = gauges
 
     def collect(self) -> Iterator[Any]:
-        """Yield all counters and histograms."""
-        from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
+        """Yield all counters, histograms and gauges."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
 
         events = CounterMetricFamily(
             "carawaywheel_events",
@@ -55,9 +84,18 @@
                 buckets.append((bound, float(cumulative)))
             latencies.add_metric([route], buckets, histogram.total)
         yield latencies
-
-
-def render_metrics(journal: Journal) -> bytes:
+        families: dict[str, Any] = {}
+        for gauge in self.gauges:
+            family = families.get(gauge.name)
+            if family is None:
+                family = families[gauge.name] = GaugeMetricFamily(
+                    gauge.name, gauge.help, labels=list(gauge.labels)
+                )
+            family.add_metric(list(gauge.labels.values()), gauge.value)
+        yield from families.values()
+
+
+def render_metrics(journal: Journal, gauges: Iterable[Gauge] = ()) -> bytes:
     """Return all metrics as text.
 
     The metrics library is imported at the first scrape, because it takes 3 MB of memory
@@ -66,5 +104,5 @@
     from prometheus_client import CollectorRegistry, generate_latest
 
     registry = CollectorRegistry(auto_describe=False)
-    registry.register(JournalCollector(journal))
+    registry.register(JournalCollector(journal, gauges))
     return generate_latest(registry)
--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -15,7 +15,7 @@
 from ..clock import Clock
 from ..errors import PolicyError, ProtocolError, RecordError
 from ..http import Request
-from ..platform.configuration import decode_configuration
+from ..platform.configuration import decode_configuration, find_version
 from ..routing import Router
 from ..serverexchange import JSON_HEADER, ServerExchange
 from .configuration import MeshConfiguration
@@ -39,6 +39,7 @@
     StateClient,
 )
 from .target import Phase
+from .unreadable import UnreadableDocument, UnreadableDocuments
 
 STATE_HEADER = (b"content-type", b"application/msgpack")
 OWN_ORIGIN = "self"
@@ -93,6 +94,7 @@
         pushed_at: Time of the last state push to each host, in seconds.
         outdated: Hosts with an older configuration version than this node.
         generation: Number of changes of the reachable hosts and their phases.
+        unreadable: Configuration documents that this node cannot read.
         serving: Returns whether the local target accepts new work.
         on_configuration_changed: Called with each configuration that takes effect.
         on_hosts_changed: Called when host records or the reachable hosts change.
@@ -118,6 +120,7 @@
         self.pushed_at: dict[str, float] = {}
         self.outdated: dict[str, OutdatedPeer] = {}
         self.generation = 0
+        self.unreadable = UnreadableDocuments()
         self.serving: Any = lambda: False
         self.on_configuration_changed: Any = lambda configuration: None
         self.on_hosts_changed: Any = lambda: None
@@ -279,8 +282,17 @@
         try:
             configuration = decode_configuration(source)
         except PolicyError as error:
-            self.journal.write("configuration_invalid", error=str(error), origin=origin)
+            document = UnreadableDocument(find_version(source), str(error))
+            in_force = self.directory.configuration_version
+            if self.unreadable.record_unreadable(source, document, in_force):
+                self.journal.write(
+                    "configuration_invalid",
+                    error=document.error,
+                    version=document.version,
+                    origin=origin,
+                )
             return
+        self.unreadable.record_readable(configuration.version, origin)
         self.apply_configuration(configuration, origin)
 
     def apply_configuration(
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -36,7 +36,7 @@
 from .inbound import PeerHandler
 from .journal import Journal
 from .links import LinkServer
-from .metrics import MetricsHandler
+from .metrics import Gauge, MetricsHandler
 from .monitor import PeerMonitor
 from .quarantine import Quarantine
 from .quotas import Quotas
@@ -216,7 +216,7 @@
         handlers: dict[str, tuple[str, Any]] = {
             "callers": (listen.callers, self.entry),
             "peers": (listen.peers, self.peers),
-            "ready": (listen.ready, ReadinessHandler(self.is_ready)),
+            "ready": (listen.ready, ReadinessHandler(self.find_obstacle)),
             "heartbeats": (
                 listen.heartbeats,
                 HeartbeatHandler(
@@ -228,7 +228,10 @@
             ),
         }
         if listen.metrics:
-            handlers["metrics"] = (listen.metrics, MetricsHandler(self.journal))
+            handlers["metrics"] = (
+                listen.metrics,
+                MetricsHandler(self.journal, self.read_gauges),
+            )
         self.listeners = {
             name: self.build_listener(name, address, handler)
             for name, (address, handler) in handlers.items()
@@ -248,12 +251,26 @@
         listener.on_protocol_error = lambda name: self.journal.count("bad_input", name)
         return listener
 
-    def is_ready(self) -> bool:
-        """Return whether this node is ready to receive client requests."""
-        synchronized = (
-            self.directory.configuration is not None and self.directory.hosts_known
-        )
-        return synchronized and not self.stopping
+    def find_obstacle(self) -> dict[str, Any]:
+        """Return why this node is not ready for client requests; empty if it is."""
+        if self.stopping:
+            return {"reason": "stopping"}
+        if self.directory.configuration is None:
+            unreadable = self.peer_monitor.unreadable.newest
+            if unreadable is None:
+                return {"reason": "no configuration is known"}
+            return {
+                "reason": "the configuration cannot be read",
+                "version": unreadable.version,
+                "error": unreadable.error,
+            }
+        if not self.directory.hosts_known:
+            return {"reason": "the other hosts are not known"}
+        return {}
+
+    def read_gauges(self) -> list[Gauge]:
+        """Return the present values of all gauges."""
+        return self.peer_monitor.unreadable.gauges()
 
     def apply_configuration(self, configuration: MeshConfiguration) -> None:
         """Pass a new configuration to the components."""
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -46,6 +46,10 @@
 # targets.
 CONFIGURATION_WAIT_SECONDS = 1.0
 CONFIGURATION_PAUSE_SECONDS = 0.1
+# Time without any configuration after which a node reads it from the store itself, and
+# interval of such reads. Readers that cannot read the document have none to pass on.
+# Longer than a start of all nodes at once.
+MISSING_CONFIGURATION_SECONDS = 5.0
 HOST_WAIT_SECONDS = 6.0
 HOST_PAUSE_SECONDS = 0.3
 # Time that a node waits for its peers before the first configuration that it has read
@@ -158,6 +162,7 @@
         self.hosts_read = False
         self.ranked_generation = -1
         self.check_due_at = 0.0
+        self.configuration_due_at = clock.now() + MISSING_CONFIGURATION_SECONDS
         self.followers: dict[str, KnownFollower] = {}
         self.announced: tuple[int, Position, bool] = (0, START, False)
         self.sources: dict[str, tuple[int, Position]] = {}
@@ -237,10 +242,33 @@
             await self.follow(self.choices[turn % len(self.choices)], now)
             turn += 1
             await self.publisher.write_if_due()
+            await self.read_missing_configuration(now)
             if self.sources:
                 await self.source_added.set()
             await curio.sleep(TICK_SECONDS)
 
+    async def read_missing_configuration(self, now: float) -> None:
+        """Read the configuration from the store if this node has lacked one for long.
+
+        A node that follows the table learns it anyway.
+        """
+        if (
+            self.directory.configuration is not None
+            or self.configuration_follower.active
+            or now < self.configuration_due_at
+        ):
+            return
+        spread = self.rng.uniform(1.0, 1.0 + SPREAD_SECONDS)
+        self.configuration_due_at = now + MISSING_CONFIGURATION_SECONDS * spread
+        await curio.spawn(self.refresh_configuration, daemon=True)
+
+    async def refresh_configuration(self) -> None:
+        """Read the configuration from the store once."""
+        try:
+            await self.configuration_follower.read_all()
+        except LogError as error:
+            self.journal.count("refresh_failed", error.step)
+
     async def follow(self, choice: ReaderChoice, now: float) -> None:
         """Choose readers, and ask one of them."""
         self.rank(now)
--- a/src/carawaywheel/platform/configuration.py
+++ b/src/carawaywheel/platform/configuration.py
@@ -17,6 +17,8 @@
 
 CONFIGURATION_KEY = "config"
 VERSION_PREFIX = "r"
+# Messages between nodes hold versions as integers of 64 bits.
+MAX_VERSION = 2**63 - 1
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.ONCE,
@@ -93,7 +95,14 @@
     tenants: list[WireTenant] = []
 
 
+class WireVersion(msgspec.Struct):
+    """The part of a configuration document that tells its version."""
+
+    version: str
+
+
 decoder = msgspec.json.Decoder(WireDocument)
+version_decoder = msgspec.json.Decoder(WireVersion)
 
 
 def decode_configuration(source: bytes) -> MeshConfiguration:
@@ -111,7 +120,7 @@
             )
             for host in wire.virtual_hosts
         }
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise PolicyError(str(error), "decode configuration", "op/config") from error
     accounts = {
         tenant.name: Account(
@@ -137,16 +146,27 @@
     return MeshConfiguration(version, routes, services, keys, accounts, limits, source)
 
 
+def find_version(source: bytes) -> int | None:
+    """Return the version of a document that may be malformed; None if it has none."""
+    try:
+        return decode_version(version_decoder.decode(source).version)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        return None
+
+
 def decode_version(text: str) -> int:
     """Return the number in a version such as ``r12``.
 
     Raises:
-        ValueError: If the text is not a prefixed number.
+        ValueError: If the text is not a prefixed number, or the number is too large.
     """
     digits = text.removeprefix(VERSION_PREFIX)
     if digits == text or not (digits.isascii() and digits.isdigit()):
         raise ValueError(f"{text!r} is not a version such as r12 - at `$.version`")
-    return int(digits)
+    version = int(digits)
+    if version > MAX_VERSION:
+        raise ValueError(f"version is above {MAX_VERSION} - at `$.version`")
+    return version
 
 
 def decode_route(wire: WireRoute) -> Route:
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -108,8 +108,13 @@
 
     def readiness_status(self, name):
         """Return the HTTP status of a node's readiness check."""
+        return self.readiness(name)[0]
+
+    def readiness(self, name):
+        """Return the HTTP status and the JSON body of a node's readiness check."""
         address = self.address(name, "ready")
-        return curio.run(request, address, "GET", "/api/ready", [], b"", 2.0).status
+        response = curio.run(request, address, "GET", "/api/ready", [], b"", 2.0)
+        return response.status, json.loads(response.body or b"{}")
 
     def send(
         self,
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -5,7 +5,7 @@
 
 from carawaywheel.mesh import journal as module
 from carawaywheel.mesh.journal import MAX_LINES_PER_SECOND, Journal
-from carawaywheel.mesh.metrics import render_metrics
+from carawaywheel.mesh.metrics import Gauge, render_metrics
 
 
 def decode_lines(journal):
@@ -53,7 +53,9 @@
     journal.write("refused", reason="overload")
     journal.observe("r-1", 0.03)
     journal.observe("r-1", 9.0)
-    text = render_metrics(journal).decode()
+    gauges = [Gauge("x", "Help.", {"zone": name}, 1.0) for name in ("a", "b")]
+    text = render_metrics(journal, gauges).decode()
+    assert 'x{zone="a"} 1.0' in text and 'x{zone="b"} 1.0' in text
     assert 'carawaywheel_events_total{event="refused",outcome="overload"} 1.0' in text
     assert 'carawaywheel_answer_seconds_bucket{le="0.05",route="r-1"} 1.0' in text
     assert 'carawaywheel_answer_seconds_count{route="r-1"} 2.0' in text
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -268,6 +268,30 @@
         assert json.loads(response.body)["ran"] == "not_run"
 
 
+def test_unreadable_first_configuration_is_reported_by_all_nodes():
+    """Otherwise the nodes that do not read the store serve nothing without a reason."""
+    names = ("h1", "h2", "h3", "h4")
+    with Platform() as platform:
+        platform.publish({"version": "r9", "virtual_hosts": 7})
+        for name in names:
+            platform.start_host(name, "desk")
+        for name in names:
+            body = platform.wait_for(
+                lambda name=name: (
+                    (body := platform.readiness(name)[1]).get("version") == 9 and body
+                ),
+                f"{name} tells why it is not ready",
+                20.0,
+            )
+            assert "$.virtual_hosts" in body["error"]
+        platform.publish(configuration(10))
+        platform.wait_until_served("h1", "/read/x")
+        assert platform.readiness("h1") == (200, {})
+        for name in names:
+            (line,) = platform.log_lines(name, "configuration_invalid")
+            assert line["version"] == 9
+
+
 def test_graceful_stop_completes_requests_in_flight(platform):
     start_two_hosts(platform)
     platform.configure_target("h2", work=1.5)
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -1,5 +1,6 @@
 """Records of hosts that a node merges, logs and passes on."""
 
+import json
 from types import SimpleNamespace
 
 import pytest
@@ -10,6 +11,7 @@
 from carawaywheel.mesh.replication.messages import state_decoder
 from carawaywheel.mesh.replication.store import START, Position
 from carawaywheel.mesh.target import Phase
+from carawaywheel.mesh.unreadable import MAX_KNOWN_DOCUMENTS
 
 
 class LineList(list):
@@ -81,3 +83,56 @@
     state = state_decoder.decode(reader.encode_state(0, Position(1, 7)))
     assert state.hosts == [draining]
     assert state.offsets == [7]
+
+
+def document(version, **changes):
+    return json.dumps({"version": version, **changes}).encode()
+
+
+def broken(version):
+    return document(version, services=7)
+
+
+def gauge(monitor):
+    (gauge,) = monitor.unreadable.gauges()
+    return gauge.labels["version"], gauge.value
+
+
+def test_unreadable_document_is_logged_once_with_version_and_position():
+    """Otherwise a document that is read again every second fills the log."""
+    monitor = make_monitor("h1")
+    for number in range(MAX_KNOWN_DOCUMENTS + 5):
+        monitor.receive_configuration(broken(f"r{number + 1}"), "store")
+        monitor.receive_configuration(broken("r999"), "h2")
+    lines = monitor.journal.named("configuration_invalid")
+    assert [line["version"] for line in lines[:3]] == [1, 999, 2]
+    assert len(lines) == MAX_KNOWN_DOCUMENTS + 6
+    assert "$.services" in lines[0]["error"]
+
+
+@pytest.mark.parametrize(
+    ("documents", "expected"),
+    [
+        ([broken("r5")], ("5", 1.0)),
+        ([b"{"], ("", 1.0)),
+        # Without a configuration the node learns the one in force from a peer.
+        ([broken("r5"), ("h2", document("r4"))], ("5", 1.0)),
+        ([b"{", ("h2", document("r4"))], ("", 1.0)),
+        ([b"{", ("h2", document("r4")), ("h2", document("r5"))], ("", 0.0)),
+        ([document("r4"), b"{", ("h2", document("r5"))], ("", 0.0)),
+        ([broken("r5"), ("h2", document("r5"))], ("", 0.0)),
+        ([broken("r5"), document("r6")], ("", 0.0)),
+        # The operator withdraws the unreadable document.
+        ([document("r4"), broken("r5"), document("r4")], ("", 0.0)),
+        ([document("r6"), ("h2", broken("r5"))], ("", 0.0)),
+        ([document("r4"), broken("r6"), ("h2", broken("r5"))], ("6", 1.0)),
+        ([document("r4"), broken("r5"), b"{"], ("", 1.0)),
+    ],
+)
+def test_gauge_tells_whether_the_newest_document_is_unreadable(documents, expected):
+    """Otherwise nobody learns of a confirmed document that is not in force."""
+    monitor = make_monitor("h1")
+    for item in documents:
+        origin, source = ("store", item) if isinstance(item, bytes) else item
+        monitor.receive_configuration(source, origin)
+    assert gauge(monitor) == expected
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,7 +13,7 @@
 from carawaywheel.mesh.configuration import RouteKind, WeightedService
 from carawaywheel.mesh.messages import TargetRequestMetadata
 from carawaywheel.mesh.target import Phase
-from carawaywheel.platform.configuration import decode_configuration
+from carawaywheel.platform.configuration import decode_configuration, find_version
 from carawaywheel.platform.headers import (
     decode_caller_headers,
     decode_target_headers,
@@ -103,7 +103,16 @@
         decode_with_route(**changes)
 
 
-@pytest.mark.parametrize("version", ["12", "r", "r1x", "r-1", "r²"])
+def test_nested_document_is_rejected():
+    """Otherwise it ends the component that reads the store, again and again."""
+    nested = b'{"version": "r1", "x": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    with pytest.raises(PolicyError):
+        decode_configuration(nested)
+    assert find_version(nested) is None
+
+
+# The last one does not fit into a message between nodes.
+@pytest.mark.parametrize("version", ["12", "r", "r1x", "r-1", "r²", f"r{2**64}"])
 def test_malformed_version_is_rejected(version):
     with pytest.raises(PolicyError, match="version"):
         decode_document(version=version)
