Look for nodes whose target has left while the store is away

Cause: a reader without the store looks for the nodes that should ask it, so that one that has restarted meanwhile gets its configuration and the hosts. It expected only hosts whose target is ready. A node whose target was leaving was looked for by nobody, unless its former process had asked this reader within the last seconds. Ruled out: load alone.

--- a/src/carawaywheel/mesh/replication/readers.py
+++ b/src/carawaywheel/mesh/replication/readers.py
@@ -95,15 +95,23 @@
     return ranked[: max(MIN_READERS, -(-len(ranked) // NODES_PER_READER))]
 
 
-def expected_followers(hosts: Iterable[ReaderHost], reader: str) -> list[str]:
-    """Return the addresses of the nodes that ask a reader unless it fails."""
+def expected_followers(
+    hosts: Iterable[ReaderHost], others: Iterable[ReaderHost], reader: str
+) -> list[str]:
+    """Return the addresses of the nodes that ask a reader unless it fails.
+
+    Args:
+        hosts: Hosts that may read.
+        others: Hosts that do not read, such as those whose target has left.
+        reader: Address of the reader.
+    """
     ranked = interleave_domains(hosts)
     readers = first_readers(ranked)
     addresses = [host.address for host in readers]
     if reader not in addresses:
         return []
     expected = []
-    for host in ranked:
+    for host in itertools.chain(ranked, others):
         start = preferred_index(readers, host.address, host.domain)
         asked = addresses[start], addresses[(start + 1) % len(addresses)]
         if reader in asked and host.address != reader:
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -299,18 +299,25 @@
         }
         return {
             address
-            for address in expected_followers(self.reader_hosts(), self.own_address)
+            for address in expected_followers(*self.known_hosts(), self.own_address)
             if now - asked_at.get(address, 0.0) > LAPSE_SECONDS
         }
 
+    def known_hosts(self) -> tuple[list[ReaderHost], list[ReaderHost]]:
+        """Return the reachable hosts that may read, and the others."""
+        readers: list[ReaderHost] = []
+        others: list[ReaderHost] = []
+        for address in self.peer_monitor.reachable_hosts():
+            record = self.directory.hosts.get(address)
+            if record is not None:
+                may_read = record.phase == Phase.READY
+                host = ReaderHost(record.address, record.domain)
+                (readers if may_read else others).append(host)
+        return readers, others
+
     def reader_hosts(self) -> list[ReaderHost]:
         """Return the hosts that may read."""
-        records = map(self.directory.hosts.get, self.peer_monitor.reachable_hosts())
-        return [
-            ReaderHost(record.address, record.domain)
-            for record in records
-            if record is not None and record.phase == Phase.READY
-        ]
+        return self.known_hosts()[0]
 
     def rank(self, now: float) -> None:
         """Rank the readers again if hosts have changed."""
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -69,7 +69,20 @@
             for host in hosts
             if reader in [r[0] for r in rank_readers(hosts, host.address, host.domain)]
         }
-        assert set(expected_followers(hosts, reader)) == followers - {reader}
+        assert set(expected_followers(hosts, [], reader)) == followers - {reader}
+
+
+def test_node_whose_target_has_left_is_expected_at_its_readers():
+    """Otherwise nobody looks for it when it restarts while the store is away."""
+    hosts = make_hosts(80)
+    other = ReaderHost("10.9.0.9:80", "zone-1")
+    readers = [
+        host.address
+        for host in hosts
+        if other.address in expected_followers(hosts, [other], host.address)
+    ]
+    ranked = rank_readers(hosts, other.address, other.domain)
+    assert sorted(readers) == sorted(ranking[0] for ranking in ranked)
 
 
 def test_order_of_the_hosts_does_not_matter():
