Let the stand-ins remove keys and use several failure domains

The stand-in of the store could write values but not remove a key as the operator does, and all hosts of the test platform were in one failure domain. Both are needed to test evacuations. Settings files of existing callers stay as they were.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -124,7 +124,9 @@
         """Return the address and port of a listener by its name in the settings."""
         return self.at(PORTS[name])
 
-    def boot_file(self, name: str, service: str, store: str, target: str) -> str:
+    def boot_file(
+        self, name: str, service: str, store: str, target: str, zone: str = "a"
+    ) -> str:
         """Return the content of the host's settings file.
 
         Args:
@@ -132,11 +134,12 @@
             service: Service of the target beside it.
             store: Address of the store.
             target: Address at which the node reaches its target.
+            zone: Failure domain of the host.
         """
         lines = [
             f'node_name = "{name}"',
             f'ip = "{self.ip}"',
-            'zone = "a"',
+            f'zone = "{zone}"',
             (
                 f"port_range = [{self.port_base + METRICS_OFFSET}, "
                 f"{self.port_base + DATAGRAM_OFFSET}]"
--- a/standins/provider.py
+++ b/standins/provider.py
@@ -117,7 +117,8 @@
     async def control(self, settings: dict[str, Any]) -> Response:
         """Inject faults, write a value as the operator does, or drop the history.
 
-        ``put`` writes a JSON value under ``key`` in ``topic``; ``compact`` names a
+        ``put`` writes a JSON value under ``key`` in ``topic``, and ``remove`` a record
+        without a value under the key that it names; ``compact`` names a
         topic whose records up to now can no longer be read; ``restore`` brings the
         store back from a copy that lacks the last records of topics, as many as it
         names for each.
@@ -130,6 +131,10 @@
             value = json.dumps(settings["put"]).encode()
             topic = self.topics.setdefault(settings["topic"], Topic())
             await topic.append([bytes([len(key)]) + key + value])
+        if "remove" in settings:
+            key = settings["remove"].encode()
+            topic = self.topics.setdefault(settings["topic"], Topic())
+            await topic.append([bytes([len(key)]) + key])
         if "compact" in settings:
             topic = self.topics[settings["compact"]]
             topic.first_offset = len(topic.records)
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -38,6 +38,7 @@
         super().__init__()
         self.port_base, self.reservation = reserve_ports(HOSTS)
         self.hosts = {}
+        self.zones = {}
         self.start("store", ["-m", "standins.provider"])
         self.store_address = self.processes["store"].startup_info["address"]
 
@@ -68,6 +69,7 @@
             service,
             store or self.store_address,
             self.address(name, "app"),
+            self.zones.get(name, "a"),
         )
         path.write_text(text)
         return path
