Pass evacuations on with the shared state and leave out their targets

Readers find them in the operator's table. Query, Status and MeshState carry them in optional trailing fields, which nodes of the previous version ignore: an empty list costs one byte in a query, the domain "zone-a" 11 bytes. Readers announce a change at once; queries tell readers what followers know. A node that starts merges evacuations before the configuration with which it becomes ready.

Targets in an evacuated domain are no candidates and do not count as targets that share the retry budget. A host whose suspension ends is checked likewise.

--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -19,6 +19,7 @@
 from ..routing import Router
 from ..serverexchange import JSON_HEADER, ServerExchange
 from .configuration import MeshConfiguration
+from .evacuation import Evacuation, EvacuationChange
 from .journal import Journal
 from .messages import CallReply
 from .replication.directory import (
@@ -98,6 +99,10 @@
         on_hosts_changed: Called when host records or the reachable hosts change.
         on_own_record: Called with a record of this host that another node has told.
         on_newer_version: Called with the address of a peer and its newer version.
+        on_evacuation_changed: Called with a failure domain and whether it is evacuated
+            from now on.
+        on_targets_returned: Called with the ids of the targets that are candidates
+            again after an evacuation, and may be cold.
     """
 
     def __init__(
@@ -123,6 +128,8 @@
         self.on_hosts_changed: Any = lambda: None
         self.on_own_record: Any = lambda record: None
         self.on_newer_version: Any = lambda address, version: None
+        self.on_evacuation_changed: Any = lambda domain, active: None
+        self.on_targets_returned: Any = lambda target_ids: None
 
     def observe_reply(self, address: str, reply: CallReply) -> None:
         """Process the version and readiness that a reply carries."""
@@ -175,7 +182,7 @@
         if self.suspended.pop(address, None) is not None:
             self.journal.write("host_resumed", host=address)
             record = self.directory.hosts.get(address)
-            if record is not None:
+            if record is not None and not self.directory.is_evacuated(record):
                 self.router.set_candidate(routing_candidate(record))
             self.update_reachable()
 
@@ -185,7 +192,10 @@
         self.on_hosts_changed()
 
     def update_router(self) -> None:
-        """Pass the targets of all hosts that are not suspended to the router."""
+        """Pass the targets that may get requests to the router.
+
+        These are those of all hosts that are neither suspended nor evacuated.
+        """
         candidates = [
             candidate
             for candidate in self.directory.candidates()
@@ -267,6 +277,46 @@
             self.suspended.pop(record.address, None)
         return True
 
+    def merge_evacuations(self, evacuations: list[Evacuation], origin: str) -> None:
+        """Merge the evacuations that a node told."""
+        if evacuations:
+            changes = self.directory.evacuations.merge_all(evacuations)
+            self.apply_evacuations(changes, origin)
+
+    def apply_evacuations(self, changes: list[EvacuationChange], origin: str) -> None:
+        """Let changes of evacuations take effect.
+
+        Args:
+            changes: The changes.
+            origin: Who told them.
+        """
+        for change in changes:
+            evacuation = change.evacuation
+            self.journal.write(
+                "evacuation_kept" if change.note else "evacuation",
+                domain=evacuation.domain,
+                active=evacuation.active,
+                era=evacuation.era,
+                offset=evacuation.offset,
+                origin=origin,
+                **({"note": change.note} if change.note else {}),
+            )
+        switched = [change.evacuation for change in changes if change.switched]
+        if not switched:
+            return
+        # The local target refuses calls before others are told to take them.
+        for evacuation in switched:
+            self.on_evacuation_changed(evacuation.domain, evacuation.active)
+        self.update_router()
+        ended = {each.domain for each in switched if not each.active}
+        returned = [
+            record.address
+            for record in self.directory.hosts.values()
+            if record.domain in ended and record.phase == Phase.READY
+        ]
+        if returned:
+            self.on_targets_returned(returned)
+
     def mark_hosts_known(self) -> None:
         """Record that the records of all other hosts have been read."""
         if not self.directory.hosts_known:
@@ -355,6 +405,8 @@
             state = state_decoder.decode(body)
         except msgspec.DecodeError as error:
             raise ProtocolError(str(error), "take state", peer) from error
+        # Before the configuration, with which a node that starts becomes ready.
+        self.merge_evacuations(state.evacuations, peer)
         if state.configuration:
             self.receive_configuration(state.configuration, peer)
         own_era = self.directory.hosts_position.era
@@ -384,6 +436,7 @@
                 directory.hosts_position.offset,
                 directory.hosts_position.era,
                 [position.era for position, _ in changes],
+                directory.evacuations.known(),
             )
         )
 
--- a/src/carawaywheel/mesh/replication/directory.py
+++ b/src/carawaywheel/mesh/replication/directory.py
@@ -7,6 +7,7 @@
 from ...errors import RecordError
 from ...routing import Candidate, TargetState
 from ..configuration import MeshConfiguration
+from ..evacuation import Evacuations
 from ..target import Phase
 from .store import START, Position
 
@@ -101,6 +102,7 @@
     Attributes:
         configuration: Configuration in effect; None before the first one.
         hosts: Host records by address.
+        evacuations: Failure domains whose targets get no requests.
         hosts_known: Whether the records of all hosts have been read from the store or
             received from a peer that had read them.
         hosts_position: Position in the store up to which all records are known.
@@ -112,6 +114,7 @@
         self.hosts_known = False
         self.configuration: MeshConfiguration | None = None
         self.hosts: dict[str, HostRecord] = {}
+        self.evacuations = Evacuations()
         self.hosts_position = START
         self.positions: dict[str, Position] = {}
 
@@ -153,16 +156,26 @@
             if positions.get(address, START) >= position
         ]
 
+    def is_evacuated(self, record: HostRecord) -> bool:
+        """Return whether the target of a host gets no requests."""
+        return record.domain in self.evacuations.active
+
     def candidates(self) -> list[Candidate]:
-        """Return the targets of all hosts as routing candidates."""
-        return [routing_candidate(record) for record in self.hosts.values()]
+        """Return the targets outside of evacuated domains as routing candidates."""
+        return [
+            routing_candidate(record)
+            for record in self.hosts.values()
+            if not self.is_evacuated(record)
+        ]
 
     def ready_addresses(self, service: str) -> list[str]:
         """Return the addresses of the targets of a service that accept new work."""
         return [
             record.address
             for record in self.hosts.values()
-            if record.service == service and record.phase == Phase.READY
+            if record.service == service
+            and record.phase == Phase.READY
+            and not self.is_evacuated(record)
         ]
 
 
--- a/src/carawaywheel/mesh/replication/messages.py
+++ b/src/carawaywheel/mesh/replication/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..evacuation import Evacuation
 from .directory import HostRecord
 from .store import START, Position
 
@@ -22,12 +23,14 @@
         version: Version of its configuration; 0 for none.
         hosts_offset: Offset in the store up to which it knows all host records.
         era: Era of this offset; 0 if the sender does not tell.
+        evacuations: Evacuations that it knows.
     """
 
     sender: str
     version: int
     hosts_offset: int
     era: int = 0
+    evacuations: list[Evacuation] = []
 
     def position(self, default_era: int) -> Position:
         """Return the position up to which the sender knows all host records.
@@ -51,6 +54,7 @@
         era: Era of ``hosts_offset``; 0 if the sender does not tell.
         since_era: Era of ``since``; 0 if the sender does not tell.
         eras: Eras of the offsets of the records, in the same order.
+        evacuations: Evacuations that the sender knows.
     """
 
     sender: str
@@ -62,6 +66,7 @@
     era: int = 0
     since_era: int = 0
     eras: list[int] = []
+    evacuations: list[Evacuation] = []
 
     def position(self, default_era: int) -> Position:
         """Return the position up to which the sender knows all host records.
@@ -94,6 +99,7 @@
         hosts_offset: Offset up to which the sender knows all host records.
         era: Era of this offset; 0 if the sender does not tell.
         eras: Eras of the offsets of the records, in the same order.
+        evacuations: Evacuations that the sender knows.
     """
 
     configuration: bytes
@@ -103,6 +109,7 @@
     hosts_offset: int = 0
     era: int = 0
     eras: list[int] = []
+    evacuations: list[Evacuation] = []
 
     def position(self, default_era: int) -> Position:
         """Return the position up to which the sender knows all host records.
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -13,6 +13,8 @@
 from ...clock import Clock
 from ...datagrams import Address, DatagramHandler, DatagramSocket
 from ...errors import LogError, RecordError
+from ...platform.evacuation import decode_evacuated_domain
+from ..evacuation import Evacuation
 from ..journal import Journal
 from ..monitor import PeerMonitor
 from ..target import Phase
@@ -159,7 +161,7 @@
         self.ranked_generation = -1
         self.check_due_at = 0.0
         self.followers: dict[str, KnownFollower] = {}
-        self.announced: tuple[int, Position, bool] = (0, START, False)
+        self.announced: tuple[int, Position, bool, int] = (0, START, False, 0)
         self.sources: dict[str, tuple[int, Position]] = {}
         self.source_added = curio.Event()
         sock.handlers[DATAGRAM_KIND] = self
@@ -170,11 +172,30 @@
         self.publisher.observe_era(position.era)
         if page.items and self.directory.configuration is None:
             await self.ask_peers()
+        # Before the configuration, with which a node that starts becomes ready.
+        self.apply_evacuations(page, position)
         for item in page.items:
             if item.key == self.configuration_key and item.value:
                 self.peer_monitor.receive_configuration(item.value, "store")
         await self.announce_changes()
 
+    def apply_evacuations(self, page: TablePage, position: Position) -> None:
+        """Apply the evacuations among values of the operator's table."""
+        evacuations = []
+        for item in page.items:
+            domain = decode_evacuated_domain(item.key)
+            if domain:
+                evacuation = Evacuation(
+                    domain, position.era, item.offset, bool(item.value)
+                )
+                evacuations.append(evacuation)
+            elif domain is not None:
+                self.journal.write("evacuation_invalid", key=item.key)
+        changes = self.directory.evacuations.apply_page(
+            evacuations, position, page.is_whole
+        )
+        self.peer_monitor.apply_evacuations(changes, "store")
+
     async def ask_peers(self) -> None:
         """Fetch the state of the readers.
 
@@ -337,6 +358,7 @@
             self.directory.configuration_version,
             self.directory.hosts_position.offset,
             self.directory.hosts_position.era,
+            self.directory.evacuations.known(),
         )
         await self.send(choice.current, query)
 
@@ -352,9 +374,12 @@
         if isinstance(message, Query):
             position = message.position(self.publisher.era)
             self.followers[message.sender] = KnownFollower(now, position)
+            self.peer_monitor.merge_evacuations(message.evacuations, message.sender)
             await self.update_role(now)
             await self.send_status(message.sender, position, now)
             self.add_source(message.sender, message.version, position)
+            if self.announced[-1] != self.directory.evacuations.revision:
+                await self.announce_changes()
         elif isinstance(message, Status):
             await self.receive_status(message, now)
         else:
@@ -368,6 +393,7 @@
             if choice.current != former:
                 await self.update_role(now)
                 await self.ask(choice, now)
+        self.peer_monitor.merge_evacuations(status.evacuations, status.sender)
         self.publisher.observe_era(status.era)
         position = status.position(self.publisher.era)
         if (
@@ -398,6 +424,7 @@
             directory.hosts_position.era,
             since.era,
             [position.era for position, _ in changes],
+            directory.evacuations.known(),
         )
         await self.send(address, status)
 
@@ -409,6 +436,7 @@
             directory.configuration_version,
             directory.hosts_position,
             self.is_in_touch(now),
+            directory.evacuations.revision,
         )
         if state == self.announced:
             return
--- a/tests/test_mesh_messages.py
+++ b/tests/test_mesh_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from carawaywheel.mesh.evacuation import Evacuation
 from carawaywheel.mesh.replication.directory import HostRecord
 from carawaywheel.mesh.replication.messages import (
     MeshState,
@@ -16,6 +17,7 @@
 
 RECORD = HostRecord("h", "10.0.0.1:80", "a", "desk", 1, 1, 0, 5)
 ERA = 4
+EVACUATIONS = [Evacuation("a", ERA, 6, True)]
 
 
 class FormerStatus(msgspec.Struct, array_like=True, tag=2):
@@ -37,12 +39,13 @@
     hosts_offset: int
 
 
-def test_former_nodes_read_messages_with_eras():
-    status = Status("s", True, 3, 9, 7, [(8, RECORD)], ERA, ERA, [ERA])
+def test_former_nodes_read_messages_with_eras_and_evacuations():
+    status = Status("s", True, 3, 9, 7, [(8, RECORD)], ERA, ERA, [ERA], EVACUATIONS)
+    assert decode_message(encode(status)).evacuations == EVACUATIONS
     former = msgspec.msgpack.decode(encode(status), type=FormerStatus)
     assert (former.hosts_offset, former.since, former.hosts) == (9, 7, [(8, RECORD)])
     former_query = msgspec.msgpack.decode(
-        encode(Query("s", 3, 9, ERA)), type=FormerQuery
+        encode(Query("s", 3, 9, ERA, EVACUATIONS)), type=FormerQuery
     )
     assert former_query.hosts_offset == 9
 
@@ -54,6 +57,7 @@
     assert status.changes(ERA) == [(Position(ERA, 8), RECORD)]
     query = decode_message(encode(FormerQuery("s", 3, 9)))
     assert query.position(ERA) == Position(ERA, 9)
+    assert status.evacuations == query.evacuations == []
     state = MeshState(b"", [RECORD, RECORD], True, [8, 0], 9)
     state = state_decoder.decode(encode(state))
     assert state.position(ERA) == Position(ERA, 9)
