Refuse calls beside the targets of an evacuated domain

The node beside the target refuses new calls as not run, and those that wait within one turn of its polling. The check after the connection is acquired, with nothing awaited up to the send, is authoritative: a connection may take 0.3 s to open. Replies still say that the target serves, as every node would probe all hosts of the domain otherwise.

The gauge carawaywheel_evacuated tells what is in effect; a domain that the settings' zones lack is logged and kept.

--- a/src/carawaywheel/admission.py
+++ b/src/carawaywheel/admission.py
@@ -271,6 +271,13 @@
             heapq.heappop(self.deadlines)
         return None
 
+    def remove_waiting(self) -> list[Ticket]:
+        """Remove and return all queued tickets."""
+        tickets = list(self.waiting.values())
+        for ticket in tickets:
+            self._dequeue(ticket)
+        return tickets
+
     def drain(self) -> None:
         """Refuse new offers from now on; queued tickets are still served."""
         self.draining = True
--- a/src/carawaywheel/executor.py
+++ b/src/carawaywheel/executor.py
@@ -94,6 +94,13 @@
         """Refuse waiting requests whose deadline has passed."""
         await self.notify_waiters(self.queue.poll(self.clock.now()))
 
+    async def refuse_waiting(self, refusal: Refusal) -> None:
+        """Refuse all requests that wait."""
+        tickets = self.queue.remove_waiting()
+        await self.notify_waiters(
+            QueueChanges([], [(ticket, refusal) for ticket in tickets])
+        )
+
     async def notify_waiters(self, changes: QueueChanges) -> None:
         """Wake the requests that were admitted or refused."""
         for ticket in changes.admitted:
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -65,6 +65,7 @@
         gate: Admission gate of its current incarnation; None before that is known.
         rate_enforcer: Enforces the rate limit that this incarnation states.
         level: Admission level of the target.
+        evacuated: Whether the failure domain is evacuated and the target gets no calls.
         shutting_down: Whether the node shuts down and admits no more calls.
         active_calls: Calls that wait or run.
         unreachable_until: Local time until which the target gets no calls, in seconds.
@@ -105,6 +106,7 @@
         self.gate: AdmissionGate | None = None
         self.rate_enforcer = RateEnforcer(journal, clock)
         self.incarnation: tuple[str, int] | None = None
+        self.evacuated = False
         self.shutting_down = False
         self.active_calls = 0
         self.unreachable_until = 0.0
@@ -217,6 +219,8 @@
         if call.service != self.settings.service or self.current_gate() is None:
             reason = Reason.SHUTTING_DOWN if self.shutting_down else Reason.NO_TARGET
             return Refusal(reason, Ran.NOT_RUN, RETRY_AFTER_SECONDS, "target")
+        if self.evacuated:
+            return self.evacuation_refusal()
         now = self.clock.now()
         if not call.from_target:
             self.retry_budget.record_first_attempt(now)
@@ -226,6 +230,17 @@
             return Refusal(Reason.RETRIES_SPENT, Ran.NOT_RUN, None, "target")
         return None
 
+    def evacuation_refusal(self) -> Refusal:
+        """Return the refusal of a call while the failure domain is evacuated."""
+        return Refusal(Reason.NO_TARGET, Ran.NOT_RUN, RETRY_AFTER_SECONDS, "evacuation")
+
+    def on_evacuation_changed(self, active: bool) -> None:
+        """Stop to send calls to the target, or begin again."""
+        self.evacuated = active
+        warmup = getattr(self, "warmup", None)
+        if warmup is not None and not active:
+            warmup.assume_cold(self.clock.now(), "evacuation ended")
+
     async def run_admitted(
         self,
         call: Call,
@@ -288,6 +303,10 @@
         except PeerError as error:
             self.mark_unreachable(error)
             return Refusal(Reason.TARGET_FAILED, Ran.NOT_RUN, None, error.step, peer)
+        if self.evacuated:
+            # Nothing may be awaited between this check and the send.
+            await self.pool.release(connection)
+            return self.evacuation_refusal()
         body_length = len(body) if body or request.method in BODY_METHODS else None
         remaining = max(0.0, ticket.deadline - self.clock.now())
         headers = encode_target_headers(
@@ -469,6 +488,8 @@
             if self.target.heartbeat is not None:
                 await self.crashes.observe(self.target.heartbeat)
             if gate is not None:
+                if self.evacuated:
+                    await gate.refuse_waiting(self.evacuation_refusal())
                 await gate.poll()
                 self.update_level(gate, now)
             self.fanout.update(now)
--- a/src/carawaywheel/mesh/metrics.py
+++ b/src/carawaywheel/mesh/metrics.py
@@ -6,6 +6,7 @@
 from ..http import Request
 from ..listener import RequestHandler
 from ..serverexchange import ServerExchange
+from .evacuation import Evacuations
 from .journal import LATENCY_BUCKETS_SECONDS, Journal
 
 CONTENT_TYPE = (b"content-type", b"text/plain; version=0.0.4")
@@ -14,13 +15,15 @@
 class MetricsHandler(RequestHandler):
     """Handles scrapes of the metrics address."""
 
-    def __init__(self, journal: Journal) -> None:
+    def __init__(self, journal: Journal, evacuations: Evacuations) -> None:
         self.journal = journal
+        self.evacuations = evacuations
 
     async def handle(self, connection: ServerExchange, request: Request) -> None:
         """Handle one request; see the base class."""
         await connection.read_body(0)
-        await connection.respond(200, [CONTENT_TYPE], render_metrics(self.journal))
+        content = render_metrics(self.journal, self.evacuations)
+        await connection.respond(200, [CONTENT_TYPE], content)
 
 
 class JournalCollector:
@@ -57,7 +60,27 @@
         yield latencies
 
 
-def render_metrics(journal: Journal) -> bytes:
+class EvacuationCollector:
+    """Collector that exports which failure domains are evacuated."""
+
+    def __init__(self, evacuations: Evacuations) -> None:
+        self.evacuations = evacuations
+
+    def collect(self) -> Iterator[Any]:
+        """Yield one gauge for all domains that are or were evacuated."""
+        from prometheus_client.core import GaugeMetricFamily
+
+        gauge = GaugeMetricFamily(
+            "carawaywheel_evacuated",
+            "Whether the evacuation of a failure domain is in effect.",
+            labels=["domain"],
+        )
+        for evacuation in self.evacuations.newest.values():
+            gauge.add_metric([evacuation.domain], float(evacuation.active))
+        yield gauge
+
+
+def render_metrics(journal: Journal, evacuations: Evacuations) -> bytes:
     """Return all metrics as text.
 
     The metrics library is imported at the first scrape, because it takes 3 MB of memory
@@ -67,4 +90,5 @@
 
     registry = CollectorRegistry(auto_describe=False)
     registry.register(JournalCollector(journal))
+    registry.register(EvacuationCollector(evacuations))
     return generate_latest(registry)
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -175,6 +175,7 @@
             self.crash_reporter,
         )
         self.peer_monitor.on_hosts_changed = self.update_targets
+        self.peer_monitor.on_evacuation_changed = self.apply_evacuation
         self.peer_monitor.serving = lambda: self.runner.current_gate() is not None
         self.sender = RequestSender(
             self.settings,
@@ -228,7 +229,10 @@
             ),
         }
         if listen.metrics:
-            handlers["metrics"] = (listen.metrics, MetricsHandler(self.journal))
+            handlers["metrics"] = (
+                listen.metrics,
+                MetricsHandler(self.journal, self.directory.evacuations),
+            )
         self.listeners = {
             name: self.build_listener(name, address, handler)
             for name, (address, handler) in handlers.items()
@@ -261,6 +265,14 @@
         self.runner.level.set_max_level(configuration.lowest_priority + 1.0)
         self.quotas.configure(configuration.accounts)
 
+    def apply_evacuation(self, domain: str, active: bool) -> None:
+        """Apply the beginning or end of an evacuation of a failure domain."""
+        if domain == self.settings.domain:
+            self.runner.on_evacuation_changed(active)
+        domains = self.settings.domains
+        if active and domains and domain not in domains:
+            self.journal.write("evacuation_domain_unknown", domain=domain)
+
     def update_targets(self) -> None:
         """Update the known nodes and the part of the retry budget of this one."""
         self.rate_limiter.refresh_nodes()
--- a/src/carawaywheel/mesh/settings.py
+++ b/src/carawaywheel/mesh/settings.py
@@ -68,6 +68,7 @@
         bounds: Bounds that the installation sets.
         memory_bytes: Memory limit of the process.
         first_start: Whether all nodes start for the first time, at the same moment.
+        domains: All failure domains; empty if the installation does not tell.
     """
 
     node_id: str
@@ -79,3 +80,4 @@
     bounds: Bounds
     memory_bytes: int
     first_start: bool = False
+    domains: tuple[str, ...] = ()
--- a/src/carawaywheel/platform/settings.py
+++ b/src/carawaywheel/platform/settings.py
@@ -1,6 +1,7 @@
 """Decoding of the settings file that the platform places on each machine."""
 
 import tomllib
+from typing import Any
 
 import msgspec
 
@@ -43,7 +44,11 @@
 
 
 class WireSettings(msgspec.Struct):
-    """The whole file; unknown fields are ignored."""
+    """The whole file; unknown fields are ignored.
+
+    Of ``zones`` only the names are used, so that a table of another form does not keep
+    a node from starting.
+    """
 
     node_name: str
     ip: str
@@ -54,6 +59,7 @@
     service: str = ""
     app_addr: str = ""
     first_start: bool = False
+    zones: Any = None
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
 
@@ -106,4 +112,5 @@
         ),
         first_start=wire.first_start,
         memory_bytes=int(wire.limits.memory_mb * MEGABYTE),
+        domains=tuple(wire.zones) if isinstance(wire.zones, dict) else (),
     )
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -1,14 +1,24 @@
-"""Order in which queued calls are admitted to a target."""
+"""Calls that are queued for a target, admitted to it or refused."""
 
 import random
+from types import SimpleNamespace
+
+import curio
 
 from carawaywheel.admission import AdmissionQueue, Admitted, Queued
+from carawaywheel.clock import ManualClock
 from carawaywheel.fairness import Ticket
 from carawaywheel.limits import FixedLimit
-from carawaywheel.mesh.execution import equal_part, queue_importance
+from carawaywheel.mesh.callgraph import CallGraph
+from carawaywheel.mesh.execution import TargetRunner, equal_part, queue_importance
+from carawaywheel.mesh.journal import Journal
 from carawaywheel.mesh.messages import Call
-from carawaywheel.refusals import Importance, Outcome
+from carawaywheel.mesh.settings import Bounds, HostSettings, Listeners, StoreSettings
+from carawaywheel.mesh.shedding import AdmissionLevelTable
+from carawaywheel.mesh.target import Heartbeat, LocalTarget, Phase
+from carawaywheel.refusals import Importance, Outcome, Ran
 from carawaywheel.settings import AdmissionSettings
+from carawaywheel.stalls import StallDetector
 
 
 def make_call(priority, from_target=False):
@@ -52,3 +62,41 @@
             parts = [equal_part(total, count, index) for index in range(count)]
             assert sum(parts) == total
             assert max(parts) - min(parts) <= 1
+
+
+def test_evacuation_that_begins_while_a_connection_opens_keeps_the_call_back():
+    """Guards against a request to the target up to 0.3 s after all nodes know."""
+    address = "127.0.0.1:1"
+    settings = HostSettings(
+        "n", "a", "s", address, Listeners(*[""] * 7), StoreSettings(""), Bounds(), 0
+    )
+    clock, rng, journal = ManualClock(10.0), random.Random(1), Journal("n")
+    target = LocalTarget("s", address)
+    target.receive(Heartbeat("i", "s", address, 5, Phase.READY, 1, 1))
+    reporter = SimpleNamespace(quarantine=SimpleNamespace(suspects={}))
+    runner = TargetRunner(
+        settings,
+        target,
+        CallGraph(),
+        AdmissionLevelTable(rng),
+        journal,
+        clock,
+        StallDetector(clock),
+        rng,
+        None,
+        reporter,
+    )
+    released = []
+
+    async def acquire(peer):
+        runner.on_evacuation_changed(True)
+        return "connection"
+
+    async def release(connection):
+        released.append(connection)
+
+    runner.pool = SimpleNamespace(acquire=acquire, release=release)
+    refusal = curio.run(runner.run, make_call(1), SimpleNamespace(), [], b"")
+    assert (refusal.step, refusal.ran) == ("evacuation", Ran.NOT_RUN)
+    assert released == ["connection"]
+    assert not runner.gate.queue.running
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -4,6 +4,7 @@
 import os
 
 from carawaywheel.mesh import journal as module
+from carawaywheel.mesh.evacuation import Evacuation, Evacuations
 from carawaywheel.mesh.journal import MAX_LINES_PER_SECOND, Journal
 from carawaywheel.mesh.metrics import render_metrics
 
@@ -48,12 +49,15 @@
     assert line["request"] == "a1" and line["level"] == 1.5
 
 
-def test_metrics_export_event_counts_and_latencies():
+def test_metrics_export_event_counts_latencies_and_evacuations():
     journal = Journal("n1")
+    evacuations = Evacuations()
+    evacuations.merge(Evacuation("a", 1, 3, True))
     journal.write("refused", reason="overload")
     journal.observe("r-1", 0.03)
     journal.observe("r-1", 9.0)
-    text = render_metrics(journal).decode()
+    text = render_metrics(journal, evacuations).decode()
     assert 'carawaywheel_events_total{event="refused",outcome="overload"} 1.0' in text
     assert 'carawaywheel_answer_seconds_bucket{le="0.05",route="r-1"} 1.0' in text
     assert 'carawaywheel_answer_seconds_count{route="r-1"} 2.0' in text
+    assert 'carawaywheel_evacuated{domain="a"} 1.0' in text
