Keep an evacuation at the end of a whole read in any order of messages

A search of 5,000 examples, with records of a domain that no whole read holds, found that an active record at the last offset of the read won over its removal, or lost to it, by the order in which they came. It is kept in both orders now: only a removal after the end of the read, between two of its pages, explains it, and that is read next.

--- a/src/carawaywheel/mesh/evacuation.py
+++ b/src/carawaywheel/mesh/evacuation.py
@@ -169,7 +169,9 @@
             The evacuation or its removal; None if another record has replaced it.
         """
         read = self.whole_reads.get(evacuation.era)
-        if read is None or evacuation.offset >= read.offset:
+        # The pages of a whole read are not one snapshot: it lacks the last record only
+        # if a removal after its end has come in between, which is read next.
+        if read is None or evacuation.offset >= read.offset - 1:
             return evacuation
         offset = read.offsets.get(evacuation.domain)
         if offset is None:
