Decode what the platform tells of cold targets

Cause: the node ignored warmup_s, warmup_per_s, warmup_left_s, X-Warmup-Ms and the bounds of the installation on them.

Change: they are decoded in platform/ and passed on as settings, Service.warmup_duration and warmup_rate, Heartbeat.warmup_remaining and HealthMetadata. All have defaults, so that deployments without them are read as before. A heartbeat with a negative time, or with something else than a number, is malformed like others. Heartbeats that are accepted are passed on by LocalTarget.on_heartbeat, also those that were held back at a restart.

--- a/src/carawaywheel/mesh/configuration.py
+++ b/src/carawaywheel/mesh/configuration.py
@@ -79,11 +79,16 @@
         name: Name of the service.
         health_path: Path of the health check.
         connections: Maximum number of connections to one target.
+        warmup_duration: Seconds for which a target stays cold after its start.
+        warmup_rate: Requests per second that a cold target takes, before the bounds
+            of the installation are applied; 0 for no limit.
     """
 
     name: str
     health_path: str
     connections: int
+    warmup_duration: float = 0.0
+    warmup_rate: float = 0.0
 
 
 class InputLimits(NamedTuple):
--- a/src/carawaywheel/mesh/messages.py
+++ b/src/carawaywheel/mesh/messages.py
@@ -71,6 +71,19 @@
     leaving: bool = False
 
 
+class HealthMetadata(NamedTuple):
+    """Metadata of a response to a health check of a target.
+
+    Attributes:
+        target_id: Id of the target; empty if the response does not tell.
+        warmup_remaining: Seconds for which the target stays cold, 0 when warm; None if
+            the response does not tell.
+    """
+
+    target_id: str
+    warmup_remaining: float | None
+
+
 class Call(NamedTuple):
     """Metadata of a request that one node sends to another.
 
--- a/src/carawaywheel/mesh/settings.py
+++ b/src/carawaywheel/mesh/settings.py
@@ -47,12 +47,18 @@
         retry_ratio: Retries allowed as a fraction of the requests to a service.
         retry_window: Seconds over which retries are counted.
         retry_slack: Retries allowed per window in addition to this fraction.
+        warmup_overage: Factor on the request rate that a cold target takes.
+        warmup_slack: Requests per second that it takes in addition.
+        evacuate: Seconds after which no request may reach an evacuated domain.
     """
 
     grace: float = 6.0
     retry_ratio: float = 0.2
     retry_window: float = 10.0
     retry_slack: float = 48.0
+    warmup_overage: float = 1.5
+    warmup_slack: float = 8.0
+    evacuate: float = 5.0
 
 
 class HostSettings(NamedTuple):
@@ -68,6 +74,7 @@
         bounds: Bounds that the installation sets.
         memory_bytes: Memory limit of the process.
         first_start: Whether all nodes start for the first time, at the same moment.
+        heartbeat: Seconds between heartbeats of the local target.
     """
 
     node_id: str
@@ -79,3 +86,4 @@
     bounds: Bounds
     memory_bytes: int
     first_start: bool = False
+    heartbeat: float = 1.5
--- a/src/carawaywheel/mesh/target.py
+++ b/src/carawaywheel/mesh/target.py
@@ -1,6 +1,7 @@
 """State of the local target, derived from its heartbeats."""
 
 import enum
+from collections.abc import Callable
 from typing import NamedTuple
 
 
@@ -23,6 +24,8 @@
         phase: Phase of the target.
         incarnation: Start time of the target in Unix milliseconds.
         sequence: Sequence number of the heartbeat within the incarnation.
+        warmup_remaining: Seconds for which the target stays cold, 0 when warm; None if
+            it does not tell.
     """
 
     target_id: str
@@ -32,6 +35,7 @@
     phase: Phase
     incarnation: int
     sequence: int
+    warmup_remaining: float | None = None
 
 
 class LocalTarget:
@@ -50,6 +54,8 @@
             leaving. A late heartbeat may still call it ready, so that the first such
             heartbeat needs a second one to confirm it.
         unconfirmed: Newest heartbeat that was not believed; None for none.
+        on_heartbeat: Called with each heartbeat that is accepted, and whether it is
+            the first one of its incarnation.
     """
 
     def __init__(self, service: str, address: str) -> None:
@@ -61,6 +67,7 @@
         self.former_unknown = False
         self.was_leaving = False
         self.unconfirmed: Heartbeat | None = None
+        self.on_heartbeat: Callable[[Heartbeat, bool], None] = lambda *_: None
 
     def receive(self, heartbeat: Heartbeat) -> bool:
         """Process a heartbeat; return whether it was accepted.
@@ -92,6 +99,7 @@
         if not continues:
             self.confirmations = int(self.follows_unconfirmed(heartbeat))
         self.confirmations += 1
+        self.on_heartbeat(heartbeat, not continues)
         return True
 
     def is_confirmed(self, heartbeat: Heartbeat) -> bool:
--- a/src/carawaywheel/platform/configuration.py
+++ b/src/carawaywheel/platform/configuration.py
@@ -24,6 +24,7 @@
 }
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
+NonNegative = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class WireWeightedService(msgspec.Struct):
@@ -56,11 +57,17 @@
 
 
 class WireService(msgspec.Struct):
-    """Service; ``max_connections`` is the limit of one target."""
+    """Service; ``max_connections`` is the limit of one target.
+
+    ``warmup_s`` and ``warmup_per_s`` say how long a target is cold after its start, and
+    how many requests per second it takes until then.
+    """
 
     name: str
     health_path: str = "/"
     max_connections: int = 0
+    warmup_s: NonNegative = 0.0
+    warmup_per_s: NonNegative = 0.0
 
 
 class WireLimits(msgspec.Struct):
@@ -123,7 +130,11 @@
     }
     services = {
         service.name: Service(
-            service.name, service.health_path, service.max_connections
+            service.name,
+            service.health_path,
+            service.max_connections,
+            service.warmup_s,
+            service.warmup_per_s,
         )
         for service in wire.services
     }
--- a/src/carawaywheel/platform/headers.py
+++ b/src/carawaywheel/platform/headers.py
@@ -6,6 +6,7 @@
 from ..http import Headers, Request
 from ..mesh.messages import (
     CallerMetadata,
+    HealthMetadata,
     TargetRequestMetadata,
     TargetResponseMetadata,
 )
@@ -23,6 +24,7 @@
 RATE_LIMIT_HEADER = b"server-limit"
 LEAVING_HEADER = b"server-leaving"
 LEAVING_VALUE = b"1"
+WARMUP_HEADER = b"x-warmup-ms"
 HOST_HEADER = b"host"
 AUTHORIZATION_HEADER = b"authorization"
 KEY_SCHEME = "token"
@@ -119,3 +121,29 @@
         if name == RATE_LIMIT_HEADER:
             return parse_rate(value.decode("latin-1"))
     return None
+
+
+def encode_health_headers(address: str) -> Headers:
+    """Encode the headers of a health check of the target at an address."""
+    return [(HOST_HEADER, address.encode())]
+
+
+def decode_health_headers(headers: Headers) -> HealthMetadata:
+    """Decode the headers of a target's response to a health check."""
+    target_id = ""
+    remaining = None
+    for name, value in headers:
+        if name == TARGET_ID_HEADER:
+            target_id = value.decode("latin-1")
+        elif name == WARMUP_HEADER:
+            remaining = decode_warmup(value)
+    return HealthMetadata(target_id, remaining)
+
+
+def decode_warmup(value: bytes) -> float | None:
+    """Return the seconds for which a target stays cold; None if they are not valid."""
+    try:
+        seconds = float(value) / MILLISECONDS_PER_SECOND
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds >= 0 else None
--- a/src/carawaywheel/platform/heartbeats.py
+++ b/src/carawaywheel/platform/heartbeats.py
@@ -1,5 +1,7 @@
 """Decoding of the heartbeats of the local target."""
 
+from typing import Annotated
+
 import msgspec
 
 from ..errors import ProtocolError
@@ -19,10 +21,14 @@
 
 
 class WireStatus(msgspec.Struct):
-    """State of a target; ``sequence`` numbers its heartbeats."""
+    """State of a target; ``sequence`` numbers its heartbeats.
+
+    ``warmup_left_s`` is the time for which it stays cold, 0 when warm.
+    """
 
     phase: str
     sequence: int
+    warmup_left_s: Annotated[float, msgspec.Meta(ge=0)] | None = None
 
 
 class WireHeartbeat(msgspec.Struct):
@@ -55,7 +61,8 @@
 
     Raises:
         ProtocolError: If the heartbeat is malformed, its phase is unknown, its capacity
-            is below 1 or the path holds no target id; ``peer`` holds the path.
+            is below 1, its warm-up time is negative or the path holds no target id;
+            ``peer`` holds the path.
     """
     try:
         wire = decoder.decode(body)
@@ -79,6 +86,7 @@
         phase,
         wire.born,
         wire.status.sequence,
+        wire.status.warmup_left_s,
     )
 
 
--- a/src/carawaywheel/platform/settings.py
+++ b/src/carawaywheel/platform/settings.py
@@ -1,6 +1,7 @@
 """Decoding of the settings file that the platform places on each machine."""
 
 import tomllib
+from typing import Annotated
 
 import msgspec
 
@@ -11,6 +12,9 @@
 METRICS_PORT = 7000
 MEGABYTE = 1 << 20
 
+# TOML has infinities, from which no limit can be computed.
+Finite = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+
 
 class WireListen(msgspec.Struct):
     """Addresses that the platform reserves for the node."""
@@ -34,6 +38,9 @@
     retry_budget_ratio: float = Bounds().retry_ratio
     budget_window_s: float = Bounds().retry_window
     budget_slack: float = Bounds().retry_slack
+    warmup_overage: Finite = Bounds().warmup_overage
+    warmup_slack: Finite = Bounds().warmup_slack
+    evacuate_s: Finite = Bounds().evacuate
 
 
 class WireProvider(msgspec.Struct):
@@ -54,6 +61,7 @@
     service: str = ""
     app_addr: str = ""
     first_start: bool = False
+    heartbeat_s: Finite = 1.5
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
 
@@ -103,7 +111,11 @@
             bounds.retry_budget_ratio,
             bounds.budget_window_s,
             bounds.budget_slack,
+            bounds.warmup_overage,
+            bounds.warmup_slack,
+            bounds.evacuate_s,
         ),
         first_start=wire.first_start,
+        heartbeat=wire.heartbeat_s,
         memory_bytes=int(wire.limits.memory_mb * MEGABYTE),
     )
