Let a limit on the rate pace the admissions of a queue

Cause: the admission queue knows slots only; a cold target has free slots when it takes no more requests for now.

Change: Pacing, which the queue asks for places before it admits a ticket, and whose wait is part of the expected wait and of retry_after. A queue without it decides as before. Tickets may wait while none runs: they are refused only when their deadline passes before, since the service time cannot be corrected then. AdmissionGate.refuse refuses one waiting request.

--- a/src/carawaywheel/admission.py
+++ b/src/carawaywheel/admission.py
@@ -6,6 +6,7 @@
 
 import heapq
 import random
+from abc import ABC, abstractmethod
 from typing import NamedTuple
 
 from .fairness import FairQueue, Ticket
@@ -90,6 +91,26 @@
     charged_seconds: float
 
 
+class Pacing(ABC):
+    """Limit on the rate at which a queue admits tickets, beside its slots."""
+
+    @abstractmethod
+    def free(self, now: float) -> int:
+        """Return the number of tickets that may be admitted now."""
+
+    @abstractmethod
+    def wait(self, position: int, now: float) -> float:
+        """Return the seconds until the ticket at a position, from 1, is admitted."""
+
+    @abstractmethod
+    def admitted(self, request_id: str) -> None:
+        """Note that a ticket was admitted."""
+
+    @abstractmethod
+    def ended(self, request_id: str) -> None:
+        """Note that an admitted ticket has released its slot."""
+
+
 class ServiceTimeEstimate:
     """Running estimates of the time that a request holds a slot.
 
@@ -131,6 +152,7 @@
         last_refusal_at: Time in seconds of the last refusal because the queue was
             full, by importance class.
         draining: Whether new offers are refused.
+        pacing: Limit on the rate of admissions; None for none.
     """
 
     def __init__(
@@ -140,6 +162,7 @@
         declared_slots: int,
         rng: random.Random,
         peer: str = "",
+        pacing: Pacing | None = None,
     ) -> None:
         """Create an empty queue.
 
@@ -149,6 +172,7 @@
             declared_slots: Slots that the target declared.
             rng: Random source of the jitter of ``retry_after``.
             peer: Name of the target, set on refusals.
+            pacing: Limit on the rate of admissions; None for none.
         """
         self.limit = limit
         self.rng = rng
@@ -161,6 +185,7 @@
         self.deadlines: list[tuple[float, str]] = []
         self.last_refusal_at = [float("-inf") for _ in Importance]
         self.draining = False
+        self.pacing = pacing
 
     @property
     def in_flight(self) -> int:
@@ -193,13 +218,29 @@
             return OfferResult(refusal, changes)
         if self.waiting:
             changes = self.poll(now)
-        if not self.waiting and self.in_flight < self.limit.limit(now):
+        if not self.waiting and self.has_room(now):
             return OfferResult(self._admit_or_refuse(ticket, now), changes)
         refusal_or_none = self._make_room(ticket, now, changes)
         if refusal_or_none is not None:
             return OfferResult(refusal_or_none, changes)
         self._enqueue(ticket)
-        return OfferResult(Queued(self._expected_wait(ticket, now)), changes)
+        return OfferResult(Queued(self.expected_wait(ticket, now)), changes)
+
+    def admit_ahead(self, ticket: Ticket, now: float) -> None:
+        """Give a ticket a slot ahead of the queued ones.
+
+        Args:
+            ticket: The ticket; its request id must be neither queued nor in flight.
+            now: Time in seconds.
+        """
+        self._validate(ticket)
+        self._admit(ticket, now)
+
+    def has_room(self, now: float) -> bool:
+        """Return whether a ticket may be admitted now."""
+        if self.in_flight >= self.limit.limit(now):
+            return False
+        return self.pacing is None or self.pacing.free(now) > 0
 
     def finish(
         self, request_id: str, now: float, outcome: Outcome, latency: float
@@ -219,6 +260,8 @@
         if running is not None:
             self.limit.record(now, latency, outcome, self.in_flight)
             del self.running[request_id]
+            if self.pacing is not None:
+                self.pacing.ended(request_id)
             held_seconds = now - running.started_at
             queue = self.class_queues[running.ticket.importance]
             queue.charge(running.ticket, held_seconds - running.charged_seconds)
@@ -295,7 +338,7 @@
     def _make_room(
         self, ticket: Ticket, now: float, changes: QueueChanges
     ) -> Refusal | None:
-        if self._would_miss_deadline(ticket, now, self._expected_wait(ticket, now)):
+        if self._would_miss_deadline(ticket, now, self.expected_wait(ticket, now)):
             return self._make_refusal(Reason.DEADLINE, now)
         if self.queued < self.capacity:
             return None
@@ -321,10 +364,9 @@
         return None
 
     def _admit_waiting(self, now: float, changes: QueueChanges) -> None:
-        limit = self.limit.limit(now)
         for queue in self.class_queues:
             while queue:
-                if self.in_flight >= limit:
+                if not self.has_room(now):
                     return
                 ticket = queue.peek()
                 assert ticket is not None
@@ -353,6 +395,8 @@
         self.class_queues[ticket.importance].start_service(ticket, charged)
         self.waiting.pop(ticket.request_id, None)
         self.running[ticket.request_id] = RunningTicket(ticket, now, charged)
+        if self.pacing is not None:
+            self.pacing.admitted(ticket.request_id)
 
     def _enqueue(self, ticket: Ticket) -> None:
         self.class_queues[ticket.importance].push(ticket)
@@ -377,20 +421,26 @@
         if ticket.deadline <= now:
             return True
         if not self.running:
-            return False
+            return now + wait > ticket.deadline
         return now + wait + self.service_time.median > ticket.deadline
 
-    def _expected_wait(self, ticket: Ticket, now: float) -> float:
+    def expected_wait(self, ticket: Ticket, now: float) -> float:
+        """Return the expected wait in seconds of a ticket that is queued now."""
         tickets_ahead = sum(
             len(queue) for queue in self.class_queues[: ticket.importance]
         )
         tickets_ahead += self.class_queues[ticket.importance].count_ahead(
             ticket.account
         )
-        return tickets_ahead * self.service_time.mean / self.limit.limit(now)
+        wait = tickets_ahead * self.service_time.mean / self.limit.limit(now)
+        if self.pacing is not None:
+            wait = max(wait, self.pacing.wait(tickets_ahead + 1, now))
+        return wait
 
     def _make_refusal(self, reason: Reason, now: float) -> Refusal:
         drain_seconds = self.queued * self.service_time.mean / self.limit.limit(now)
+        if self.pacing is not None:
+            drain_seconds = max(drain_seconds, self.pacing.wait(self.queued + 1, now))
         delay = min(
             max(drain_seconds, MIN_RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS
         )
--- a/src/carawaywheel/executor.py
+++ b/src/carawaywheel/executor.py
@@ -17,7 +17,7 @@
 from .http import Headers, Request
 from .limits import AdaptiveLimit
 from .pool import ConnectionPool, Response
-from .refusals import Outcome, Ran, Reason, Refusal
+from .refusals import Importance, Outcome, Ran, Reason, Refusal
 from .retries import AttemptBudget
 from .routing import TargetState
 from .settings import AdmissionSettings, LimitSettings
@@ -90,6 +90,16 @@
         changes = self.queue.finish(request_id, self.clock.now(), outcome, latency)
         await self.notify_waiters(changes)
 
+    async def refuse(self, request_id: str, refusal: Refusal) -> None:
+        """Refuse a request that waits; one that does not wait is not changed."""
+        if request_id not in self.queue.waiting:
+            return
+        changes = self.queue.cancel(request_id, self.clock.now())
+        changes.refused.append(
+            (Ticket(request_id, "", Importance.NORMAL, 0.0), refusal)
+        )
+        await self.notify_waiters(changes)
+
     async def poll(self) -> None:
         """Refuse waiting requests whose deadline has passed."""
         await self.notify_waiters(self.queue.poll(self.clock.now()))
