Enforce the request limit of the local target while it is cold

Cause: nothing limits the requests per second to a cold target.

Change: WarmupEnforcer paces the queue of TargetRunner and counts each request right before its send, after its connection is open. While calls wait, one health check per assumption determines it; one place of the limit is kept for it. No call is sent before a configuration tells the limit. Calls waiting in the queue of a former incarnation are polled, since no release of a slot may follow there.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -14,13 +14,19 @@
 from ..fairness import Ticket
 from ..http import Request
 from ..limits import FixedLimit
-from ..platform.headers import decode_target_headers, encode_target_headers
-from ..pool import ClientConnection, ConnectionPool, Response
+from ..platform.headers import (
+    decode_health_headers,
+    decode_target_headers,
+    encode_health_headers,
+    encode_target_headers,
+)
+from ..pool import ClientConnection, Response
 from ..refusals import Importance, Outcome, Ran, Reason, Refusal
 from ..retries import RetryBudget
 from ..settings import AdmissionSettings, RetrySettings
 from ..stalls import StallDetector
 from .callgraph import CallGraph, FanoutEstimator
+from .configuration import Service
 from .crashes import CrashDetector
 from .crashreports import CrashReporter
 from .journal import Journal
@@ -37,6 +43,10 @@
 from .settings import CONNECT_TIMEOUT_SECONDS, HostSettings
 from .shedding import AdmissionLevel, AdmissionLevelTable, offered_load
 from .target import Heartbeat, LocalTarget, Phase
+from .targetconnections import TargetConnections
+from .warmup import WarmupLimit
+from .warmupenforcer import MAX_REROUTED_WAIT_SECONDS, WarmupEnforcer
+from .warmupenforcer import STEP as WARMUP_STEP
 
 BODY_METHODS = ("POST", "PUT", "PATCH")
 SUCCESS_STATUSES = range(200, 300)
@@ -55,6 +65,8 @@
 ACCEPT_RATIO_SMOOTHING = 0.05
 # Share of the retry slack that nodes use, since their counts of targets lag a little.
 USED_RETRY_SLACK_SHARE = 0.7
+# Health checks of targets take a few milliseconds.
+HEALTH_CHECK_TIMEOUT_SECONDS = 0.5
 
 
 class TargetRunner:
@@ -64,6 +76,8 @@
         target: The local target.
         gate: Admission gate of its current incarnation; None before that is known.
         rate_enforcer: Enforces the rate limit that this incarnation states.
+        warmup_enforcer: Paces the requests while the target is cold.
+        replaced_gates: Gates of former incarnations in which calls still wait.
         level: Admission level of the target.
         shutting_down: Whether the node shuts down and admits no more calls.
         active_calls: Calls that wait or run.
@@ -73,6 +87,10 @@
         on_target_changed: Awaited when a response has changed the phase of the target.
         offered_calls: Calls that requested a slot since the last update of the level.
         offered_target_calls: Those of them that targets made for other requests.
+        offered_cold_calls: Those of them that may wait for a cold target.
+        rerouted_since: Calls that wait and that another target may take at once: time
+            of their arrival in seconds, by ticket id.
+        checking_health: Whether a health check is in progress.
     """
 
     def __init__(
@@ -97,12 +115,16 @@
         self.journal = journal
         self.clock = clock
         self.rng = rng
-        self.pool = ConnectionPool(CONNECT_TIMEOUT_SECONDS)
+        self.warmup_enforcer = WarmupEnforcer(settings, journal, clock)
+        target.on_heartbeat = self.warmup_enforcer.receive_heartbeat
+        self.service: Service | None = None
+        self.pool = TargetConnections(CONNECT_TIMEOUT_SECONDS, self.warmup_enforcer)
         self.crashes = CrashDetector(target, self.pool, crash_reporter)
         self.receiver = ResponseReceiver(journal)
         self.fanout = FanoutEstimator()
         self.level = AdmissionLevel(1.0)
         self.gate: AdmissionGate | None = None
+        self.replaced_gates: list[AdmissionGate] = []
         self.rate_enforcer = RateEnforcer(journal, clock)
         self.incarnation: tuple[str, int] | None = None
         self.shutting_down = False
@@ -111,11 +133,40 @@
         self.accept_ratio = 1.0
         self.offered_calls = 0
         self.offered_target_calls = 0
+        self.offered_cold_calls = 0
+        self.rerouted_since: dict[str, float] = {}
+        self.checking_health = False
         self.level_updated_at = clock.now()
         self.configuration_version = 0
         self.ticket_ids = itertools.count()
         self.share_retries(1, 0)
 
+    @property
+    def warmup(self) -> WarmupLimit:
+        """Request limit of the local target while it is cold."""
+        return self.warmup_enforcer.limit
+
+    def configure(self, settings: HostSettings, service: Service | None) -> None:
+        """Apply the settings of the node and of the service of its target.
+
+        Args:
+            settings: Settings of the node.
+            service: The service; None if the configuration does not name it.
+        """
+        self.settings = settings
+        self.service = service
+        self.warmup_enforcer.configure(settings, service)
+
+    def assume_cold(self, reason: str) -> None:
+        """Treat the target as cold until it is known not to be, or has warmed up.
+
+        To be called when an evacuation of the own failure domain begins or ends.
+
+        Args:
+            reason: The event, for the log.
+        """
+        self.warmup_enforcer.assume_cold(reason)
+
     def share_retries(self, count: int, index: int) -> None:
         """Size the retry budget for one of the targets of the service.
 
@@ -148,16 +199,23 @@
             return None
         if self.clock.now() < self.unreachable_until:
             return None
+        if not self.warmup_enforcer.configured:
+            return None
         incarnation = (heartbeat.target_id, heartbeat.incarnation)
         if self.gate is None or self.incarnation != incarnation:
             self.incarnation = incarnation
             limit = FixedLimit(max(1, int(heartbeat.slots * USABLE_SLOT_SHARE)))
             # One queue for all accounts, because calls of targets belong to no account.
             queue = AdmissionQueue(
-                AdmissionSettings(fair=False), limit, heartbeat.slots, self.rng
+                AdmissionSettings(fair=False),
+                limit,
+                heartbeat.slots,
+                self.rng,
+                pacing=self.warmup_enforcer,
             )
             if self.gate is not None:
                 self.rate_enforcer.start_incarnation()
+                self.replaced_gates.append(self.gate)
             self.gate = AdmissionGate(self.target, queue, self.clock)  # type: ignore[arg-type]
         return self.gate
 
@@ -168,6 +226,7 @@
         forwarded_headers: Any,
         body: bytes,
         remembered_rate: float | None = None,
+        may_wait: bool = True,
     ) -> CallResult:
         """Execute a call, or refuse it.
 
@@ -178,6 +237,8 @@
             body: Complete body.
             remembered_rate: Rate limit of the target that the calling node remembers;
                 None if it remembers none.
+            may_wait: Whether the call may wait until a cold target takes it. Otherwise
+                another target may have capacity for it at once.
         """
         refusal = self.check_call(call) or self.crashes.check_quarantine(
             call, request, body, self.clock.now()
@@ -194,24 +255,53 @@
             str(next(self.ticket_ids)), call.account, queue_importance(call), deadline
         )
         self.active_calls += 1
-        self.offered_calls += 1
-        self.offered_target_calls += call.from_target
+        if may_wait or not self.warmup.is_cold(self.clock.now()):
+            self.record_offer(call)
         try:
             refusal = self.rate_enforcer.check(ticket.importance, remembered_rate)
             if refusal is None:
-                refusal = await gate.acquire(ticket)
+                refusal = await self.acquire_slot(gate, ticket, may_wait)
             if refusal is not None:
+                if refusal.step == WARMUP_STEP:
+                    return refusal
                 if call.from_target:
                     # Clients' requests of a low priority wait behind these calls, so
                     # that refusing them says nothing about the calls.
                     self.record_acceptance(False)
                 return refusal
             return await self.run_admitted(
-                call, gate, ticket, request, forwarded_headers, body
+                call, gate, ticket, request, forwarded_headers, body, may_wait
             )
         finally:
             self.active_calls -= 1
 
+    def record_offer(self, call: Call) -> None:
+        """Count a call as load that is offered to the target."""
+        self.offered_calls += 1
+        self.offered_target_calls += call.from_target
+        self.offered_cold_calls += self.warmup.is_cold(self.clock.now())
+
+    async def acquire_slot(
+        self, gate: AdmissionGate, ticket: Ticket, may_wait: bool
+    ) -> Refusal | None:
+        """Wait until a call holds a slot; see ``AdmissionGate.acquire``."""
+        enforcer = self.warmup_enforcer
+        now = self.clock.now()
+        limited = enforcer.free(now) <= 0
+        if not may_wait:
+            # An assumed state may end with the health check that a waiting call causes.
+            if limited and not enforcer.health_check_due:
+                if gate.queue.expected_wait(ticket, now) > MAX_REROUTED_WAIT_SECONDS:
+                    return enforcer.refuse(now)
+            self.rerouted_since[ticket.request_id] = now
+        try:
+            refusal = await gate.acquire(ticket)
+        finally:
+            self.rerouted_since.pop(ticket.request_id, None)
+        if limited and refusal is None:
+            self.journal.count("warmup_waited")
+        return refusal
+
     def check_call(self, call: Call) -> Refusal | None:
         """Refuse a call that no target can run or that exceeds the retry budget."""
         if call.service != self.settings.service or self.current_gate() is None:
@@ -234,6 +324,7 @@
         request: Request,
         forwarded_headers: Any,
         body: bytes,
+        may_wait: bool,
     ) -> CallResult:
         """Execute a call that holds a slot, and release the slot at its end."""
         started_at = self.clock.now()
@@ -248,7 +339,13 @@
 
         try:
             result = await self.send_to_target(
-                call, ticket, request, forwarded_headers, body, release_slot
+                call,
+                ticket,
+                request,
+                forwarded_headers,
+                body,
+                release_slot,
+                may_wait,
             )
             is_streamed = isinstance(result, StreamedResponse)
             outcome = Outcome.OK
@@ -269,25 +366,21 @@
         forwarded_headers: Any,
         body: bytes,
         release_slot: Any,
+        may_wait: bool,
     ) -> CallResult:
         """Send a call to the target and read its response."""
         peer = self.target.address
-        heartbeat = self.target.heartbeat
-        if heartbeat is None or heartbeat.phase is not Phase.READY:
-            # While the call waited, the target began to drain or another one took over
-            # its address.
-            return Refusal(Reason.NO_TARGET, Ran.NOT_RUN, None, "target", peer)
-        if ticket.deadline <= self.clock.now():
-            # The process may have stood still since the call was admitted.
-            return Refusal(Reason.DEADLINE, Ran.NOT_RUN, None, "target", peer)
-        refusal = self.rate_enforcer.take(ticket.importance)
+        refusal = self.check_target(ticket) or self.rate_enforcer.take(
+            ticket.importance
+        )
         if refusal is not None:
             return refusal
-        try:
-            connection = await self.pool.acquire(peer)
-        except PeerError as error:
-            self.mark_unreachable(error)
-            return Refusal(Reason.TARGET_FAILED, Ran.NOT_RUN, None, error.step, peer)
+        connection = await self.connect(ticket, may_wait, self.warmup_enforcer.take)
+        if isinstance(connection, Refusal):
+            return connection
+        sent_at = self.clock.now()
+        heartbeat = self.target.heartbeat
+        assert heartbeat is not None
         body_length = len(body) if body or request.method in BODY_METHODS else None
         remaining = max(0.0, ticket.deadline - self.clock.now())
         headers = encode_target_headers(
@@ -306,7 +399,10 @@
         try:
             await connection.send(request.method, request.target, headers, body)
             response = await self.receiver.receive_response(call, connection)
+            self.warmup_enforcer.record_response()
             metadata = decode_target_headers(response.status, response.headers)
+            if metadata.wrong_target:
+                self.warmup.forget_send(sent_at)
             await self.apply_target_state(call, heartbeat, metadata)
             result = await self.read_response(
                 connection, response, metadata, release_slot
@@ -314,16 +410,70 @@
             responded = not isinstance(result, Refusal)
             return result
         except PeerError as error:
+            self.warmup_enforcer.record_failure()
             await self.pool.discard(connection)
             await self.pool.close_idle(peer)
             await self.crashes.check(heartbeat)
             return Refusal(Reason.TARGET_FAILED, Ran.UNKNOWN, None, error.step, peer)
         except BaseException:
+            # The caller has given up, since no response came in time.
+            self.warmup_enforcer.record_failure()
             await self.pool.discard(connection)
             raise
         finally:
             await self.crashes.end(number, responded)
 
+    def check_target(self, ticket: Ticket) -> Refusal | None:
+        """Refuse an admitted call that the target does not take any more."""
+        peer = self.target.address
+        if not self.target.ready:
+            # While the call waited, the target began to drain or another one took over
+            # its address.
+            return Refusal(Reason.NO_TARGET, Ran.NOT_RUN, None, "target", peer)
+        if ticket.deadline <= self.clock.now():
+            # The process may have stood still since the call was admitted.
+            return Refusal(Reason.DEADLINE, Ran.NOT_RUN, None, "target", peer)
+        return None
+
+    async def connect(
+        self, ticket: Ticket, may_wait: bool, take: Callable[[str, float], bool]
+    ) -> ClientConnection | Refusal:
+        """Return a connection on which an admitted call is sent next, or a refusal.
+
+        The call is counted towards the limit of a cold target as the last step, since
+        opening the connection takes time and may show that the target has restarted.
+
+        Args:
+            ticket: Ticket of the call.
+            may_wait: Whether it may wait until a cold target takes it.
+            take: Counts the call, or returns False if it is over the limit.
+        """
+        enforcer = self.warmup_enforcer
+        latest = ticket.deadline
+        if not may_wait:
+            latest = min(latest, self.clock.now() + MAX_REROUTED_WAIT_SECONDS)
+        while True:
+            try:
+                connection = await self.pool.acquire(self.target.address)
+            except PeerError as error:
+                self.mark_unreachable(error)
+                return Refusal(
+                    Reason.TARGET_FAILED, Ran.NOT_RUN, None, error.step, error.peer
+                )
+            refusal = self.check_target(ticket)
+            now = self.clock.now()
+            if refusal is None and take(ticket.request_id, now):
+                return connection
+            await self.pool.release(connection)
+            if refusal is not None:
+                return refusal
+            wait = max(QUEUE_POLL_SECONDS, self.warmup.wait(1, now))
+            if enforcer.health_check_due:
+                wait = QUEUE_POLL_SECONDS
+            if now + wait > latest:
+                return enforcer.refuse(now)
+            await curio.sleep(wait)
+
     def mark_unreachable(self, error: PeerError) -> None:
         """Refuse calls for a while after the target refused a connection."""
         now = self.clock.now()
@@ -463,16 +613,122 @@
         """Update the admission level and expire queued calls until cancelled."""
         while True:
             gate = self.gate
-            busy = gate is not None and gate.queue.queued
+            busy = gate is not None and (gate.queue.queued or self.needs_health_check)
             await curio.sleep(QUEUE_POLL_SECONDS if busy else IDLE_POLL_SECONDS)
             now = self.clock.now()
+            self.warmup_enforcer.observe(now)
+            await self.poll_replaced_gates()
             if self.target.heartbeat is not None:
                 await self.crashes.observe(self.target.heartbeat)
             if gate is not None:
+                await self.start_health_check(gate, now)
+                await self.refuse_rerouted(gate, now)
                 await gate.poll()
                 self.update_level(gate, now)
             self.fanout.update(now)
 
+    async def poll_replaced_gates(self) -> None:
+        """Admit or refuse the calls that wait in the gates of former incarnations.
+
+        With a limit on the rate, no release of a slot may follow that would do it.
+        """
+        for gate in self.replaced_gates:
+            await gate.poll()
+        self.replaced_gates = [
+            gate for gate in self.replaced_gates if gate.queue.queued
+        ]
+
+    async def refuse_rerouted(self, gate: AdmissionGate, now: float) -> None:
+        """Refuse calls for which another target may have capacity at once."""
+        cold_since = self.warmup_enforcer.cold_since
+        if cold_since is None or self.warmup_enforcer.free(now) > 0:
+            return
+        for request_id, since in list(self.rerouted_since.items()):
+            if request_id not in gate.queue.waiting:
+                continue
+            if now - max(since, cold_since) >= MAX_REROUTED_WAIT_SECONDS:
+                await gate.refuse(request_id, self.warmup_enforcer.refuse(now))
+
+    @property
+    def needs_health_check(self) -> bool:
+        """Whether calls wait whose number a health check might raise."""
+        enforcer = self.warmup_enforcer
+        if not enforcer.health_check_due or self.checking_health:
+            return False
+        if self.gate is None or self.warmup.absent:
+            return False
+        return bool(self.gate.queue.queued or enforcer.unsent)
+
+    async def start_health_check(self, gate: AdmissionGate, now: float) -> None:
+        """Send a health check if it may determine an assumed state."""
+        service, heartbeat = self.service, self.target.heartbeat
+        if not self.needs_health_check or service is None or heartbeat is None:
+            return
+        queue = gate.queue
+        if self.warmup.free(now) <= 0:
+            return
+        sent = queue.in_flight - len(self.warmup_enforcer.unsent)
+        if self.current_gate() is not gate or sent >= queue.limit.limit(now):
+            return
+        deadline = now + HEALTH_CHECK_TIMEOUT_SECONDS
+        ticket = Ticket(str(next(self.ticket_ids)), "", Importance.CRITICAL, deadline)
+        queue.admit_ahead(ticket, now)
+        self.checking_health = True
+        await curio.spawn(
+            self.run_health_check,
+            gate,
+            ticket,
+            heartbeat,
+            service.health_path,
+            daemon=True,
+        )
+
+    async def run_health_check(
+        self, gate: AdmissionGate, ticket: Ticket, heartbeat: Heartbeat, path: str
+    ) -> None:
+        """Determine the state of the target by a health check that holds a slot."""
+        started_at = self.clock.now()
+        events = self.warmup.events
+        try:
+            await curio.ignore_after(
+                HEALTH_CHECK_TIMEOUT_SECONDS, self.check_health, ticket, heartbeat, path
+            )
+        finally:
+            self.checking_health = False
+            if events == self.warmup.events:
+                self.warmup_enforcer.health_check_due = False
+            latency = self.clock.now() - started_at
+            await gate.release(ticket.request_id, Outcome.CANCELLED, latency)
+
+    async def check_health(
+        self, ticket: Ticket, heartbeat: Heartbeat, path: str
+    ) -> None:
+        """Send a health check and apply its response."""
+        connection = await self.connect(
+            ticket, True, self.warmup_enforcer.take_health_check
+        )
+        if isinstance(connection, Refusal):
+            return
+        events = self.warmup.events
+        try:
+            headers = encode_health_headers(self.target.address)
+            await connection.send("GET", path, headers, b"")
+            response = await connection.receive_head()
+            self.warmup_enforcer.record_response()
+            await self.drain_response(connection, response)
+        except PeerError as error:
+            self.journal.write("health_check_failed", step=error.step, error=str(error))
+            await self.pool.discard(connection)
+            return
+        except BaseException:
+            await self.pool.discard(connection)
+            raise
+        metadata = decode_health_headers(response.headers)
+        remaining = metadata.warmup_remaining
+        if metadata.target_id != heartbeat.target_id or remaining is None:
+            return
+        self.warmup_enforcer.confirm(remaining, events)
+
     def update_level(self, gate: AdmissionGate, now: float) -> None:
         """Update the admission level by the load offered since the last update."""
         elapsed = now - self.level_updated_at
@@ -490,8 +746,11 @@
         rate_load = self.rate_enforcer.limit.record_arrivals(
             self.offered_target_calls, elapsed
         )
+        if self.warmup.is_cold(now):
+            cold_calls = self.offered_cold_calls / elapsed
+            load = max(load, cold_calls / max(1, self.warmup.settings.limit))
         self.level.update(max(load, rate_load), now)
-        self.offered_calls = self.offered_target_calls = 0
+        self.offered_calls = self.offered_target_calls = self.offered_cold_calls = 0
         self.level_updated_at = now
 
 
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -260,6 +260,12 @@
         self.runner.configuration_version = configuration.version
         self.runner.level.set_max_level(configuration.lowest_priority + 1.0)
         self.quotas.configure(configuration.accounts)
+        self.configure_runner(configuration)
+
+    def configure_runner(self, configuration: MeshConfiguration) -> None:
+        """Pass the settings and the service of the local target to the runner."""
+        service = configuration.services.get(self.settings.service)
+        self.runner.configure(self.settings, service)
 
     def update_targets(self) -> None:
         """Update the known nodes and the part of the retry budget of this one."""
@@ -373,6 +379,8 @@
         self.settings = settings._replace(listen=self.settings.listen)
         for component in (self.runner, self.sender, self.entry):
             component.settings = self.settings
+        if self.directory.configuration is not None:
+            self.configure_runner(self.directory.configuration)
 
     async def wait_for_stop(self) -> None:
         """Reload on SIGHUP; stop gracefully on the other signals."""
--- a/src/carawaywheel/mesh/warmup.py
+++ b/src/carawaywheel/mesh/warmup.py
@@ -13,6 +13,8 @@
 WINDOW_SECONDS = 1.05
 # Returned as the number of requests that a warm target takes.
 UNLIMITED = 1_000_000
+# Bounds the memory of the log, whatever is configured; a lower limit is safe.
+MAX_LIMIT = 10_000
 # Send times that are kept while there is no limit, for one that is configured later.
 MIN_LOG_LENGTH = 16
 
@@ -37,7 +39,7 @@
         """Requests that a cold target takes in any second; 0 for no limit."""
         if self.rate <= 0:
             return 0
-        return math.floor(self.rate * self.overage + self.slack)
+        return math.floor(min(self.rate * self.overage + self.slack, MAX_LIMIT))
 
 
 class WarmupLimit:
@@ -171,18 +173,22 @@
             # An older send that the log has no more may still count.
             self.log.appendleft(self.log[0])
 
-    def set_cold(self, until: float, now: float) -> None:
+    def set_cold(self, until: float, now: float) -> bool:
         """Apply what a heartbeat reports.
 
         Args:
             until: Time until which the target is cold; not after ``now`` when warm.
             now: Time of arrival, in seconds.
+
+        Returns:
+            Whether the state is the reported one, since none is held.
         """
         if self.absent or now < self.held_until:
             self.cold_until = max(self.cold_until, until)
-            return
+            return False
         self.cold_until = until
         self.assumed = ""
+        return True
 
     def assume_cold(self, now: float, reason: str) -> None:
         """Assume that the target is cold after an event, such as a possible restart."""
