Test the limit of cold targets with real processes

The stand-in of the target is cold after its start or on command, tells it in heartbeats and health checks, counts its requests in any second and ends above a limit.

Guards against: a target that crashes under load and restarts cold under its id with late heartbeats; the same while nothing is sent, so that no refused connection shows it; a killed and restarted node; a warm target that is held to 12 requests a second without need.

--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -7,8 +7,10 @@
 
 import argparse
 import json
+import math
 import os
 import time
+from collections import deque
 from pathlib import Path
 from typing import Any
 
@@ -30,6 +32,7 @@
 FILLER_BYTES = 16384
 RUNS_PATH = "/runs"
 RESPONSE_SIGNATURE = "digest-of-the-target"
+HEALTH_PATH = "/h"
 
 
 class TargetInstance:
@@ -54,6 +57,13 @@
         max_running: Highest number of requests that ran at the same time.
         rejected: Requests that were shed.
         runs: Path, headers and state of all requests that ran.
+        cold_until: Monotonic time until which it is cold, in seconds.
+        cold_limit: Requests that it takes in any second while it is cold; above that
+            the process ends. 0 for no limit.
+        tells_warmup: Whether its heartbeats tell how long it stays cold.
+        received: Monotonic times of the requests of the last second.
+        most_while_cold: Highest number of requests in any second that ended while it
+            was cold.
     """
 
     def __init__(self, options: Any) -> None:
@@ -78,6 +88,11 @@
         self.max_running = 0
         self.rejected = 0
         self.runs: list[dict[str, Any]] = []
+        self.cold_until = time.monotonic() + options.warmup
+        self.cold_limit = options.cold_limit
+        self.tells_warmup = True
+        self.received: deque[float] = deque()
+        self.most_while_cold = 0
         self.record_file = Path(options.record).open("a") if options.record else None
 
     def record(self, event: str, **fields: Any) -> None:
@@ -97,18 +112,49 @@
                     "runs": self.runs,
                     "most": self.max_running,
                     "rejected": self.rejected,
+                    "most_while_cold": self.most_while_cold,
                 }
             )
         headers = request.headers
         stated = [attempt_header(request), *self.stated_headers()]
         if headers.get("x-expected-instance") not in (None, self.identity):
             return Response(421, stated, single_chunk(b""), 0)
+        self.count_request()
+        if request.path == HEALTH_PATH:
+            return self.health_response(stated)
         if self.mode == "shed":
             self.rejected += 1
             rejection = [*stated, ("x-not-executed", "1")]
             return Response(503, rejection, single_chunk(b""), 0)
         return await self.run_request(request)
 
+    def count_request(self) -> None:
+        """Count a request; end the process if it is over the limit while cold."""
+        now = time.monotonic()
+        self.received.append(now)
+        while self.received[0] <= now - 1.0:
+            self.received.popleft()
+        if now >= self.cold_until:
+            return
+        count = len(self.received)
+        self.most_while_cold = max(self.most_while_cold, count)
+        self.record("cold", count=count)
+        if self.cold_limit and count > self.cold_limit:
+            self.record("overrun", count=count)
+            os._exit(1)
+
+    @property
+    def cold_remaining(self) -> float:
+        """Seconds for which the target stays cold; 0 when warm."""
+        return max(0.0, self.cold_until - time.monotonic())
+
+    def health_response(self, stated: list[tuple[str, str]]) -> Response:
+        """Return the response to a health check."""
+        self.record("health")
+        headers = [*stated, ("x-instance-id", self.identity)]
+        headers.append(("x-warmup-ms", str(math.ceil(1000 * self.cold_remaining))))
+        return Response(200, headers, single_chunk(b""), 0)
+
     def stated_headers(self) -> list[tuple[str, str]]:
         """Return the headers by which responses tell the state of the target."""
         headers = []
@@ -206,6 +252,9 @@
         self.identity = settings.get("identity", self.identity)
         self.silent = settings.get("silent", self.silent)
         self.tells_start = settings.get("tells_start", self.tells_start)
+        self.tells_warmup = settings.get("tells_warmup", self.tells_warmup)
+        if "cold" in settings:
+            self.cold_until = time.monotonic() + settings["cold"]
         if "hold" in settings:
             self.held = self.next_heartbeat()
         if "phase" in settings:
@@ -230,7 +279,7 @@
     def next_heartbeat(self) -> bytes:
         """Return the next heartbeat."""
         self.sequence += 1
-        document = {
+        document: dict[str, Any] = {
             "address": self.options.announce or self.options.address,
             "born": self.started_at_ms,
             "info": {
@@ -242,9 +291,10 @@
             "status": {
                 "phase": self.phase,
                 "sequence": self.sequence,
-                "warmup_left_s": 0,
             },
         }
+        if self.tells_warmup:
+            document["status"]["warmup_left_s"] = self.cold_remaining
         return json.dumps(document).encode()
 
     async def send_state(self, method: str, body: bytes) -> None:
@@ -258,6 +308,7 @@
 
     async def run_heartbeats(self) -> None:
         """Send heartbeats until cancelled, but none in phase ``gone``."""
+        await curio.sleep(self.options.heartbeat_delay)
         while True:
             if self.phase != "gone" and not self.silent:
                 try:
@@ -323,6 +374,9 @@
     parser.add_argument("--record", default="", help="file for runs and heartbeats")
     parser.add_argument("--deadly", default="", help="paths that end the process")
     parser.add_argument("--heartbeat", type=float, default=0.3)
+    parser.add_argument("--heartbeat-delay", type=float, default=0.0)
+    parser.add_argument("--warmup", type=float, default=0.0, help="seconds after start")
+    parser.add_argument("--cold-limit", type=int, default=0, help="per second")
     curio.run(run, parser.parse_args())
 
 
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -170,10 +170,14 @@
 
     def rejected_count(self, name):
         """Return the number of requests that the target of a host rejected."""
+        return self.target_state(name)["rejected"]
+
+    def target_state(self, name):
+        """Return what the target of a host reports of its requests."""
         response = curio.run(
             request, self.address(name, "app"), "GET", "/runs", [], b"", 5
         )
-        return json.loads(response.body)["rejected"]
+        return json.loads(response.body)
 
     def configure_target(self, name, **settings):
         """Change the behaviour of a target."""
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -1,11 +1,15 @@
 """A cold target never gets more requests in any second than it takes."""
 
+import threading
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from carawaywheel.mesh.warmup import WINDOW_SECONDS, WarmupLimit, WarmupSettings
 
+from .platform_harness import Platform, configuration, wait
+
 SETTINGS = WarmupSettings(3.0, 3.1, 1.5, 8.0)
 LIMIT = 12
 
@@ -151,3 +155,109 @@
         now += wait + 1e-9 if wait else 0.0
         sent += send(limit, now, 1)
     assert now == pytest.approx(expected, abs=1e-6)
+
+
+@pytest.fixture
+def platform():
+    services = [
+        {"name": name, "health_path": "/h", "warmup_s": 3.0, "warmup_per_s": 3.1}
+        for name in ("desk", "yard")
+    ]
+    with Platform() as platform:
+        platform.publish(configuration(3, services=services))
+        platform.start_host("h1", "desk")
+        platform.start_host("h2", "yard")
+        platform.wait_until_served("h1", "/inner/first")
+        yield platform
+
+
+class Load:
+    """Threads that send reads for the target of h2 until they are stopped."""
+
+    def __init__(self, platform, count=24):
+        self.platform = platform
+        self.stopped = threading.Event()
+        self.statuses = []
+        self.threads = [
+            threading.Thread(target=self.run, daemon=True) for _ in range(count)
+        ]
+
+    def run(self):
+        while not self.stopped.is_set():
+            try:
+                status = self.platform.send("h1", "/inner/x", deadline_ms=2000).status
+            except OSError:
+                status = 0
+            self.statuses.append(status)
+            if status != 200:
+                wait(0.05)
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exception):
+        self.stopped.set()
+        for thread in self.threads:
+            thread.join()
+
+
+def start_cold_target(platform, *arguments):
+    platform.start_endpoint(
+        "h2", "yard", "--warmup", "3", "--cold-limit", str(LIMIT), *arguments
+    )
+
+
+def check_target(platform, least):
+    """Check that the target has not ended, and how much of the limit was used."""
+    assert platform.processes["target-h2"].process.poll() is None
+    most = platform.target_state("h2")["most_while_cold"]
+    assert least <= most <= LIMIT
+
+
+@pytest.mark.parametrize("is_loaded", [True, False])
+def test_target_that_restarts_cold_under_its_id_is_not_overrun(platform, is_loaded):
+    """No heartbeat tells of it in time, and an idle node sees no refused connection."""
+    with Load(platform):
+        wait(1.0)
+        if is_loaded:
+            platform.processes["target-h2"].kill()
+            wait(0.3)
+            start_cold_target(platform, "--heartbeat-delay", "4")
+            wait(4.0)
+    if not is_loaded:
+        platform.processes["target-h2"].kill()
+        start_cold_target(platform, "--heartbeat-delay", "4")
+        with Load(platform):
+            wait(3.5)
+    check_target(platform, LIMIT // 2)
+    reasons = {line["reason"] for line in platform.log_lines("h2", "target_cold")}
+    assert ("refused" if is_loaded else "reconnected") in reasons
+    platform.wait_for(lambda: platform.log_lines("h2", "target_warm"), "is warm")
+
+
+def test_target_is_not_overrun_when_the_node_beside_it_is_killed(platform):
+    """The new process does not know what the former one sent in the last second."""
+    platform.processes["target-h2"].kill()
+    with Load(platform):
+        start_cold_target(platform, "--warmup", "8")
+        wait(1.5)
+        platform.processes["h2"].kill()
+        platform.start_node("h2", "yard")
+        wait(6.0)
+    check_target(platform, LIMIT // 2)
+
+
+def test_health_check_ends_an_assumption_that_does_not_hold(platform):
+    """Guards against a warm target that gets 12 requests a second until a heartbeat."""
+    platform.configure_target("h2", silent=True)
+    platform.processes["h2"].kill()
+    platform.start_node("h2", "yard")
+    platform.configure_target("h2", silent=False)
+    platform.wait_until_served("h1", "/inner/x")
+    with Load(platform):
+        wait(2.0)
+    (line, *_) = platform.log_lines("h2", "target_warm")
+    assert line["origin"] == "health check"
+    assert platform.log_lines("h2", "health_check_failed") == []
