Assume a restart also at the first connection of a node

Cause: a node at the initial start of the system trusted its first heartbeat until it had opened a connection. A target that ended in between and restarted cold got up to 30 requests at once.

The cost is one health check for each target that has waiting calls at the start.

Change: the first connection is treated like any that follows no open one. The test runs 200 random orders of 100 events of a node and its target, with fixed orders for each rule: a restart that nothing shows, a refused connection, a late heartbeat, a killed node, a target that turns cold, varying delays of sends.

--- a/src/carawaywheel/mesh/warmupenforcer.py
+++ b/src/carawaywheel/mesh/warmupenforcer.py
@@ -33,8 +33,6 @@
         unsent: Calls that hold a slot and have not been sent yet, by ticket id. The
             limit must have capacity for them.
         health_check_due: Whether a health check may determine an assumed state.
-        trusts_connection: Whether the first connection may be to the process that the
-            first heartbeat came from. A restarted node does not know that.
         heartbeat_at: Arrival of the newest heartbeat, in seconds; None before that.
         heartbeat_interval: Seconds between heartbeats.
         overdue: Whether the target is absent because it stopped responding.
@@ -52,7 +50,6 @@
         self.configured = False
         self.unsent: set[str] = set()
         self.health_check_due = False
-        self.trusts_connection = settings.first_start
         self.heartbeat_at: float | None = None
         self.heartbeat_interval = settings.heartbeat
         self.overdue = False
@@ -154,10 +151,11 @@
 
     def on_connected(self, continuous: bool) -> None:
         """Note that the target accepts connections; see the base class."""
-        trusted, self.trusts_connection = self.trusts_connection, False
         if self.limit.absent and not self.overdue:
             self.return_target()
-        elif not continuous and not trusted:
+        elif not continuous:
+            # Also at the first connection: the process that sent the first heartbeat
+            # may have ended since.
             self.assume_cold(RECONNECTED)
 
     def record_failure(self) -> None:
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -1,12 +1,19 @@
 """A cold target never gets more requests in any second than it takes."""
 
 import threading
+from types import SimpleNamespace
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from carawaywheel.clock import ManualClock
+from carawaywheel.mesh.configuration import Service
+from carawaywheel.mesh.journal import Journal
+from carawaywheel.mesh.settings import Bounds
+from carawaywheel.mesh.target import Heartbeat, LocalTarget, Phase
 from carawaywheel.mesh.warmup import WINDOW_SECONDS, WarmupLimit, WarmupSettings
+from carawaywheel.mesh.warmupenforcer import WarmupEnforcer
 
 from .platform_harness import Platform, configuration, wait
 
@@ -157,6 +164,198 @@
     assert now == pytest.approx(expected, abs=1e-6)
 
 
+class Process:
+    """A process of the target, with the requests that it received."""
+
+    def __init__(self, born, cold_until):
+        self.born = born
+        self.cold_until = cold_until
+        self.sequence = 0
+        self.arrivals = []
+        self.is_connected = False
+
+
+class Machine:
+    """A node and its target, which restarts under the same id at any time.
+
+    Heartbeats arrive in any order, at any time or not at all.
+    """
+
+    def __init__(self):
+        self.clock = ManualClock(100.0)
+        self.process = Process(1, 103.0)
+        self.is_running = True
+        self.heartbeats = []
+        self.last_send_at = 0.0
+        self.start_node(True)
+        self.heartbeat()
+        self.deliver(0)
+
+    def start_node(self, first_start):
+        node = SimpleNamespace(first_start=first_start, heartbeat=1.5, bounds=Bounds())
+        self.enforcer = WarmupEnforcer(node, Journal("h1"), self.clock)
+        self.enforcer.configure(node, Service("desk", "/h", 9, 3.0, 3.1))
+        self.target = LocalTarget("desk", "a:1")
+        self.target.on_heartbeat = self.enforcer.receive_heartbeat
+        self.process.is_connected = False
+
+    def connect(self):
+        """Open a connection unless one is open; return whether the target accepts."""
+        if not self.is_running:
+            self.enforcer.on_refused()
+        elif not self.process.is_connected:
+            self.process.is_connected = True
+            self.enforcer.on_connected(False)
+        return self.is_running
+
+    def receive(self, delay):
+        """Count a request that arrives after a delay since it was recorded."""
+        self.last_send_at = self.clock.now()
+        at = self.last_send_at + delay
+        self.process.arrivals.append((at, at < self.process.cold_until))
+
+    def advance(self, seconds):
+        self.clock.advance(seconds)
+        self.enforcer.observe(self.clock.now())
+
+    def send(self, count, delay):
+        for number in range(count if self.target.ready else 0):
+            name = str(number)
+            self.enforcer.admitted(name)
+            if self.connect() and self.enforcer.take(name, self.clock.now()):
+                self.receive(delay)
+                self.enforcer.record_response()
+            self.enforcer.ended(name)
+
+    def check_health(self, is_lost):
+        now = self.clock.now()
+        if not self.target.ready or not self.enforcer.health_check_due:
+            return
+        if not self.connect() or not self.enforcer.take_health_check("h", now):
+            return
+        self.receive(0.0)
+        if not is_lost:
+            remaining = max(0.0, self.process.cold_until - now)
+            self.enforcer.confirm(remaining, self.enforcer.limit.events)
+
+    def crash(self, is_noticed):
+        self.is_running = False
+        if is_noticed:
+            self.connect()
+
+    def restart(self):
+        self.process = Process(self.process.born + 1, self.clock.now() + 3.0)
+        self.is_running = True
+
+    def become_cold_and_tell(self, seconds):
+        if not self.is_running:
+            return
+        self.clock.advance(0.04)
+        self.process.cold_until = self.clock.now() + seconds
+        self.heartbeat()
+        self.deliver(-1)
+        self.send(12, 0.0)
+
+    def warm_up(self):
+        """Let a target become warm and serve; a later heartbeat is on its way."""
+        if not self.is_running:
+            return
+        self.clock.advance(4.0)
+        self.heartbeat()
+        self.deliver(-1)
+        self.send(30, 0.0)
+        self.heartbeat()
+
+    def heartbeat(self):
+        if not self.is_running:
+            return
+        process = self.process
+        process.sequence += 1
+        remaining = max(0.0, process.cold_until - self.clock.now())
+        self.heartbeats.append(
+            Heartbeat(
+                "i-1",
+                "desk",
+                "a:1",
+                60,
+                Phase.READY,
+                process.born,
+                process.sequence,
+                remaining,
+            )
+        )
+
+    def deliver(self, index):
+        if not self.heartbeats:
+            return
+        self.target.receive(self.heartbeats.pop(index % len(self.heartbeats)))
+
+    def restart_node(self, is_told):
+        self.start_node(False)
+        if self.is_running and is_told:
+            self.heartbeat()
+            self.deliver(-1)
+
+    def evacuate(self, reason):
+        self.enforcer.assume_cold(reason)
+
+    def fail_exchange(self):
+        if self.target.ready:
+            self.enforcer.record_failure()
+
+    def check_process(self):
+        arrivals = self.process.arrivals
+        for at, is_cold in arrivals:
+            if is_cold:
+                assert sum(at - 1.0 < other <= at for other, _ in arrivals) <= LIMIT
+
+    def idle_limit_has_capacity(self):
+        now = self.clock.now()
+        if now - self.last_send_at > WINDOW_SECONDS and self.target.ready:
+            recent = now - self.enforcer.limit.log[-1] if self.enforcer.limit.log else 9
+            assert recent <= WINDOW_SECONDS or self.enforcer.free(now) >= LIMIT - 1
+
+
+EVENTS = [
+    *[("send", count, delay) for count in (30, 12, 1) for delay in (0.0, 0.04)],
+    *[("advance", seconds) for seconds in (4.0, 1.0, 0.97, 0.3, 0.02)],
+    *[("deliver", index) for index in (0, 1, -1)],
+    *[("crash", is_noticed) for is_noticed in (True, False)],
+    *[("restart_node", is_told) for is_told in (True, False)],
+    *[("become_cold_and_tell", seconds) for seconds in (5.0, 0.1)],
+    *[("check_health", is_lost) for is_lost in (True, False)],
+    *[("evacuate", f"evacuation {change}") for change in ("begins", "ends")],
+    ("restart",),
+    ("restart",),
+    ("warm_up",),
+    ("warm_up",),
+    ("heartbeat",),
+    ("fail_exchange",),
+]
+
+
+CRASH, RESTART = ("crash", False), ("restart",)
+BURST, LATE_HEARTBEAT = ("send", 30, 0.0), ("deliver", -1)
+SERVED = [("warm_up",), ("advance", 4.0)]
+
+
+@settings(max_examples=200, deadline=None)
+@example([("advance", 4.0), RESTART, BURST])
+@example([*SERVED, CRASH, RESTART, BURST])
+@example([*SERVED, CRASH, RESTART, BURST, LATE_HEARTBEAT, BURST])
+@example([*SERVED, ("crash", True), ("advance", 4.0), RESTART, BURST])
+@example([*SERVED, ("become_cold_and_tell", 5.0), ("restart_node", True), BURST])
+@example([("warm_up",), ("become_cold_and_tell", 5.0), BURST])
+@example([("send", 12, 0.04), ("advance", 1.0), BURST])
+@given(st.lists(st.sampled_from(EVENTS), min_size=100, max_size=100))
+def test_no_order_of_events_overruns_a_cold_target(events):
+    machine = Machine()
+    for name, *arguments in events:
+        getattr(machine, name)(*arguments)
+        machine.check_process()
+        machine.idle_limit_has_capacity()
+
+
 @pytest.fixture
 def platform():
     services = [
