--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -1,19 +1,27 @@
 """A cold target never gets more requests in any second than it takes."""
 
+import random
 import threading
 from types import SimpleNamespace
 
+import curio
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from carawaywheel.admission import Admitted
 from carawaywheel.clock import ManualClock
+from carawaywheel.fairness import Ticket
+from carawaywheel.mesh.callgraph import CallGraph
 from carawaywheel.mesh.configuration import Service
+from carawaywheel.mesh.execution import TargetRunner
 from carawaywheel.mesh.journal import Journal
 from carawaywheel.mesh.settings import Bounds
+from carawaywheel.mesh.shedding import AdmissionLevelTable
 from carawaywheel.mesh.target import Heartbeat, LocalTarget, Phase
 from carawaywheel.mesh.warmup import WINDOW_SECONDS, WarmupLimit, WarmupSettings
 from carawaywheel.mesh.warmupenforcer import WarmupEnforcer
+from carawaywheel.refusals import Importance, Outcome, Reason
 
 from .platform_harness import Platform, configuration, wait
 
@@ -356,6 +364,97 @@
         machine.idle_limit_has_capacity()
 
 
+def make_runner(slots=60, remaining=3.0):
+    """Return a runner beside a target that has told how long it stays cold."""
+    clock, rng = ManualClock(100.0), random.Random(1)
+    node = SimpleNamespace(
+        service="desk", first_start=True, heartbeat=1.5, bounds=Bounds()
+    )
+    target = LocalTarget("desk", "a:1")
+    runner = TargetRunner(
+        node,
+        target,
+        CallGraph(),
+        AdmissionLevelTable(rng),
+        Journal("h1"),
+        clock,
+        None,
+        rng,
+        None,
+        None,
+    )
+    runner.configure(node, Service("desk", "/h", 9, 3.0, 3.1))
+    target.receive(Heartbeat("i-1", "desk", "a:1", slots, Phase.READY, 1, 1, remaining))
+    return runner, clock
+
+
+def make_ticket(name, importance=Importance.NORMAL, deadline=110.0):
+    return Ticket(name, "mill", importance, deadline)
+
+
+def test_queue_of_a_cold_target_admits_by_importance_and_deadline():
+    """Guards against waiting calls that no release of a slot admits."""
+    runner, clock = make_runner()
+    queue = runner.current_gate().queue
+    for number in range(LIMIT):
+        name = f"first-{number}"
+        assert isinstance(queue.offer(make_ticket(name), 100.0).decision, Admitted)
+        assert runner.warmup_enforcer.take(name, 100.0)
+        queue.finish(name, 100.0, Outcome.OK, 0.0)
+    late = queue.offer(make_ticket("late", deadline=101.0), 100.0).decision
+    assert late.reason is Reason.DEADLINE
+    for number in range(LIMIT):
+        ticket = make_ticket(str(number))
+        assert queue.expected_wait(ticket, 100.1) == pytest.approx(0.95)
+        queue.offer(ticket, 100.1)
+    queue.offer(make_ticket("order", Importance.CRITICAL), 100.1)
+    assert not queue.poll(101.0).admitted
+    admitted = queue.poll(101.06).admitted
+    assert len(admitted) == LIMIT and admitted[0].request_id == "order"
+    assert queue.waiting.keys() == {str(LIMIT - 1)}
+
+
+def test_call_that_another_target_may_take_does_not_wait_for_a_cold_one():
+    runner, clock = make_runner()
+
+    async def run():
+        gate = runner.current_gate()
+        for number in range(LIMIT):
+            assert (
+                await runner.acquire_slot(gate, make_ticket(str(number)), False) is None
+            )
+            runner.warmup_enforcer.take(str(number), 100.0)
+        return await runner.acquire_slot(gate, make_ticket("other"), False)
+
+    refusal = curio.run(run)
+    assert (refusal.reason, refusal.step) == (Reason.QUEUE_FULL, "warm-up")
+    assert refusal.retry_after == pytest.approx(WINDOW_SECONDS)
+
+
+def test_waiting_calls_leave_a_target_that_becomes_cold():
+    """Guards against calls that wait for seconds while other targets are warm."""
+    runner, clock = make_runner(slots=2, remaining=0.0)
+
+    async def run():
+        gate = runner.current_gate()
+        await runner.acquire_slot(gate, make_ticket("running"), True)
+        for _ in range(LIMIT):
+            runner.warmup.record_send(100.0)
+        waiting = await curio.spawn(runner.acquire_slot, gate, make_ticket("a"), False)
+        patient = await curio.spawn(runner.acquire_slot, gate, make_ticket("b"), True)
+        await curio.sleep(0)
+        assert gate.queue.queued == 2
+        runner.assume_cold("evacuation ends")
+        for seconds in (0.0, 0.09, 0.02):
+            await runner.refuse_rerouted(gate, clock.advance(seconds))
+        refusal = await waiting.join()
+        assert gate.queue.waiting.keys() == {"b"}
+        await patient.cancel()
+        return refusal
+
+    assert curio.run(run).step == "warm-up"
+
+
 @pytest.fixture
 def platform():
     services = [
