Ask for the state of a warm target at less cost

Change: a warm target is recognized by one comparison, calls to it take the former path to the queue, and the time is read once per step.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -77,6 +77,7 @@
         gate: Admission gate of its current incarnation; None before that is known.
         rate_enforcer: Enforces the rate limit that this incarnation states.
         warmup_enforcer: Paces the requests while the target is cold.
+        warmup: Its request limit.
         replaced_gates: Gates of former incarnations in which calls still wait.
         level: Admission level of the target.
         shutting_down: Whether the node shuts down and admits no more calls.
@@ -116,6 +117,7 @@
         self.clock = clock
         self.rng = rng
         self.warmup_enforcer = WarmupEnforcer(settings, journal, clock)
+        self.warmup: WarmupLimit = self.warmup_enforcer.limit
         target.on_heartbeat = self.warmup_enforcer.receive_heartbeat
         self.service: Service | None = None
         self.pool = TargetConnections(CONNECT_TIMEOUT_SECONDS, self.warmup_enforcer)
@@ -141,11 +143,6 @@
         self.ticket_ids = itertools.count()
         self.share_retries(1, 0)
 
-    @property
-    def warmup(self) -> WarmupLimit:
-        """Request limit of the local target while it is cold."""
-        return self.warmup_enforcer.limit
-
     def configure(self, settings: HostSettings, service: Service | None) -> None:
         """Apply the settings of the node and of the service of its target.
 
@@ -248,18 +245,24 @@
         gate = self.current_gate()
         if gate is None:
             return Refusal(Reason.NO_TARGET, Ran.NOT_RUN, None, "target")
-        deadline = self.clock.now() + call.remaining - self.stalls.input_age()
-        if deadline <= self.clock.now():
+        now = self.clock.now()
+        deadline = now + call.remaining - self.stalls.input_age()
+        if deadline <= now:
             return Refusal(Reason.STALE_NODE, Ran.NOT_RUN, None, "target")
         ticket = Ticket(
             str(next(self.ticket_ids)), call.account, queue_importance(call), deadline
         )
         self.active_calls += 1
-        if may_wait or not self.warmup.is_cold(self.clock.now()):
-            self.record_offer(call)
+        is_cold = self.warmup.is_cold(now)
+        if may_wait or not is_cold:
+            self.offered_calls += 1
+            self.offered_target_calls += call.from_target
+            self.offered_cold_calls += is_cold
         try:
             refusal = self.rate_enforcer.check(ticket.importance, remembered_rate)
-            if refusal is None:
+            if refusal is None and may_wait and not is_cold:
+                refusal = await gate.acquire(ticket)
+            elif refusal is None:
                 refusal = await self.acquire_slot(gate, ticket, may_wait)
             if refusal is not None:
                 if refusal.step == WARMUP_STEP:
@@ -275,12 +278,6 @@
         finally:
             self.active_calls -= 1
 
-    def record_offer(self, call: Call) -> None:
-        """Count a call as load that is offered to the target."""
-        self.offered_calls += 1
-        self.offered_target_calls += call.from_target
-        self.offered_cold_calls += self.warmup.is_cold(self.clock.now())
-
     async def acquire_slot(
         self, gate: AdmissionGate, ticket: Ticket, may_wait: bool
     ) -> Refusal | None:
@@ -370,15 +367,14 @@
     ) -> CallResult:
         """Send a call to the target and read its response."""
         peer = self.target.address
-        refusal = self.check_target(ticket) or self.rate_enforcer.take(
-            ticket.importance
-        )
+        refusal = self.check_target(ticket, self.clock.now())
+        refusal = refusal or self.rate_enforcer.take(ticket.importance)
         if refusal is not None:
             return refusal
         connection = await self.connect(ticket, may_wait, self.warmup_enforcer.take)
         if isinstance(connection, Refusal):
             return connection
-        sent_at = self.clock.now()
+        sent_at = self.warmup.log[-1]
         heartbeat = self.target.heartbeat
         assert heartbeat is not None
         body_length = len(body) if body or request.method in BODY_METHODS else None
@@ -423,14 +419,15 @@
         finally:
             await self.crashes.end(number, responded)
 
-    def check_target(self, ticket: Ticket) -> Refusal | None:
+    def check_target(self, ticket: Ticket, now: float) -> Refusal | None:
         """Refuse an admitted call that the target does not take any more."""
         peer = self.target.address
-        if not self.target.ready:
+        heartbeat = self.target.heartbeat
+        if heartbeat is None or heartbeat.phase is not Phase.READY:
             # While the call waited, the target began to drain or another one took over
             # its address.
             return Refusal(Reason.NO_TARGET, Ran.NOT_RUN, None, "target", peer)
-        if ticket.deadline <= self.clock.now():
+        if ticket.deadline <= now:
             # The process may have stood still since the call was admitted.
             return Refusal(Reason.DEADLINE, Ran.NOT_RUN, None, "target", peer)
         return None
@@ -460,8 +457,8 @@
                 return Refusal(
                     Reason.TARGET_FAILED, Ran.NOT_RUN, None, error.step, error.peer
                 )
-            refusal = self.check_target(ticket)
             now = self.clock.now()
+            refusal = self.check_target(ticket, now)
             if refusal is None and take(ticket.request_id, now):
                 return connection
             await self.pool.release(connection)
--- a/src/carawaywheel/mesh/warmup.py
+++ b/src/carawaywheel/mesh/warmup.py
@@ -106,7 +106,8 @@
 
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold, or assumed to be."""
-        return self.enabled and (self.absent or now < self.cold_until)
+        # The usual case first: this is asked several times for each request.
+        return (now < self.cold_until or self.absent) and self.settings.rate > 0
 
     def remaining(self, now: float) -> float:
         """Return the seconds for which the target stays cold; 0 when it is warm."""
--- a/src/carawaywheel/mesh/warmupenforcer.py
+++ b/src/carawaywheel/mesh/warmupenforcer.py
@@ -8,7 +8,7 @@
 from .settings import HostSettings
 from .target import Heartbeat
 from .targetconnections import ConnectionObserver
-from .warmup import WarmupLimit, WarmupSettings
+from .warmup import UNLIMITED, WarmupLimit, WarmupSettings
 
 STEP = "warm-up"
 # Longest wait of a call that another target may take at once.
@@ -71,6 +71,8 @@
 
     def free(self, now: float) -> int:
         """Return the number of calls that may be admitted now; see the base class."""
+        if not self.limit.is_cold(now):
+            return UNLIMITED
         return max(0, self.limit.free(now) - len(self.unsent) - self.reserved)
 
     def wait(self, position: int, now: float) -> float:
@@ -92,10 +94,11 @@
 
     def take(self, request_id: str, now: float) -> bool:
         """Count a call that is sent next; return False if it is over the limit."""
-        if self.limit.free(now) <= self.reserved:
+        limit = self.limit
+        if limit.is_cold(now) and limit.free(now) <= self.reserved:
             return False
         self.unsent.discard(request_id)
-        self.limit.record_send(now)
+        limit.record_send(now)
         return True
 
     def take_health_check(self, request_id: str, now: float) -> bool:
