--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -77,6 +77,7 @@
     reporter = SimpleNamespace(quarantine=SimpleNamespace(suspects={}))
     state = settings, target, CallGraph(), AdmissionLevelTable(rng), Journal("n")
     runner = TargetRunner(*state, clock, StallDetector(clock), rng, None, reporter)
+    runner.configure(settings, None)
 
     async def acquire(peer):
         runner.on_evacuation_changed(True)
