Tell a record again to nodes that have become known since

Cause: while the store takes nothing, a record is told to the other nodes once in two seconds. A node that knew no other one at the first time told nobody, and did not try again before the leaving of its target had to be confirmed, which it then refused. Ruled out: load alone.

--- a/src/carawaywheel/mesh/replication/publisher.py
+++ b/src/carawaywheel/mesh/replication/publisher.py
@@ -39,7 +39,6 @@
         stored_era: Era of the store in which it did.
         told_record: Record that another node has accepted last; None for none.
         era: Newest era of the store that this node knows of.
-        broadcast: Record that the other nodes were told last; None for none.
         rewrite_at: Time from which on a record of an older era is written again, in
             seconds.
         on_former_leaving: Called if an earlier start of this node knew that its target
@@ -69,7 +68,6 @@
         self.stored_record: HostRecord | None = None
         self.stored_era = 0
         self.told_record: HostRecord | None = None
-        self.broadcast: HostRecord | None = None
         self.era = 0
         self.rewrite_at = float("-inf")
         self.broadcast_at = float("-inf")
@@ -150,10 +148,12 @@
     async def broadcast_record(self, record: HostRecord) -> None:
         """Tell the other nodes a record that the store does not take."""
         now = self.clock.now()
-        is_repeat = record == self.broadcast
-        if is_repeat and now - self.broadcast_at < REPEAT_BROADCAST_SECONDS:
+        # A record that no node has accepted is told again with each failed write: the
+        # other nodes may have become known since.
+        is_accepted = record == self.told_record
+        if is_accepted and now - self.broadcast_at < REPEAT_BROADCAST_SECONDS:
             return
-        self.broadcast, self.broadcast_at = record, now
+        self.broadcast_at = now
         await self.peer_monitor.broadcast_record(record, self.note_told)
 
     def note_told(self, record: HostRecord) -> None:
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -114,6 +114,20 @@
     assert phases == sorted(phases) and set(phases) == {1, 2}
 
 
+def test_nodes_that_become_known_later_are_told_in_time(setting):
+    """Guards against a leaving that is not confirmed, since it was told to nobody."""
+    setting.store_delay = None
+    tell = setting.tell
+
+    async def learn_of_node(record, on_accepted):
+        await tell(record, on_accepted)
+        setting.peers = 1
+
+    setting.publisher.peer_monitor.broadcast_record = learn_of_node
+    ((saved, seconds),) = setting.save(Phase.GONE)
+    assert saved and seconds < SAVE_SECONDS
+
+
 def test_leaving_that_a_former_process_knew_of_is_published_again(setting):
     """Guards against a second restart after which nobody knows of it."""
     publisher = setting.publisher
