Let the timers of a node wake at shared ticks

Most of an idle node's time is waking up: its timers ran at phases of their own, about 50 wakeups a second. They now sleep to the last tick of 50 ms within their interval, so that no timer fires later than before and most fire together. Rarer ticks were ruled out, since time bounds depend on them. The ticks of processes on one machine have different phases.

The admission level was updated only 50 ms after the last update; a poll that wakes a little early would have skipped it, so the least time is now 45 ms. The level is a function of the time elapsed.

--- a/src/carawaywheel/connectionmonitor.py
+++ b/src/carawaywheel/connectionmonitor.py
@@ -9,6 +9,7 @@
 from .http import ServerConnection
 from .lingering import LINGER_SECONDS, Linger
 from .sockets import unacknowledged_bytes
+from .ticks import sleep_until_tick
 
 BUSY_POLL_SECONDS = 0.05
 IDLE_POLL_SECONDS = 0.25
@@ -81,7 +82,7 @@
         """Poll for hang-ups and the ends of lingering until cancelled."""
         while True:
             idle = not self.busy and not self.lingering
-            await curio.sleep(IDLE_POLL_SECONDS if idle else BUSY_POLL_SECONDS)
+            await sleep_until_tick(IDLE_POLL_SECONDS if idle else BUSY_POLL_SECONDS)
             await self.poll()
             self.end_lingering()
 
--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -21,6 +21,7 @@
 from .lingering import IDLE_LINGER_SECONDS
 from .pipelining import MAX_PIPELINED_REQUESTS, Pipeline, PipelinedExchange
 from .serverexchange import ServerExchange
+from .ticks import sleep_until_tick
 
 ACCEPT_RETRY_SECONDS = 0.05
 REAPER_INTERVAL_SECONDS = 1.0
@@ -289,7 +290,7 @@
         """
         self.reaper_ticks = 0
         while True:
-            await curio.sleep(REAPER_INTERVAL_SECONDS)
+            await sleep_until_tick(REAPER_INTERVAL_SECONDS)
             self.reaper_ticks += 1
             min_tick = self.reaper_ticks - idle_seconds() / REAPER_INTERVAL_SECONDS
             for fd, since in list(self.idle_since.items()):
--- a/src/carawaywheel/mesh/crashreports.py
+++ b/src/carawaywheel/mesh/crashreports.py
@@ -6,11 +6,11 @@
 
 from collections.abc import Iterable
 
-import curio
 import msgspec
 
 from ..clock import Clock
 from ..datagrams import Address, DatagramHandler, DatagramSocket
+from ..ticks import sleep_until_tick
 from .journal import Journal
 from .quarantine import MAX_CRASHES, Quarantine
 from .replication.directory import Directory
@@ -180,7 +180,7 @@
     async def run(self) -> None:
         """Repeat reports until cancelled."""
         while True:
-            await curio.sleep(POLL_SECONDS)
+            await sleep_until_tick(POLL_SECONDS)
             now = self.clock.now()
             for report in list(self.reports):
                 await self.repeat(report, now)
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -20,6 +20,7 @@
 from ..retries import RetryBudget
 from ..settings import AdmissionSettings, RetrySettings
 from ..stalls import StallDetector
+from ..ticks import sleep_until_tick
 from .callgraph import CallGraph, FanoutEstimator
 from .crashes import CrashDetector
 from .crashreports import CrashReporter
@@ -50,6 +51,9 @@
 UNREACHABLE_COOLDOWN_SECONDS = 0.4
 QUEUE_POLL_SECONDS = 0.01
 IDLE_POLL_SECONDS = 0.05
+# Least time between updates of the admission level. Below the time between two polls,
+# which may wake a few milliseconds early or late.
+MIN_UPDATE_SECONDS = 0.045
 # Weight of one response in the moving average: it takes about 20 responses to tell a
 # target that sheds load from a single rejection.
 ACCEPT_RATIO_SMOOTHING = 0.05
@@ -464,7 +468,10 @@
         while True:
             gate = self.gate
             busy = gate is not None and gate.queue.queued
-            await curio.sleep(QUEUE_POLL_SECONDS if busy else IDLE_POLL_SECONDS)
+            if busy:
+                await curio.sleep(QUEUE_POLL_SECONDS)
+            else:
+                await sleep_until_tick(IDLE_POLL_SECONDS)
             now = self.clock.now()
             if self.target.heartbeat is not None:
                 await self.crashes.observe(self.target.heartbeat)
@@ -476,7 +483,7 @@
     def update_level(self, gate: AdmissionGate, now: float) -> None:
         """Update the admission level by the load offered since the last update."""
         elapsed = now - self.level_updated_at
-        if elapsed < IDLE_POLL_SECONDS:
+        if elapsed < MIN_UPDATE_SECONDS:
             return
         queue = gate.queue
         load = offered_load(
--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -18,6 +18,7 @@
 from ..platform.configuration import decode_configuration
 from ..routing import Router
 from ..serverexchange import JSON_HEADER, ServerExchange
+from ..ticks import sleep_until_tick
 from .configuration import MeshConfiguration
 from .journal import Journal
 from .messages import CallReply
@@ -409,7 +410,7 @@
     async def run(self) -> None:
         """Probe suspended hosts and push state to outdated ones until cancelled."""
         while True:
-            await curio.sleep(PROBE_INTERVAL_SECONDS / 2)
+            await sleep_until_tick(PROBE_INTERVAL_SECONDS / 2)
             now = self.clock.now()
             due = [
                 address
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -27,6 +27,7 @@
 from ..sockets import open_listener, split_address
 from ..stalls import StallDetector
 from ..supervisor import Component
+from ..ticks import sleep_until_tick
 from .callgraph import CallGraph
 from .configuration import InputLimits, MeshConfiguration
 from .crashreports import CrashReporter
@@ -350,13 +351,13 @@
     async def run_flushes(self) -> None:
         """Write buffered log lines at intervals until cancelled."""
         while True:
-            await curio.sleep(FLUSH_INTERVAL_SECONDS)
+            await sleep_until_tick(FLUSH_INTERVAL_SECONDS)
             self.journal.flush()
 
     async def run_settings_watch(self) -> None:
         """Reload the settings file after each change until cancelled."""
         while True:
-            await curio.sleep(SETTINGS_CHECK_SECONDS)
+            await sleep_until_tick(SETTINGS_CHECK_SECONDS)
             version = file_version(self.settings_path)
             if version != self.settings_version:
                 self.settings_version = version
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -13,6 +13,7 @@
 from ...clock import Clock
 from ...datagrams import Address, DatagramHandler, DatagramSocket
 from ...errors import LogError, RecordError
+from ...ticks import sleep_until_tick
 from ..journal import Journal
 from ..monitor import PeerMonitor
 from ..target import Phase
@@ -239,7 +240,7 @@
             await self.publisher.write_if_due()
             if self.sources:
                 await self.source_added.set()
-            await curio.sleep(TICK_SECONDS)
+            await sleep_until_tick(TICK_SECONDS)
 
     async def follow(self, choice: ReaderChoice, now: float) -> None:
         """Choose readers, and ask one of them."""
--- a/src/carawaywheel/stalls.py
+++ b/src/carawaywheel/stalls.py
@@ -5,9 +5,8 @@
 is an upper bound.
 """
 
-import curio
-
 from .clock import Clock
+from .ticks import sleep_until_tick
 
 TICK_SECONDS = 0.1
 # Longest gap between two ticks that a busy event loop explains.
@@ -55,5 +54,5 @@
         """Tick until cancelled."""
         self.ticked_at = self.clock.now()
         while True:
-            await curio.sleep(TICK_SECONDS)
+            await sleep_until_tick(TICK_SECONDS)
             self.tick()
