Refresh the nodes of the rate limiter only after changes

It sorted all hosts twice every 0.3 s, which grows with the mesh. The hosts change with a generation; only the reasons of suspensions change without one, so while a host is suspended the nodes are refreshed at each report as before. The reports wake at shared ticks, too.

--- a/src/carawaywheel/mesh/ratelimiter.py
+++ b/src/carawaywheel/mesh/ratelimiter.py
@@ -7,6 +7,7 @@
 
 from ..clock import Clock
 from ..datagrams import Address, DatagramHandler, DatagramSocket, format_address
+from ..ticks import sleep_until_tick
 from .configuration import Account
 from .journal import Journal
 from .monitor import PeerMonitor
@@ -37,6 +38,8 @@
     Attributes:
         sequence: Sequence number of the newest token request. The first one is random,
             so that no grant for an earlier start of this node is taken.
+        refreshed_state: State of the directory at the last refresh by ``run``; None
+            before it.
         unanswered_since: Time of the oldest report or request without a reply, by the
             address of its owner, in seconds.
         requested_at: Time of each token request without a grant, in seconds.
@@ -59,6 +62,7 @@
         self.clock = clock
         self.port = int(sock.address.rpartition(":")[2])
         self.sequence = secrets.randbits(32)
+        self.refreshed_state: tuple[int, bool, int] | None = None
         self.unanswered_since: dict[str, float] = {}
         self.requested_at: dict[int, float] = {}
         self.waiting: Counter[str] = Counter()
@@ -73,6 +77,19 @@
             sorted(directory.hosts), self.peer_monitor.reachable_hosts()
         )
 
+    def refresh_changed_nodes(self) -> None:
+        """Update the nodes unless neither they nor their reachability have changed.
+
+        The reason of a suspension, on which reachability depends, may change without
+        another generation.
+        """
+        monitor = self.peer_monitor
+        directory = monitor.directory
+        state = (monitor.generation, directory.hosts_known, len(directory.hosts))
+        if monitor.suspended or state != self.refreshed_state:
+            self.refreshed_state = state
+            self.refresh_nodes()
+
     async def acquire(self, account: Account) -> bool | None:
         """Acquire a token for one request.
 
@@ -202,8 +219,8 @@
     async def run(self) -> None:
         """Report to all slot owners at intervals until cancelled."""
         while True:
-            await curio.sleep(REPORT_INTERVAL_SECONDS)
-            self.refresh_nodes()
+            await sleep_until_tick(REPORT_INTERVAL_SECONDS)
+            self.refresh_changed_nodes()
             self.pass_over_silent_owners()
             self.forget_expired_requests()
             for slot in range(SLOT_COUNT):
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -6,6 +6,8 @@
 
 from carawaywheel.clock import ManualClock
 from carawaywheel.mesh.monitor import MAX_LOGGED_HOSTS, OWN_ORIGIN, PeerMonitor
+from carawaywheel.mesh.quotas import Quotas
+from carawaywheel.mesh.ratelimiter import RateLimiter
 from carawaywheel.mesh.replication.directory import Directory, HostRecord
 from carawaywheel.mesh.replication.messages import state_decoder
 from carawaywheel.mesh.replication.store import START, Position
@@ -81,3 +83,21 @@
     state = state_decoder.decode(reader.encode_state(0, Position(1, 7)))
     assert state.hosts == [draining]
     assert state.offsets == [7]
+
+
+def test_node_that_can_no_longer_be_reached_is_noticed_without_an_event():
+    """It would go on to own slots: the reason of a suspension changes silently."""
+    monitor = make_monitor("h1")
+    monitor.router.remove_candidate = lambda address: None
+    sock = SimpleNamespace(address="10.0.0.1:7006", handlers={})
+    quotas = Quotas(monitor.own_address)
+    limiter = RateLimiter(quotas, sock, monitor, monitor.journal, monitor.clock)
+    monitor.merge_hosts([(START, make_record("h2", 1))], START, "store")
+    limiter.refresh_changed_nodes()
+    assert quotas.reachable == [address_of("h2")]
+    monitor.suspend(address_of("h2"), "takes no work")
+    limiter.refresh_changed_nodes()
+    assert quotas.reachable == [address_of("h2")]
+    monitor.suspended[address_of("h2")].reason = "cannot be reached"
+    limiter.refresh_changed_nodes()
+    assert quotas.reachable == []
