--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -418,6 +418,8 @@
                 if suspension.next_probe_at <= now
             ]
             outdated = self.take_outdated(now)
+            if not due and not outdated:
+                continue
             async with curio.TaskGroup() as group:
                 for address in due:
                     await group.spawn(self.probe, address)
