--- a/src/carawaywheel/mesh/quotas.py
+++ b/src/carawaywheel/mesh/quotas.py
@@ -158,6 +158,7 @@
 
     Attributes:
         reported_at: Time of the newest request or report of each node, in seconds.
+        newest_report_at: Time of the newest one of all nodes, in seconds.
         owned_since: Time since which nodes have reported here without a gap, in
             seconds.
         buckets: Bucket of each account.
@@ -167,6 +168,7 @@
 
     def __init__(self) -> None:
         self.reported_at: dict[str, float] = {}
+        self.newest_report_at = 0.0
         self.owned_since = 0.0
         self.buckets: dict[str, TokenBucket] = {}
         self.share = 0.0
@@ -174,14 +176,14 @@
 
     def record_report(self, sender: str, now: float) -> None:
         """Renew the lease of a node's share."""
-        if now - max(self.reported_at.values(), default=0.0) > LEASE_SECONDS:
+        if now - self.newest_report_at > LEASE_SECONDS:
             # Another owner may have granted tokens in the meantime.
             self.owned_since = now
             self.reported_at.clear()
             self.buckets.clear()
         if now - self.reported_at.get(sender, 0.0) > LEASE_SECONDS:
             self.share_until = now
-        self.reported_at[sender] = now
+        self.reported_at[sender] = self.newest_report_at = now
 
     def usable_share(self, nodes: list[str], now: float) -> float:
         """Return the fraction of the rates that this owner may grant.
