--- a/src/carawaywheel/datagrams.py
+++ b/src/carawaywheel/datagrams.py
@@ -1,5 +1,6 @@
 """UDP socket for authenticated messages between nodes."""
 
+import functools
 import socket as stdlib_socket
 from abc import ABC, abstractmethod
 from typing import Any
@@ -10,6 +11,8 @@
 
 MAX_RECEIVED_BYTES = 8192
 RECEIVE_BUFFER_BYTES = 1 << 20
+# More than the nodes of a large mesh.
+CACHED_ADDRESSES = 1024
 
 Address = tuple[str, int]
 
@@ -78,10 +81,9 @@
 
     async def send(self, kind: bytes, data: bytes, address: str) -> None:
         """Send a message; a datagram that cannot be sent is dropped."""
-        host, _, port = address.rpartition(":")
         datagram = self.signer.sign_datagram(kind + data)
         try:
-            await self.sock.sendto(datagram, (host, int(port)))
+            await self.sock.sendto(datagram, parse_address(address))
         except (OSError, ValueError):
             return
         self.bytes_sent += len(datagram)
@@ -91,6 +93,17 @@
         await self.sock.close()
 
 
+@functools.lru_cache(maxsize=CACHED_ADDRESSES)
+def parse_address(address: str) -> Address:
+    """Return the host and port of an address.
+
+    Raises:
+        ValueError: If it has no port.
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def format_address(address: Any) -> str:
     """Return a socket address as ``ip:port``."""
     return f"{address[0]}:{address[1]}"
