Keep the routing candidate of an unchanged host record

Each change of one record built the candidates of all hosts anew, at all nodes, and compared each with its former one.

What is left is mostly the rebuilding of the router's pools.

--- a/src/carawaywheel/mesh/replication/directory.py
+++ b/src/carawaywheel/mesh/replication/directory.py
@@ -1,5 +1,6 @@
 """Directory of the mesh: the configuration and the records of all hosts."""
 
+import functools
 from typing import NamedTuple
 
 import msgspec
@@ -10,6 +11,10 @@
 from ..target import Phase
 from .store import START, Position
 
+# More than the hosts of a large mesh, since each change of one concerns the candidates
+# of all.
+CACHED_CANDIDATES = 4096
+
 STATE_BY_PHASE = {
     Phase.READY: TargetState.READY,
     Phase.DRAINING: TargetState.DRAINING,
@@ -166,6 +171,7 @@
         ]
 
 
+@functools.lru_cache(maxsize=CACHED_CANDIDATES)
 def routing_candidate(record: HostRecord) -> Candidate:
     """Return the target of a host as a routing candidate."""
     return Candidate(
--- a/src/carawaywheel/routing.py
+++ b/src/carawaywheel/routing.py
@@ -273,6 +273,8 @@
         if target is None:
             return TrackedTarget(candidate, in_own_domain)
         previous = target.candidate
+        if previous is candidate:
+            return target
         target.candidate = candidate
         target.in_own_domain = in_own_domain
         became_cold = candidate.state is TargetState.COLD is not previous.state
