Check the name of a header once

The names of a mesh's headers repeat in all messages, and a regular expression ran for each of them. The cache is bounded by its entries and by the largest head.

--- a/src/carawaywheel/framing.py
+++ b/src/carawaywheel/framing.py
@@ -4,6 +4,7 @@
 its end. Parsing uses httptools, which does not encode; encoding is done here.
 """
 
+import functools
 import re
 from abc import ABC, abstractmethod
 from collections import deque
@@ -18,6 +19,9 @@
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
 HEADER_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+# The same few names occur in all messages; clients cannot fill more memory than this
+# number of the largest heads.
+CACHED_NAMES = 256
 
 
 class RequestHead(NamedTuple):
@@ -273,6 +277,18 @@
         super().feed_eof()
 
 
+@functools.lru_cache(maxsize=CACHED_NAMES)
+def encode_name(name: bytes) -> bytes:
+    """Return a header name with its delimiter.
+
+    Raises:
+        FramingError: If the name is not a token.
+    """
+    if not HEADER_NAME.fullmatch(name):
+        raise FramingError(f"the header name {name!r} is not a token")
+    return name + b": "
+
+
 def encode_head(first_line: bytes, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
     """Encode the head of a message.
 
@@ -280,10 +296,7 @@
         FramingError: If a header contains a line break or its name is not a token.
     """
     lines = [first_line]
-    for name, value in headers:
-        if not HEADER_NAME.fullmatch(name):
-            raise FramingError(f"the header name {name!r} is not a token")
-        lines.append(name + b": " + value)
+    lines += [encode_name(name) + value for name, value in headers]
     lines.append(b"\r\n")
     head = b"\r\n".join(lines)
     if head.count(b"\n") != len(lines) or head.count(b"\r") != len(lines):
