Check the head of a request in one pass

The headers were searched four times, and each read went through a second coroutine of curio and each body through one that is only needed to wait.

--- a/src/carawaywheel/http.py
+++ b/src/carawaywheel/http.py
@@ -175,12 +175,16 @@
             # HTTP/1.0 has no chunked responses, so truncation could go unnoticed.
             raise ProtocolError("only HTTP/1.1 is supported", "read head", self.peer)
         validate_head(head, self.peer)
-        self.declared_length = content_length(head.headers)
-        names = [name for name, _ in head.headers]
-        self.has_no_body = (
-            not self.declared_length and b"transfer-encoding" not in names
-        )
-        self.expects_continue = (b"expect", b"100-continue") in head.headers
+        self.declared_length = 0
+        self.expects_continue = is_chunked = False
+        for name, value in head.headers:
+            if name == b"content-length":
+                self.declared_length = int(value)
+            elif name == b"transfer-encoding":
+                is_chunked = True
+            elif name == b"expect":
+                self.expects_continue |= value == b"100-continue"
+        self.has_no_body = not self.declared_length and not is_chunked
         self.is_head_request = head.method == b"HEAD"
         self.close_after_response = (
             self.close_after_response or not self.reader.keep_alive
@@ -272,7 +276,9 @@
         if self.request_complete:
             return b""
         while True:
-            event = await self.next_event(BODY_TIMEOUT_SECONDS)
+            event = self.parse()
+            if event is NEED_DATA:
+                event = await self.next_event(BODY_TIMEOUT_SECONDS)
             if event is END:
                 return b"".join(parts)
             if not isinstance(event, Data):
@@ -401,14 +407,6 @@
         )
 
 
-def content_length(headers: Headers) -> int:
-    """Return the value of the content-length header, 0 without one."""
-    for name, value in headers:
-        if name == b"content-length":
-            return int(value)
-    return 0
-
-
 async def receive_when_ready(sock: Any, size: int) -> bytes:
     """Wait for bytes on a curio socket and read them; empty at the end.
 
@@ -419,9 +417,13 @@
     Raises:
         OSError: If the connection is broken.
     """
-    await _read_wait(sock._fileno)
-    data: bytes = await sock.recv(size)
-    return data
+    while True:
+        await _read_wait(sock._fileno)
+        try:
+            data: bytes = sock._socket.recv(size)
+        except (BlockingIOError, InterruptedError):
+            continue
+        return data
 
 
 async def open_connection(host: str, port: int) -> Any:
