--- a/src/carawaywheel/mesh/responses.py
+++ b/src/carawaywheel/mesh/responses.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from ..headers import forwarded_response_headers
+from ..headers import INTERNAL_HEADER_PREFIX, RESPONSE_HEADERS_NOT_FORWARDED
 from ..http import Headers
 from ..pool import Response
 from ..refusals import Refusal
@@ -13,6 +13,7 @@
 # Largest body that is buffered before its first byte is forwarded. Larger ones are
 # streamed, so that memory stays bounded with any number of slow readers.
 MAX_BUFFERED_BYTES = 256 * 1024
+BUFFERED_HEADERS_NOT_FORWARDED = RESPONSE_HEADERS_NOT_FORWARDED | {b"content-length"}
 
 
 class BufferedResponse(NamedTuple):
@@ -59,7 +60,9 @@
     chunks: list[bytes] = []
     size = 0
     while size <= MAX_BUFFERED_BYTES:
-        chunk = await response.next_chunk()
+        chunk = response.buffered_chunk()
+        if chunk is None:
+            chunk = await response.next_chunk()
         if not chunk:
             return True, chunks
         chunks.append(chunk)
@@ -96,6 +99,7 @@
     """Return the headers of a buffered response, without those that frame its body."""
     return [
         (name, value)
-        for name, value in forwarded_response_headers(0, headers)
-        if name not in (b"content-length", b"transfer-encoding")
+        for name, value in headers
+        if name not in BUFFERED_HEADERS_NOT_FORWARDED
+        and not name.startswith(INTERNAL_HEADER_PREFIX)
     ]
