--- a/src/carawaywheel/serverexchange.py
+++ b/src/carawaywheel/serverexchange.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import curio
+import msgspec
 
 from .errors import ProtocolError
 from .framing import BodyWriter, FramingError, Headers, encode_response_head
@@ -15,6 +16,8 @@
 CLOSE_HEADER = (b"connection", b"close")
 JSON_HEADER = (b"content-type", b"application/json")
 
+encode_json = msgspec.json.encode
+
 
 class ServerExchange(ABC):
     """One request and its response, as a handler sees them.
@@ -191,15 +194,16 @@
 
 def refusal_body(refusal: Refusal) -> bytes:
     """Encode the response body of a refusal."""
-    return json_body(
-        {
-            "reason": refusal.reason.value,
-            "ran": refusal.ran.value,
-            "retry_after": refusal.retry_after,
-            "step": refusal.step,
-            "peer": refusal.peer,
-        }
-    )
+    fields = {
+        "reason": refusal.reason.value,
+        "ran": refusal.ran.value,
+        "retry_after": refusal.retry_after,
+        "step": refusal.step,
+        "peer": refusal.peer,
+    }
+    line: bytes = encode_json(fields)
+    # msgspec takes a tenth of the time, but does not escape other characters.
+    return line + b"\n" if line.isascii() else json_body(fields)
 
 
 def send_available(sock: Any, data: bytes) -> int:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,3 +1,5 @@
+import json
+
 import curio
 import pytest
 from curio import socket
@@ -5,6 +7,8 @@
 from carawaywheel import http
 from carawaywheel.errors import ProtocolError
 from carawaywheel.http import BodyBudget, ServerConnection
+from carawaywheel.refusals import Ran, Reason, Refusal
+from carawaywheel.serverexchange import json_body, refusal_body
 
 
 def read(data, budget=None, limit=100):
@@ -55,3 +59,19 @@
         b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc", budget
     )
     assert request is not None and body == b"abc"
+
+
+@pytest.mark.parametrize("peer", ["10.0.0.1:80", 'Müller \x1f"\\'])
+def test_body_of_a_refusal_is_ascii_as_before(peer):
+    """Clients may read the body as ASCII, whatever the name in it."""
+    refusal = Refusal(Reason.QUEUE_FULL, Ran.NOT_RUN, 0.35, "target", peer)
+    body = refusal_body(refusal)
+    assert body == json_body(json.loads(body))
+    assert json.loads(body)["peer"] == peer
+
+
+def test_second_content_length_is_rejected():
+    """Two readers of the head could otherwise disagree where its body ends."""
+    head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n"
+    with pytest.raises(ProtocolError):
+        read(head + b"content-length: 4\r\n\r\nabcd")
