Take the task and the time of a request's timeout without the kernel

curio.timeout_after asks its kernel for the task, which the listener knows, and for the time. Each such call passes through all coroutines of the request's path and back. The timeout itself is still curio's. Removing the timeout was ruled out: it ends requests.

--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -108,7 +108,8 @@
         connection.close_after_response = self.draining
         connection.has_idle_reaper = self.reaper_ticks is not None
         self.connections[fd] = connection
-        self.monitor.add(fd, await curio.current_task())
+        connection.task = await curio.current_task()
+        self.monitor.add(fd, connection.task)
         try:
             await self.serve_connection(connection, fd)
             self.monitor.linger(fd, connection)
--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -13,6 +13,7 @@
 from ..serverexchange import JSON_HEADER, ServerExchange, refusal_body
 from ..stalls import StallDetector
 from ..streaming import TruncatedResponseError
+from ..timeouts import Timeout
 from .callgraph import CallGraph
 from .configuration import Account, RouteKind
 from .execution import TargetRunner
@@ -199,7 +200,8 @@
         """
         remaining = admitted.deadline - self.clock.now()
         try:
-            async with curio.timeout_after(max(0.0, remaining)):
+            task = connection.task or await curio.current_task()
+            async with Timeout(max(0.0, remaining), task):
                 return await self.charge_and_send(
                     connection, admitted, request, max_body_bytes, progress
                 )
--- a/src/carawaywheel/serverexchange.py
+++ b/src/carawaywheel/serverexchange.py
@@ -35,9 +35,11 @@
         is_head_request: Whether the request has the method HEAD, so that its response
             has no body.
         body_writer: Encodes the body of a streamed response; None before its head.
+        task: curio task that serves the exchange; None if not known.
     """
 
     close_after_response: bool
+    task: Any = None
 
     def __init__(self, sock: Any, peer: str) -> None:
         self.sock = sock
