--- a/src/carawaywheel/admission.py
+++ b/src/carawaywheel/admission.py
@@ -243,8 +243,9 @@
     def poll(self, now: float) -> QueueChanges:
         """Refuse expired tickets and admit as many others as the limit allows."""
         changes = QueueChanges([], [])
-        self._expire(now, changes)
-        self._admit_waiting(now, changes)
+        if self.waiting:
+            self._expire(now, changes)
+            self._admit_waiting(now, changes)
         return changes
 
     def overload_level(self, service: str, now: float) -> OverloadLevel:
--- a/src/carawaywheel/fairness.py
+++ b/src/carawaywheel/fairness.py
@@ -107,12 +107,14 @@
             seconds: Expected service time.
         """
         queue = self._account_queue(ticket.account)
-        self.remove(ticket)
+        if queue.tickets.pop(ticket.request_id, None) is not None:
+            self.size -= 1
         queue.weight = ticket.weight
         start = max(queue.virtual_time, self.virtual_time)
         self.virtual_time = start
-        queue.virtual_time = start
-        self.charge(ticket, seconds)
+        queue.virtual_time = start + seconds / ticket.weight
+        if queue.tickets:
+            self._push_entry(queue)
 
     def charge(self, ticket: Ticket, seconds: float) -> None:
         """Charge service time to an account; a negative time is a refund."""
