Decode the headers of a target's response once

The receiver decoded them for the id of the attempt, and the runner again. The stand-in of a receiver in tests/test_acceptance.py returns what the receiver does now.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -14,7 +14,7 @@
 from ..fairness import Ticket
 from ..http import Request
 from ..limits import FixedLimit
-from ..platform.headers import decode_target_headers, encode_target_headers
+from ..platform.headers import encode_target_headers
 from ..pool import ClientConnection, ConnectionPool, Response
 from ..refusals import Importance, Outcome, Ran, Reason, Refusal
 from ..retries import RetryBudget
@@ -309,8 +309,7 @@
         responded = False
         try:
             await connection.send(request.method, request.target, headers, body)
-            response = await self.receiver.receive_response(call, connection)
-            metadata = decode_target_headers(response.status, response.headers)
+            response, metadata = await self.receiver.receive_response(call, connection)
             await self.apply_target_state(call, heartbeat, metadata)
             result = await self.read_response(
                 connection, response, metadata, release_slot
--- a/src/carawaywheel/mesh/receiving.py
+++ b/src/carawaywheel/mesh/receiving.py
@@ -5,7 +5,7 @@
 from ..platform.headers import decode_target_headers
 from ..pool import ClientConnection, Response
 from .journal import Journal
-from .messages import Call
+from .messages import Call, TargetResponseMetadata
 from .responses import buffer_response
 
 # Responses to earlier requests that are skipped on one connection.
@@ -23,9 +23,12 @@
 
     async def receive_response(
         self, call: Call, connection: ClientConnection
-    ) -> Response:
+    ) -> tuple[Response, TargetResponseMetadata]:
         """Wait for the head of the response, skipping late ones to earlier requests.
 
+        Returns:
+            The response, and the metadata in its headers.
+
         Raises:
             PeerError: If the connection failed or carried only late responses.
         """
@@ -33,14 +36,13 @@
             response = await self.receive_head(
                 connection, skipped_count > 0 and call.idempotent
             )
-            response_attempt_id = decode_target_headers(
-                response.status, response.headers
-            ).attempt_id
+            metadata = decode_target_headers(response.status, response.headers)
+            response_attempt_id = metadata.attempt_id
             if response_attempt_id == call.attempt_id:
-                return response
+                return response, metadata
             if not response_attempt_id:
                 if not connection.reused:
-                    return response
+                    return response, metadata
                 self.journal.write("answer_without_id", request=call.attempt_id)
                 break
             self.journal.write(
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -14,6 +14,7 @@
 from carawaywheel.mesh.quarantine import Quarantine
 from carawaywheel.mesh.shedding import AdmissionLevelTable
 from carawaywheel.mesh.target import Heartbeat, LocalTarget, Phase
+from carawaywheel.platform.headers import decode_target_headers
 from carawaywheel.stalls import StallDetector
 
 from .test_policy import HOST_SETTINGS
@@ -53,7 +54,7 @@
         ended = curio.Event()
         self.running.append((self.clock.now() + SERVICE_SECONDS, ended))
         await ended.wait()
-        return CompleteResponse()
+        return CompleteResponse(), decode_target_headers(200, RESPONSE_HEADERS)
 
     async def end_calls(self):
         now = self.clock.now()
