--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -420,18 +420,22 @@
     def build_reply(self, route: str, refusal: Refusal | None) -> CallReply:
         """Return the metadata of a response to the calling node."""
         now = self.clock.now()
-        downstream = self.call_graph.downstream_calls(
-            self.fanout, route, self.settings.service
-        )
-        demands = [
-            ServiceDemand(
-                service,
-                round(calls, 3),
-                round(self.service_level(service, now), 3),
-                round(self.service_accept_ratio(service, now), 3),
+        own_service = self.settings.service
+        demands = []
+        for service, calls in self.call_graph.downstream_calls(
+            self.fanout, route, own_service
+        ).items():
+            if service == own_service:
+                # Exact for the local target.
+                level, accept_ratio = self.level.level, self.accept_ratio
+            else:
+                level = min(self.levels.level(service, now), self.level.max_level)
+                accept_ratio = self.levels.accept_ratio(service, now)
+            demands.append(
+                ServiceDemand(
+                    service, round(calls, 3), round(level, 3), round(accept_ratio, 3)
+                )
             )
-            for service, calls in downstream.items()
-        ]
         return CallReply(
             refusal.reason.value if refusal else "",
             refusal.ran.value if refusal else "",
@@ -442,18 +446,6 @@
             demands,
         )
 
-    def service_level(self, service: str, now: float) -> float:
-        """Return the admission level of a service; exact for the local target."""
-        if service == self.settings.service:
-            return self.level.level
-        return min(self.levels.level(service, now), self.level.max_level)
-
-    def service_accept_ratio(self, service: str, now: float) -> float:
-        """Return the share of requests that the targets of a service accept."""
-        if service == self.settings.service:
-            return self.accept_ratio
-        return self.levels.accept_ratio(service, now)
-
     @property
     def occupancy(self) -> float:
         """Requests in flight and queued, as a share of the target's limit."""
