Spawn calls of links as coroutines, and decode whole frames in place

curio inspects a function that it is to run, but takes a coroutine as it is. A frame that arrives whole was copied to the buffer and out of it.

--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -99,7 +99,7 @@
             if len(self.connections) >= self.max_connections:
                 await client.close()
                 continue
-            await curio.spawn(self.serve, client, address, daemon=True)
+            await curio.spawn(self.serve(client, address), daemon=True)
 
     async def serve(self, sock: Any, address: tuple[str, int]) -> None:
         """Serve one connection until it closes."""
@@ -189,9 +189,10 @@
             return not connection.close_after_response and (
                 connection.prepare_next_request()
             )
-        await pipeline.wait_for_responses()
-        if connection.closing:
-            return False
+        if pipeline.pending:
+            await pipeline.wait_for_responses()
+            if connection.closing:
+                return False
         await self.serve_exclusively(connection, request, fd)
         if not connection.prepare_next_request():
             return False
--- a/src/carawaywheel/mesh/frames.py
+++ b/src/carawaywheel/mesh/frames.py
@@ -98,11 +98,27 @@
         Raises:
             ProtocolError: If a frame is too large or malformed.
         """
-        self.buffer += data
+        if self.buffer:
+            self.buffer += data
+            frames, offset = self.split(self.buffer)
+            del self.buffer[:offset]
+            return frames
+        # Mostly whole frames arrive, which need not be copied to the buffer.
+        frames, offset = self.split(data)
+        if offset < len(data):
+            self.buffer += data[offset:]
+        return frames
+
+    def split(self, data: bytes | bytearray) -> tuple[list[Frame], int]:
+        """Return the complete frames at the start of received bytes, and their size.
+
+        Raises:
+            ProtocolError: If a frame is too large or malformed.
+        """
         frames: list[Frame] = []
         offset = 0
-        while len(self.buffer) - offset >= LENGTH_PREFIX.size:
-            (length,) = LENGTH_PREFIX.unpack_from(self.buffer, offset)
+        while len(data) - offset >= LENGTH_PREFIX.size:
+            (length,) = LENGTH_PREFIX.unpack_from(data, offset)
             if length > MAX_FRAME_BYTES:
                 raise ProtocolError(
                     f"frame of {length} bytes exceeds the limit of {MAX_FRAME_BYTES}",
@@ -110,14 +126,12 @@
                     self.peer,
                 )
             end = offset + LENGTH_PREFIX.size + length
-            if len(self.buffer) < end:
+            if len(data) < end:
                 break
-            frames.append(
-                self.decode_frame(bytes(self.buffer[offset + LENGTH_PREFIX.size : end]))
-            )
+            content = bytes(data[offset + LENGTH_PREFIX.size : end])
+            frames.append(self.decode_frame(content))
             offset = end
-        del self.buffer[:offset]
-        return frames
+        return frames, offset
 
     def decode_frame(self, content: bytes) -> Frame:
         """Decode one frame.
--- a/src/carawaywheel/mesh/links.py
+++ b/src/carawaywheel/mesh/links.py
@@ -247,10 +247,10 @@
         Raises:
             PeerError: If no link could be opened; nothing was sent.
         """
-        links = [
-            link for link in self.links.get(address, ()) if not link.connection.broken
-        ]
-        self.links[address] = links
+        links = self.links.setdefault(address, [])
+        if any([link.connection.broken for link in links]):
+            links = [link for link in links if not link.connection.broken]
+            self.links[address] = links
         if len(links) < LINKS_PER_HOST and address not in self.opening:
             return await self.open_link(address)
         if not links:
@@ -371,7 +371,7 @@
         """Start or cancel a call as a frame requests."""
         if isinstance(frame, CallFrame):
             tasks_by_number[frame.number] = await curio.spawn(
-                self.serve_call, connection, frame, tasks_by_number, daemon=True
+                self.serve_call(connection, frame, tasks_by_number), daemon=True
             )
         elif isinstance(frame, CancelFrame):
             task = tasks_by_number.get(frame.number)
