--- a/bench/steps.py
+++ b/bench/steps.py
@@ -147,6 +147,17 @@
         "refusal = Refusal(Reason.QUEUE_FULL, Ran.NOT_RUN, 0.3, 'target', 'a:1')",
         "refusal_body(refusal)",
     ),
+    Step(
+        "refusal: line of the log",
+        "from carawaywheel.mesh.journal import Journal\n"
+        "journal = Journal('n')\n"
+        "def write():\n"
+        "    journal.lines_by_event.clear(); journal.lines.clear()\n"
+        "    journal.buffered_bytes = 0\n"
+        "    journal.write('refused', request='0123456789abcdef', status=503,"
+        " reason='overload', ran='no', step='entry', peer='yard', waited=0.003)",
+        "write()",
+    ),
     Step(
         "record: merge one of 72",
         HOSTS,
--- a/src/carawaywheel/mesh/journal.py
+++ b/src/carawaywheel/mesh/journal.py
@@ -94,16 +94,13 @@
         if int(now) != self.current_second:
             self.current_second = int(now)
             self.lines_by_event.clear()
-        self.lines_by_event[event] += 1
-        if (
-            self.lines_by_event[event] > MAX_LINES_PER_SECOND
-            or self.buffered_bytes > MAX_BUFFER_BYTES
-        ):
+        count = self.lines_by_event[event] = self.lines_by_event.get(event, 0) + 1
+        if count > MAX_LINES_PER_SECOND or self.buffered_bytes > MAX_BUFFER_BYTES:
             self.dropped[event] += 1
             return
-        line = encode({"time": round(now, 3), "node": self.node_id, "event": event})
-        if fields:
-            line = line[:-1] + b"," + encode(fields)[1:]
+        line = encode(
+            {"time": round(now, 3), "node": self.node_id, "event": event, **fields}
+        )
         self.lines.append(line + b"\n")
         self.buffered_bytes += len(line) + 1
 
