--- a/src/carawaywheel/http.py
+++ b/src/carawaywheel/http.py
@@ -420,7 +420,7 @@
     while True:
         await _read_wait(sock._fileno)
         try:
-            data: bytes = sock._socket.recv(size)
+            data: bytes = sock._socket_recv(size)
         except (BlockingIOError, InterruptedError):
             continue
         return data
