--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -75,3 +75,16 @@
     head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n"
     with pytest.raises(ProtocolError):
         read(head + b"content-length: 4\r\n\r\nabcd")
+
+
+def test_read_of_a_socket_that_another_task_closes_is_an_os_error(monkeypatch):
+    """Any other error would leave the connection's task without its clean-up."""
+
+    async def run():
+        sock, other = socket.socketpair()
+        monkeypatch.setattr(http, "_read_wait", lambda fileno: sock.close())
+        async with other:
+            with pytest.raises(OSError):
+                await http.receive_when_ready(sock, 1)
+
+    curio.run(run)
