--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -16,7 +16,6 @@
 from ..limits import FixedLimit
 from ..platform.headers import (
     decode_health_headers,
-    decode_target_headers,
     encode_health_headers,
     encode_target_headers,
 )
@@ -25,6 +24,7 @@
 from ..retries import RetryBudget
 from ..settings import AdmissionSettings, RetrySettings
 from ..stalls import StallDetector
+from ..ticks import sleep_until_tick
 from .callgraph import CallGraph, FanoutEstimator
 from .configuration import Service
 from .crashes import CrashDetector
@@ -60,6 +60,9 @@
 UNREACHABLE_COOLDOWN_SECONDS = 0.4
 QUEUE_POLL_SECONDS = 0.01
 IDLE_POLL_SECONDS = 0.05
+# Least time between updates of the admission level. Below the time between two polls,
+# which may wake a few milliseconds early or late.
+MIN_UPDATE_SECONDS = 0.045
 # Weight of one response in the moving average: it takes about 20 responses to tell a
 # target that sheds load from a single rejection.
 ACCEPT_RATIO_SMOOTHING = 0.05
@@ -406,9 +409,8 @@
         responded = False
         try:
             await connection.send(request.method, request.target, headers, body)
-            response = await self.receiver.receive_response(call, connection)
+            response, metadata = await self.receiver.receive_response(call, connection)
             self.warmup_enforcer.record_response()
-            metadata = decode_target_headers(response.status, response.headers)
             if metadata.wrong_target:
                 self.warmup.forget_send(sent_at)
             await self.apply_target_state(call, heartbeat, metadata)
@@ -576,18 +578,22 @@
     def build_reply(self, route: str, refusal: Refusal | None) -> CallReply:
         """Return the metadata of a response to the calling node."""
         now = self.clock.now()
-        downstream = self.call_graph.downstream_calls(
-            self.fanout, route, self.settings.service
-        )
-        demands = [
-            ServiceDemand(
-                service,
-                round(calls, 3),
-                round(self.service_level(service, now), 3),
-                round(self.service_accept_ratio(service, now), 3),
+        own_service = self.settings.service
+        demands = []
+        for service, calls in self.call_graph.downstream_calls(
+            self.fanout, route, own_service
+        ).items():
+            if service == own_service:
+                # Exact for the local target.
+                level, accept_ratio = self.level.level, self.accept_ratio
+            else:
+                level = min(self.levels.level(service, now), self.level.max_level)
+                accept_ratio = self.levels.accept_ratio(service, now)
+            demands.append(
+                ServiceDemand(
+                    service, round(calls, 3), round(level, 3), round(accept_ratio, 3)
+                )
             )
-            for service, calls in downstream.items()
-        ]
         return CallReply(
             refusal.reason.value if refusal else "",
             refusal.ran.value if refusal else "",
@@ -598,18 +604,6 @@
             demands,
         )
 
-    def service_level(self, service: str, now: float) -> float:
-        """Return the admission level of a service; exact for the local target."""
-        if service == self.settings.service:
-            return self.level.level
-        return min(self.levels.level(service, now), self.level.max_level)
-
-    def service_accept_ratio(self, service: str, now: float) -> float:
-        """Return the share of requests that the targets of a service accept."""
-        if service == self.settings.service:
-            return self.accept_ratio
-        return self.levels.accept_ratio(service, now)
-
     @property
     def occupancy(self) -> float:
         """Requests in flight and queued, as a share of the target's limit."""
@@ -623,7 +617,10 @@
         while True:
             gate = self.gate
             busy = gate is not None and (gate.queue.queued or self.needs_health_check)
-            await curio.sleep(QUEUE_POLL_SECONDS if busy else IDLE_POLL_SECONDS)
+            if busy:
+                await curio.sleep(QUEUE_POLL_SECONDS)
+            else:
+                await sleep_until_tick(IDLE_POLL_SECONDS)
             now = self.clock.now()
             self.warmup_enforcer.observe(now)
             await self.poll_replaced_gates()
@@ -743,7 +740,7 @@
     def update_level(self, gate: AdmissionGate, now: float) -> None:
         """Update the admission level by the load offered since the last update."""
         elapsed = now - self.level_updated_at
-        if elapsed < IDLE_POLL_SECONDS:
+        if elapsed < MIN_UPDATE_SECONDS:
             return
         queue = gate.queue
         load = offered_load(
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -14,6 +14,7 @@
 from ...datagrams import Address, DatagramHandler, DatagramSocket
 from ...errors import LogError, RecordError
 from ...platform.evacuation import decode_evacuated_domain
+from ...ticks import sleep_until_tick
 from ..evacuation import Evacuation
 from ..journal import Journal
 from ..monitor import PeerMonitor
@@ -266,7 +267,7 @@
             await self.read_missing_configuration(now)
             if self.sources:
                 await self.source_added.set()
-            await curio.sleep(TICK_SECONDS)
+            await sleep_until_tick(TICK_SECONDS)
 
     async def read_missing_configuration(self, now: float) -> None:
         """Read the configuration from the store if this node has lacked one for long.
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -7,6 +7,8 @@
 
 from carawaywheel.clock import ManualClock
 from carawaywheel.mesh.monitor import MAX_LOGGED_HOSTS, OWN_ORIGIN, PeerMonitor
+from carawaywheel.mesh.quotas import Quotas
+from carawaywheel.mesh.ratelimiter import RateLimiter
 from carawaywheel.mesh.replication.directory import Directory, HostRecord
 from carawaywheel.mesh.replication.messages import state_decoder
 from carawaywheel.mesh.replication.store import START, Position
@@ -136,3 +138,21 @@
         origin, source = ("store", item) if isinstance(item, bytes) else item
         monitor.receive_configuration(source, origin)
     assert gauge(monitor) == expected
+
+
+def test_node_that_can_no_longer_be_reached_is_noticed_without_an_event():
+    """It would go on to own slots: the reason of a suspension changes silently."""
+    monitor = make_monitor("h1")
+    monitor.router.remove_candidate = lambda address: None
+    sock = SimpleNamespace(address="10.0.0.1:7006", handlers={})
+    quotas = Quotas(monitor.own_address)
+    limiter = RateLimiter(quotas, sock, monitor, monitor.journal, monitor.clock)
+    monitor.merge_hosts([(START, make_record("h2", 1))], START, "store")
+    limiter.refresh_changed_nodes()
+    assert quotas.reachable == [address_of("h2")]
+    monitor.suspend(address_of("h2"), "takes no work")
+    limiter.refresh_changed_nodes()
+    assert quotas.reachable == [address_of("h2")]
+    monitor.suspended[address_of("h2")].reason = "cannot be reached"
+    limiter.refresh_changed_nodes()
+    assert quotas.reachable == []
