Wait for a configuration only in a node

Cause: TargetRunner refused all calls until it was configured, so that tests/test_acceptance.py, which runs it alone, failed (4 of 4).

Change: the node sets awaits_configuration; a runner alone has no limit and does not wait.

--- a/src/carawaywheel/executor.py
+++ b/src/carawaywheel/executor.py
@@ -17,7 +17,7 @@
 from .http import Headers, Request
 from .limits import AdaptiveLimit
 from .pool import ConnectionPool, Response
-from .refusals import Importance, Outcome, Ran, Reason, Refusal
+from .refusals import Outcome, Ran, Reason, Refusal
 from .retries import AttemptBudget
 from .routing import TargetState
 from .settings import AdmissionSettings, LimitSettings
@@ -95,9 +95,8 @@
         if request_id not in self.queue.waiting:
             return
         changes = self.queue.cancel(request_id, self.clock.now())
-        changes.refused.append(
-            (Ticket(request_id, "", Importance.NORMAL, 0.0), refusal)
-        )
+        self.refusals[request_id] = refusal
+        await self.wake(request_id)
         await self.notify_waiters(changes)
 
     async def poll(self) -> None:
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -91,6 +91,8 @@
         offered_cold_calls: Those of them that may wait for a cold target.
         rerouted_since: Calls that wait and that another target may take at once: time
             of their arrival in seconds, by ticket id.
+        awaits_configuration: Whether no call is admitted yet, since the limit of a cold
+            target is not known before a configuration.
         checking_health: Whether a health check is in progress.
     """
 
@@ -137,6 +139,7 @@
         self.offered_target_calls = 0
         self.offered_cold_calls = 0
         self.rerouted_since: dict[str, float] = {}
+        self.awaits_configuration = False
         self.checking_health = False
         self.level_updated_at = clock.now()
         self.configuration_version = 0
@@ -150,6 +153,7 @@
             settings: Settings of the node.
             service: The service; None if the configuration does not name it.
         """
+        self.awaits_configuration = False
         self.settings = settings
         self.service = service
         self.warmup_enforcer.configure(settings, service)
@@ -196,7 +200,7 @@
             return None
         if self.clock.now() < self.unreachable_until:
             return None
-        if not self.warmup_enforcer.configured:
+        if self.awaits_configuration:
             return None
         incarnation = (heartbeat.target_id, heartbeat.incarnation)
         if self.gate is None or self.incarnation != incarnation:
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -174,6 +174,7 @@
             self.publish_target,
             self.crash_reporter,
         )
+        self.runner.awaits_configuration = True
         self.peer_monitor.on_hosts_changed = self.update_targets
         self.peer_monitor.serving = lambda: self.runner.current_gate() is not None
         self.sender = RequestSender(
--- a/src/carawaywheel/mesh/warmupenforcer.py
+++ b/src/carawaywheel/mesh/warmupenforcer.py
@@ -29,7 +29,6 @@
 
     Attributes:
         limit: Request limit of the target.
-        configured: Whether a configuration is known. Until then the limit is not.
         unsent: Calls that hold a slot and have not been sent yet, by ticket id. The
             limit must have capacity for them.
         health_check_due: Whether a health check may determine an assumed state.
@@ -47,7 +46,6 @@
         self.limit = WarmupLimit(
             WarmupSettings(), clock.now(), restarted=not settings.first_start
         )
-        self.configured = False
         self.unsent: set[str] = set()
         self.health_check_due = False
         self.heartbeat_at: float | None = None
@@ -59,7 +57,6 @@
 
     def configure(self, settings: HostSettings, service: Service | None) -> None:
         """Apply the settings of the node and of the service of its target."""
-        self.configured = True
         self.heartbeat_interval = settings.heartbeat
         bounds = settings.bounds
         duration = service.warmup_duration if service else 0.0
