Take a health check without a warm-up time for that of a warm target

Cause: a target tells in its health checks how long it stays cold only while it is cold. Ruled out: heartbeats that settle the state. They may be late ones of a former process.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -70,6 +70,7 @@
 USED_RETRY_SLACK_SHARE = 0.7
 # Health checks of targets take a few milliseconds.
 HEALTH_CHECK_TIMEOUT_SECONDS = 0.5
+HEALTHY_STATUS = 200
 
 
 class TargetRunner:
@@ -739,6 +740,8 @@
         remaining = metadata.warmup_remaining
         if metadata.target_id != heartbeat.target_id or remaining is None:
             return
+        if response.status != HEALTHY_STATUS:
+            return
         self.warmup_enforcer.confirm(remaining, events)
 
     def update_level(self, gate: AdmissionGate, now: float) -> None:
--- a/src/carawaywheel/mesh/messages.py
+++ b/src/carawaywheel/mesh/messages.py
@@ -77,7 +77,7 @@
     Attributes:
         target_id: Id of the target; empty if the response does not tell.
         warmup_remaining: Seconds for which the target stays cold, 0 when warm; None if
-            the response does not tell.
+            the value is not valid.
     """
 
     target_id: str
--- a/src/carawaywheel/platform/headers.py
+++ b/src/carawaywheel/platform/headers.py
@@ -129,9 +129,12 @@
 
 
 def decode_health_headers(headers: Headers) -> HealthMetadata:
-    """Decode the headers of a target's response to a health check."""
+    """Decode the headers of a target's response to a health check.
+
+    A target tells how long it stays cold only while it is cold.
+    """
     target_id = ""
-    remaining = None
+    remaining: float | None = 0.0
     for name, value in headers:
         if name == TARGET_ID_HEADER:
             target_id = value.decode("latin-1")
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -152,7 +152,9 @@
         """Return the response to a health check."""
         self.record("health")
         headers = [*stated, ("x-instance-id", self.identity)]
-        headers.append(("x-warmup-ms", str(math.ceil(1000 * self.cold_remaining))))
+        remaining = math.ceil(1000 * self.cold_remaining)
+        if remaining:
+            headers.append(("x-warmup-ms", str(remaining)))
         return Response(200, headers, single_chunk(b""), 0)
 
     def stated_headers(self) -> list[tuple[str, str]]:
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -193,6 +193,12 @@
         assert decode_health_headers([(b"x-warmup-ms", value)]).warmup_remaining is None
 
 
+def test_response_of_a_warm_target_tells_no_warm_up_time():
+    """Guards against a warm target that counts as cold after its health check."""
+    metadata = decode_health_headers([(b"x-instance-id", b"i-1")])
+    assert metadata == ("i-1", 0.0)
+
+
 class Process:
     """A process of the target, with the requests that it received."""
 
