Route to cold targets by the share that they report

Cause: a cold target takes about a dozen requests per second, and the router knew only the time since a target had announced itself as cold.

Router.set_cold takes the share; a selected target that is cold is used with that probability, after the choice by domain, so that calls leave a domain whose targets are all cold. The share of a report doubles each second until the next one: with 36 senders and a dozen replies per second most senders hear from a target less than once in a warm-up.

Ruled out: thinning the candidates before the choice, since one of several cold targets of the own domain would then nearly always remain and take the requests of all.

--- a/src/carawaywheel/routing.py
+++ b/src/carawaywheel/routing.py
@@ -2,12 +2,13 @@
 
 The less loaded of two random candidates is chosen (power of two choices). Targets in
 the own failure domain are preferred until their load exceeds that of other domains by a
-margin. Failing targets are ejected.
+margin. Failing targets are ejected. Cold targets are used for a share of the calls that
+they would get when warm.
 """
 
 import enum
 import random
-from collections.abc import Container
+from collections.abc import Collection, Container
 from typing import NamedTuple
 
 from .ejection import EjectionState, OutlierEjector
@@ -29,6 +30,10 @@
 # Time over which this added load fades, so that a recovered target is used again.
 FAULT_RATE_FADE_SECONDS = 4.0
 SHED_PRESSURE = 1.0
+# Time in which a reported share doubles until the next report. A node that was told a
+# share that is too low sends less and is told a new one later, so without this the
+# share would stay too low at many nodes.
+SHARE_DOUBLING_SECONDS = 1.0
 
 
 class TargetState(enum.IntEnum):
@@ -75,6 +80,9 @@
         latency: Moving average of the latency, in seconds.
         fault_rate: Moving average of the share of responses that report a failure.
         last_response_at: Time in seconds of the last response, or None.
+        cold_until: Time in seconds until which the target is reported to be cold.
+        cold_share: Share of a warm target's requests that was reported.
+        cold_reported_at: Time in seconds of this report.
     """
 
     __slots__ = (
@@ -85,6 +93,9 @@
         "latency",
         "fault_rate",
         "last_response_at",
+        "cold_until",
+        "cold_share",
+        "cold_reported_at",
     )
 
     def __init__(self, candidate: Candidate, in_own_domain: bool) -> None:
@@ -95,6 +106,9 @@
         self.latency = 0.0
         self.fault_rate = 0.0
         self.last_response_at: float | None = None
+        self.cold_until = 0.0
+        self.cold_share = 1.0
+        self.cold_reported_at = 0.0
 
 
 class ServicePool:
@@ -110,6 +124,7 @@
         fault_rate: Moving average of the share of responses that report a failure.
         median_latency: Lower median of the latencies of the targets, in seconds.
         median_due_at: Time in seconds at which the median is computed again.
+        cold_until: Time in seconds from which all targets are warm.
     """
 
     def __init__(self, settings: RoutingSettings) -> None:
@@ -122,6 +137,7 @@
         self.fault_rate = 0.0
         self.median_latency = 0.0
         self.median_due_at = 0.0
+        self.cold_until = 0.0
 
 
 class Router:
@@ -179,6 +195,47 @@
         self._remove_if_idle(target)
         self._rebuild_pool(target.candidate.service)
 
+    def set_cold(self, target_id: str, until: float, share: float, now: float) -> None:
+        """Use a target for a share of its requests; unknown ids are ignored.
+
+        Args:
+            target_id: Id of the target.
+            until: Time in seconds until which it is cold; a past one if it is warm.
+            share: Share of a warm target's requests that it is to be sent, above 0 to
+                1.
+            now: Time in seconds.
+        """
+        target = self.targets.get(target_id)
+        if target is None:
+            return
+        target.cold_until = until
+        target.cold_share = share
+        target.cold_reported_at = now
+        pool = self.pools.get(target.candidate.service)
+        if pool is not None:
+            pool.cold_until = max(pool.cold_until, until)
+
+    def has_warm_target(
+        self, service: str, now: float, exclude: Collection[str]
+    ) -> bool:
+        """Return whether a usable target of a service is not known to be cold.
+
+        Args:
+            service: Service to call.
+            now: Time in seconds.
+            exclude: Target ids that do not count.
+        """
+        pool = self.pools.get(service)
+        if pool is None:
+            return False
+        others = len(pool.targets) - pool.ejector.ejected_count - len(exclude)
+        if now >= pool.cold_until and others > 0:
+            return True
+        return any(
+            self._slow_start_share(target, now) >= 1.0
+            for target in self._usable(pool, now, exclude)
+        )
+
     def choose(
         self, service: str, now: float, exclude: Container[str] = ()
     ) -> Candidate | Refusal:
@@ -201,6 +258,8 @@
             return self._refuse_no_target(service, wait or DEFAULT_RETRY_AFTER_SECONDS)
         if len(usable) == 1:
             return usable[0].candidate
+        if now < pool.cold_until:
+            return self._choose_while_cold(pool, usable, now, exclude).candidate
         return self._choose_by_domain(pool, usable, now).candidate
 
     def record_start(self, target_id: str, now: float) -> None:
@@ -312,6 +371,7 @@
         pool.targets = targets
         pool.own_domain_targets = [t for t in targets if t.in_own_domain]
         pool.other_domain_targets = [t for t in targets if not t.in_own_domain]
+        pool.cold_until = max(map(cold_end, targets))
         pool.ejector.set_targets([target.candidate.target_id for target in targets])
         return pool
 
@@ -357,13 +417,9 @@
         if count == 1:
             return targets[0], self._load(pool, targets[0], now)
         index = int(self.rng.random() * count)
-        if not self._passes_slow_start(targets[index], now):
-            index = self._random_other(index, count)
         first = targets[index]
         first_load = self._load(pool, first, now)
         second = targets[self._random_other(index, count)]
-        if not self._passes_slow_start(second, now):
-            return first, first_load
         second_load = self._load(pool, second, now)
         if second_load < first_load:
             return second, second_load
@@ -374,21 +430,81 @@
         other = int(self.rng.random() * (count - 1))
         return other + 1 if other >= index else other
 
+    def _choose_while_cold(
+        self,
+        pool: ServicePool,
+        usable: list[TrackedTarget],
+        now: float,
+        exclude: Container[str],
+    ) -> TrackedTarget:
+        """Choose a target of a service of which some targets may be cold.
+
+        A request that a cold target has refused goes to a warm one, since its attempts
+        are bounded and another cold target would most likely refuse it too. Targets of
+        other failure domains come first: those of one domain often become cold
+        together, before this node knows of more than one of them.
+        """
+        warm = [
+            target for target in usable if self._slow_start_share(target, now) >= 1.0
+        ]
+        if not warm:
+            return self._choose_of_cold(pool, usable, now)
+        domains = self._cold_domains(pool, now, exclude) if exclude else None
+        if domains:
+            elsewhere = [
+                target for target in warm if target.candidate.domain not in domains
+            ]
+            return self._choose_by_domain(pool, elsewhere or warm, now)
+        if len(warm) == len(usable):
+            return self._choose_by_domain(pool, usable, now)
+        chosen = self._choose_by_domain(pool, usable, now)
+        if self._passes_slow_start(chosen, now):
+            return chosen
+        return self._choose_by_domain(pool, warm, now)
+
+    def _cold_domains(
+        self, pool: ServicePool, now: float, target_ids: Container[str]
+    ) -> set[str]:
+        """Return the failure domains of those of some targets that are cold."""
+        return {
+            target.candidate.domain
+            for target in pool.targets
+            if target.candidate.target_id in target_ids
+            and self._slow_start_share(target, now) < 1.0
+        }
+
+    def _choose_of_cold(
+        self, pool: ServicePool, targets: list[TrackedTarget], now: float
+    ) -> TrackedTarget:
+        """Choose among cold targets, in proportion to their shares."""
+        shares = [self._slow_start_share(target, now) for target in targets]
+        first, second = self.rng.choices(targets, shares, k=2)
+        first_load = self._load(pool, first, now)
+        return second if self._load(pool, second, now) < first_load else first
+
     def _passes_slow_start(self, target: TrackedTarget, now: float) -> bool:
-        """Return whether to use a drawn target.
+        """Return whether to use a selected target.
 
         A cold one is used with the probability of its slow start share.
         """
-        if target.candidate.state is not TargetState.COLD:
-            return True
-        return self.rng.random() < self._slow_start_share(target.candidate, now)
+        share = self._slow_start_share(target, now)
+        return share >= 1.0 or self.rng.random() < share
 
-    def _slow_start_share(self, candidate: Candidate, now: float) -> float:
-        """Return the share of its slots that a target should be given now."""
-        if candidate.state is not TargetState.COLD or now >= candidate.cold_until:
-            return 1.0
-        elapsed = 1.0 - (candidate.cold_until - now) / self.settings.slow_start
-        return max(MIN_SLOW_START_SHARE, elapsed)
+    def _slow_start_share(self, target: TrackedTarget, now: float) -> float:
+        """Return the share of a warm target's requests that a target is sent now.
+
+        It is the share that the node beside the target has reported, or rises with the
+        time since the target announced that it is cold.
+        """
+        candidate = target.candidate
+        share = 1.0
+        if now < target.cold_until:
+            age = now - target.cold_reported_at
+            share = target.cold_share * 2.0 ** (age / SHARE_DOUBLING_SECONDS)
+        if candidate.state is TargetState.COLD and now < candidate.cold_until:
+            elapsed = 1.0 - (candidate.cold_until - now) / self.settings.slow_start
+            share = min(share, max(MIN_SLOW_START_SHARE, elapsed))
+        return min(share, 1.0)
 
     def _load(self, pool: ServicePool, target: TrackedTarget, now: float) -> float:
         """Return the load of a target.
@@ -399,8 +515,8 @@
         """
         candidate = target.candidate
         slots = float(candidate.slots)
-        if candidate.state is TargetState.COLD:
-            slots *= self._slow_start_share(candidate, now)
+        if now < pool.cold_until:
+            slots *= self._slow_start_share(target, now)
         load = (target.in_flight + 1) / max(1.0, slots)
         if target.last_response_at is not None:
             age = now - target.last_response_at
@@ -471,3 +587,10 @@
         return Refusal(
             Reason.NO_TARGET, retry_after=retry_after, step="routing", peer=service
         )
+
+
+def cold_end(target: TrackedTarget) -> float:
+    """Return the time in seconds from which a target is warm."""
+    if target.candidate.state is TargetState.COLD:
+        return max(target.cold_until, target.candidate.cold_until)
+    return target.cold_until
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -179,6 +179,72 @@
     assert 0 < counts[0] < 0.4 * counts[1]
 
 
+def choose_counts(router, now, names, times=2000, exclude=()):
+    chosen = [router.choose("svc", now, exclude).target_id for _ in range(times)]
+    return {name: chosen.count(name) / times for name in names}
+
+
+def test_cold_target_gets_its_share_of_the_requests_of_a_warm_one():
+    """Guards against senders that flood a cold target or never use it."""
+    router = make_router(*(make_candidate(name) for name in "xyz"))
+
+    def measure(now):
+        # A target that is sent few requests reports a lower pressure than the others.
+        for name, pressure in (("x", 0.1), ("y", 0.9), ("z", 0.9)):
+            router.record_finish(name, now, Outcome.OK, 0.01, pressure)
+        return choose_counts(router, now, "x")["x"]
+
+    warm = measure(0.0)
+    router.set_cold("x", 3.0, 0.25, 0.0)
+    share, later = measure(0.0) / warm, measure(1.0) / warm
+    assert 0.15 < share < 0.35
+    assert 1.5 < later / share < 2.6
+    assert measure(3.0) / warm > 0.8
+
+
+def test_calls_leave_a_domain_whose_targets_are_all_cold():
+    """Guards against refusals in the own domain while another one has capacity."""
+    own = [make_candidate(name) for name in "xyz"]
+    router = make_router(*own, *(make_candidate(name, "b") for name in "uv"))
+    for name in "xyz":
+        router.set_cold(name, 3.0, 0.1, 0.0)
+    counts = choose_counts(router, 0.0, "xyzuv")
+    assert counts["u"] + counts["v"] > 0.8
+    assert sum(counts[name] for name in "xyz") > 0.05
+
+
+def test_refused_call_goes_to_a_warm_target_of_another_domain():
+    """Guards against four refusals by cold targets of which one was known."""
+    own = [make_candidate(name) for name in "xyz"]
+    router = make_router(*own, make_candidate("u", "b"))
+    router.set_cold("x", 3.0, 0.9, 0.0)
+    assert choose_counts(router, 0.0, "u", exclude=["x"])["u"] == 1.0
+    assert router.has_warm_target("svc", 0.0, ["x", "u"])
+    for name in "yzu":
+        router.set_cold(name, 3.0, 0.9, 0.0)
+    assert not router.has_warm_target("svc", 0.0, ["x"])
+    assert isinstance(router.choose("svc", 0.0, ["x"]), Candidate)
+
+
+def test_shares_of_cold_targets_are_relative_without_a_warm_one():
+    """Guards against a service without targets, or an even load on uneven ones."""
+    router = make_router(*(make_candidate(name) for name in "xy"))
+    router.set_cold("x", 3.0, 0.01, 0.0)
+    router.set_cold("y", 3.0, 0.04, 0.0)
+    counts = choose_counts(router, 0.0, "xy")
+    assert 0.0 < counts["x"] < 0.3
+
+
+def test_target_that_reports_the_end_of_its_warm_up_is_used_fully():
+    """Guards against a target that stays at a small share after a wrong assumption."""
+    router = make_router(*(make_candidate(name) for name in "xy"))
+    router.set_cold("x", 30.0, 0.01, 0.0)
+    assert not router.has_warm_target("svc", 0.0, ["y"])
+    router.set_cold("x", 1.0, 1.0, 1.0)
+    assert router.has_warm_target("svc", 1.0, ["y"])
+    assert choose_counts(router, 1.0, "x")["x"] > 0.4
+
+
 def test_replaced_target_starts_without_earlier_failures():
     """Guards against a new host that takes over the ejection of the old one."""
     router = make_router(*(make_candidate(name) for name in "xyz"))
