--- a/bench/coldtargets.py
+++ b/bench/coldtargets.py
@@ -157,11 +157,7 @@
 
     def report(self, now: float) -> WarmupReport:
         """Return the figures that a reply carries."""
-        cold = self.warmup.is_cold(now)
-        self.share.update(WARMUP.limit, cold, now)
-        if not cold:
-            return WarmupReport(0.0, 1.0)
-        return WarmupReport(self.warmup.remaining(now), self.share.share)
+        return self.share.report(self.warmup, now)
 
     def has_room(self, now: float) -> bool:
         """Return whether a request may be sent to the target now."""
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -37,6 +37,8 @@
 from .settings import CONNECT_TIMEOUT_SECONDS, HostSettings
 from .shedding import AdmissionLevel, AdmissionLevelTable, offered_load
 from .target import Heartbeat, LocalTarget, Phase
+from .warmup import WarmupLimit, WarmupSettings
+from .warmupshare import WarmupReport, WarmupShare
 
 BODY_METHODS = ("POST", "PUT", "PATCH")
 SUCCESS_STATUSES = range(200, 300)
@@ -73,6 +75,8 @@
         on_target_changed: Awaited when a response has changed the phase of the target.
         offered_calls: Calls that requested a slot since the last update of the level.
         offered_target_calls: Those of them that targets made for other requests.
+        warmup: Request limit of the local target while it is cold.
+        warmup_share: Share of requests that the target is to be sent meanwhile.
     """
 
     def __init__(
@@ -112,6 +116,8 @@
         self.offered_calls = 0
         self.offered_target_calls = 0
         self.level_updated_at = clock.now()
+        self.warmup = WarmupLimit(WarmupSettings(), clock.now())
+        self.warmup_share = WarmupShare(clock.now())
         self.configuration_version = 0
         self.ticket_ids = itertools.count()
         self.share_retries(1, 0)
@@ -168,6 +174,7 @@
         forwarded_headers: Any,
         body: bytes,
         remembered_rate: float | None = None,
+        may_wait: bool = True,
     ) -> CallResult:
         """Execute a call, or refuse it.
 
@@ -178,6 +185,7 @@
             body: Complete body.
             remembered_rate: Rate limit of the target that the calling node remembers;
                 None if it remembers none.
+            may_wait: Whether the call may wait for a cold target until its deadline.
         """
         refusal = self.check_call(call) or self.crashes.check_quarantine(
             call, request, body, self.clock.now()
@@ -195,6 +203,7 @@
         )
         self.active_calls += 1
         self.offered_calls += 1
+        self.warmup_share.record_arrival()
         self.offered_target_calls += call.from_target
         try:
             refusal = self.rate_enforcer.check(ticket.importance, remembered_rate)
@@ -439,6 +448,10 @@
             demands,
         )
 
+    def warmup_report(self) -> WarmupReport:
+        """Return what a response tells of the warm-up of the local target."""
+        return self.warmup_share.report(self.warmup, self.clock.now())
+
     def service_level(self, service: str, now: float) -> float:
         """Return the admission level of a service; exact for the local target."""
         if service == self.settings.service:
--- a/src/carawaywheel/mesh/warmupshare.py
+++ b/src/carawaywheel/mesh/warmupshare.py
@@ -7,6 +7,8 @@
 
 from typing import NamedTuple
 
+from .warmup import WarmupLimit
+
 INTERVAL_SECONDS = 0.25
 # Arrivals per place that the share is controlled to. An unused place serves no request,
 # whereas a refusal costs one hop of about a millisecond.
@@ -68,6 +70,19 @@
         """Count a request that a sender has sent, whether or not it is refused."""
         self.count += 1
 
+    def report(self, warmup: WarmupLimit, now: float) -> WarmupReport:
+        """Return the figures for a reply.
+
+        Args:
+            warmup: Request limit of the local target.
+            now: Time in seconds.
+        """
+        if not warmup.enabled:
+            return WARM
+        cold = warmup.is_cold(now)
+        self.update(warmup.settings.limit, cold, now)
+        return WarmupReport(warmup.remaining(now), self.share) if cold else WARM
+
     def update(self, limit: int, cold: bool, now: float) -> None:
         """Update the share if an interval has passed or the target has become cold.
 
@@ -77,8 +92,12 @@
             now: Time in seconds.
         """
         elapsed = now - self.updated_at
-        if cold and not self.cold:
-            self._start(limit, now)
+        if cold is not self.cold:
+            if cold:
+                self._start(limit)
+            # The arrivals until now belong to the former state.
+            self.count = 0
+            self.updated_at = now
         elif elapsed >= INTERVAL_SECONDS:
             rate = self.count / elapsed
             if cold:
@@ -89,14 +108,11 @@
             self.updated_at = now
         self.cold = cold
 
-    def _start(self, limit: int, now: float) -> None:
+    def _start(self, limit: int) -> None:
         """Set the share for a target that has become cold."""
         self.share = INITIAL_SHARE
         if self.warm_rate:
             self._set(ARRIVALS_PER_PLACE * limit / self.warm_rate)
-        # Arrivals until now were sent by nodes that did not know of the warm-up.
-        self.count = 0
-        self.updated_at = now
 
     def _adjust(self, limit: int, rate: float) -> None:
         """Move the share towards the one at which arrivals match the limit."""
