Carry the warm-up of targets between nodes

Cause: the sender knows where there is capacity elsewhere, the node beside the target how much the target takes; neither knew the other's part.

Responses carry how long the target stays cold and its share, calls whether they may wait for it: as trailing fields of frames, which nodes of the former version ignore, and as headers of calls over HTTP. RequestSender lets a call wait when no other usable target is known to be warm. Figures that no router can use are ignored.

The fakes in test_links and test_peers take the new arguments; what they check is unchanged.

--- a/src/carawaywheel/mesh/frames.py
+++ b/src/carawaywheel/mesh/frames.py
@@ -27,6 +27,9 @@
         body: Complete body.
         target_rate: Rate limit that the target stated last, in requests per second;
             None if it stated none. Former versions send and read none.
+        may_wait: Whether the call may wait for a cold target until its deadline,
+            since no other target is expected to have capacity. Former versions send
+            and read none.
     """
 
     number: int
@@ -36,6 +39,7 @@
     headers: Headers
     body: bytes
     target_rate: float | None = None
+    may_wait: bool = False
 
 
 class CancelFrame(msgspec.Struct, array_like=True, tag=2):
@@ -58,6 +62,10 @@
         headers: Headers of the target's response.
         body: Complete body; empty if the response must be fetched.
         rest: Name by which a large response can be fetched; empty if it is complete.
+        cold_remaining: Seconds for which the target stays cold; 0 when it is warm.
+            Former versions send and read neither this nor the share.
+        cold_share: Share of a warm target's requests that the target is to be sent,
+            above 0 to 1.
     """
 
     number: int
@@ -66,6 +74,8 @@
     headers: Headers
     body: bytes
     rest: str
+    cold_remaining: float = 0
+    cold_share: float = 1
 
 
 Frame = CallFrame | CancelFrame | ResponseFrame
--- a/src/carawaywheel/mesh/inbound.py
+++ b/src/carawaywheel/mesh/inbound.py
@@ -10,7 +10,14 @@
 from ..serverexchange import ServerExchange
 from .execution import TargetRunner
 from .journal import Journal
-from .messages import CALL_HEADER, REPLY_HEADER, decode_call, encode_header
+from .messages import (
+    CALL_HEADER,
+    MAY_WAIT_HEADER,
+    REPLY_HEADER,
+    WARMUP_HEADER,
+    decode_call,
+    encode_header,
+)
 from .monitor import PeerMonitor
 from .responses import StreamedResponse, send_response
 
@@ -57,11 +64,20 @@
         call = decode_call(request.header(CALL_HEADER), connection.peer)
         self.peer_monitor.observe_caller(connection.peer, call.version)
         body = await connection.read_body(MAX_BODY_BYTES)
-        result = await self.runner.run(call, request, forwarded_headers(request), body)
+        result = await self.runner.run(
+            call,
+            request,
+            forwarded_headers(request),
+            body,
+            may_wait=bool(request.header(MAY_WAIT_HEADER)),
+        )
         refusal = result if isinstance(result, Refusal) else None
         reply_headers = [
             (REPLY_HEADER, encode_header(self.runner.build_reply(call.route, refusal)))
         ]
+        warmup = self.runner.warmup_report()
+        if warmup.remaining:
+            reply_headers.append((WARMUP_HEADER, encode_header(warmup)))
         if isinstance(result, Refusal):
             self.runner.log_refused_call(call, result)
             await connection.respond(REFUSED_STATUS, reply_headers, b"")
--- a/src/carawaywheel/mesh/links.py
+++ b/src/carawaywheel/mesh/links.py
@@ -162,6 +162,7 @@
         headers: Headers,
         body: bytes,
         target_rate: float | None = None,
+        may_wait: bool = False,
     ) -> ResponseFrame:
         """Send a call and wait for its response; cancel it there if cancelled here.
 
@@ -172,7 +173,14 @@
         number = self.last_number
         pending = self.pending[number] = PendingCall()
         frame = CallFrame(
-            number, call, request.method, request.target, headers, body, target_rate
+            number,
+            call,
+            request.method,
+            request.target,
+            headers,
+            body,
+            target_rate,
+            may_wait,
         )
         try:
             await self.connection.write(frame)
@@ -391,7 +399,12 @@
         try:
             request = Request(frame.method, frame.target, frame.headers)
             result = await self.runner.run(
-                call, request, frame.headers, frame.body, frame.target_rate
+                call,
+                request,
+                frame.headers,
+                frame.body,
+                frame.target_rate,
+                may_wait=frame.may_wait,
             )
             await connection.write(await self.make_response(frame, result))
         except PeerError:
@@ -418,15 +431,18 @@
         if isinstance(result, Refusal):
             self.runner.log_refused_call(call, result)
             reply = self.runner.build_reply(call.route, result)
-            return ResponseFrame(number, reply, REFUSED_STATUS, [], b"", "")
+            warmup = self.runner.warmup_report()
+            return ResponseFrame(number, reply, REFUSED_STATUS, [], b"", "", *warmup)
         reply = self.runner.build_reply(call.route, None)
+        warmup = self.runner.warmup_report()
         if isinstance(result, BufferedResponse):
+            headers, body = list(result.headers), result.body
             return ResponseFrame(
-                number, reply, result.status, list(result.headers), result.body, ""
+                number, reply, result.status, headers, body, "", *warmup
             )
-        response = result.response
+        status = result.response.status
         retained_name = await self.retain_response(result)
-        return ResponseFrame(number, reply, response.status, [], b"", retained_name)
+        return ResponseFrame(number, reply, status, [], b"", retained_name, *warmup)
 
 
 def result_from_frame(
--- a/src/carawaywheel/mesh/messages.py
+++ b/src/carawaywheel/mesh/messages.py
@@ -7,9 +7,14 @@
 from ..errors import ProtocolError
 from ..http import Headers
 from ..refusals import Ran, Reason, Refusal
+from .warmupshare import WARM, WarmupReport
 
 CALL_HEADER = b"x-cw-call"
 REPLY_HEADER = b"x-cw-reply"
+# Of a call over HTTP; see ``CallFrame.may_wait``.
+MAY_WAIT_HEADER = b"x-cw-may-wait"
+# Of a response over HTTP, while the target is cold.
+WARMUP_HEADER = b"x-cw-warmup"
 
 
 class CallerMetadata(NamedTuple):
@@ -157,6 +162,7 @@
 
 call_decoder = msgspec.json.Decoder(Call)
 reply_decoder = msgspec.json.Decoder(CallReply)
+warmup_decoder = msgspec.json.Decoder(WarmupReport)
 encode_header = msgspec.json.encode
 
 
@@ -182,3 +188,17 @@
         return reply_decoder.decode(value)
     except (msgspec.DecodeError, ValueError) as error:
         raise ProtocolError(str(error), "decode reply", peer) from error
+
+
+def decode_warmup(value: str, peer: str) -> WarmupReport:
+    """Decode the state of a target from its header; it is warm if there is none.
+
+    Raises:
+        ProtocolError: If it cannot be read.
+    """
+    if not value:
+        return WARM
+    try:
+        return warmup_decoder.decode(value)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise ProtocolError(str(error), "decode warm-up", peer) from error
--- a/src/carawaywheel/mesh/peers.py
+++ b/src/carawaywheel/mesh/peers.py
@@ -1,5 +1,7 @@
 """Client for calls to the nodes beside other targets."""
 
+from typing import NamedTuple
+
 from ..errors import PeerError
 from ..http import Headers, Request
 from ..pool import ClientConnection, ConnectionPool, Response
@@ -9,14 +11,32 @@
 from .links import LinkPool, result_from_frame
 from .messages import (
     CALL_HEADER,
+    MAY_WAIT_HEADER,
     REPLY_HEADER,
+    WARMUP_HEADER,
     Call,
     CallReply,
     decode_reply,
+    decode_warmup,
     encode_header,
 )
 from .responses import BufferedResponse, CallResult, StreamedResponse, buffer_response
 from .settings import CONNECT_TIMEOUT_SECONDS
+from .warmupshare import WarmupReport
+
+
+class PeerResponse(NamedTuple):
+    """Response of the node beside another target.
+
+    Attributes:
+        result: Result of the call.
+        reply: Metadata of the response.
+        warmup: Whether the target is cold, and the share that it is to be sent.
+    """
+
+    result: CallResult
+    reply: CallReply
+    warmup: WarmupReport
 
 
 class PeerClient:
@@ -34,7 +54,8 @@
         headers: Headers,
         body: bytes,
         target_rate: float | None = None,
-    ) -> tuple[CallResult, CallReply]:
+        may_wait: bool = False,
+    ) -> PeerResponse:
         """Send a call and receive its response.
 
         Args:
@@ -44,6 +65,7 @@
             headers: Headers to forward to the target.
             body: Complete body.
             target_rate: Rate limit that the target stated last, in requests per second.
+            may_wait: Whether the call may wait for a cold target until its deadline.
 
         Raises:
             PeerError: If the exchange failed; ``maybe_sent`` says whether the call may
@@ -51,30 +73,43 @@
             ProtocolError: If the response is not a valid response of a node.
         """
         if len(body) > MAX_FRAME_BODY_BYTES:
-            return await self.call_over_http(address, call, request, headers, body)
+            return await self.call_over_http(
+                address, call, request, headers, body, may_wait
+            )
         link = await self.link_pool.get_link(address)
-        response = await link.call(call, request, headers, body, target_rate)
+        response = await link.call(call, request, headers, body, target_rate, may_wait)
+        warmup = WarmupReport(response.cold_remaining, response.cold_share)
         if response.rest:
-            return await self.fetch_retained(address, response.rest), response.reply
-        return result_from_frame(response, address)
+            result = await self.fetch_retained(address, response.rest)
+            return PeerResponse(result, response.reply, warmup)
+        return PeerResponse(*result_from_frame(response, address), warmup)
 
     async def call_over_http(
-        self, address: str, call: Call, request: Request, headers: Headers, body: bytes
-    ) -> tuple[CallResult, CallReply]:
+        self,
+        address: str,
+        call: Call,
+        request: Request,
+        headers: Headers,
+        body: bytes,
+        may_wait: bool,
+    ) -> PeerResponse:
         """Send a call with a large body on a separate HTTP connection."""
         connection = await self.pool.acquire(address)
         request_headers = [*headers, (CALL_HEADER, encode_header(call))]
+        if may_wait:
+            request_headers.append((MAY_WAIT_HEADER, b"1"))
         if body or request.method in BODY_METHODS:
             request_headers.append((b"content-length", str(len(body)).encode()))
         try:
             await connection.send(request.method, request.target, request_headers, body)
             response = await connection.receive_head()
             reply = decode_reply(response.header(REPLY_HEADER), address)
+            warmup = decode_warmup(response.header(WARMUP_HEADER), address)
             result = await self.read_response(connection, response)
         except BaseException:
             await self.pool.discard(connection)
             raise
-        return reply.refusal(address) or result, reply
+        return PeerResponse(reply.refusal(address) or result, reply, warmup)
 
     async def fetch_retained(
         self, address: str, name: str
--- a/src/carawaywheel/mesh/sender.py
+++ b/src/carawaywheel/mesh/sender.py
@@ -23,6 +23,7 @@
 from .settings import HostSettings
 from .shedding import AdmissionLevelTable
 from .targetrate import RememberedRates
+from .warmupshare import WarmupReport
 
 # Attempts of one request that may be refused without having run; each costs a round
 # trip.
@@ -201,12 +202,13 @@
             return candidate._replace(retry_after=NO_TARGET_RETRY_SECONDS)
         tried_ids.append(candidate.target_id)
         call = self.build_call(admitted, progress, now)
+        may_wait = not self.router.has_warm_target(admitted.service, now, tried_ids)
         self.router.record_start(candidate.target_id, now)
         outcome, pressure, server_error = Outcome.CANCELLED, None, False
         progress.attempt_in_flight = True
         try:
             result, pressure = await self.execute_call(
-                call, candidate, admitted, request, body
+                call, candidate, admitted, request, body, may_wait
             )
             progress.attempt_in_flight = False
             outcome = Outcome.OK
@@ -252,25 +254,39 @@
         admitted: AdmittedRequest,
         request: Request,
         body: bytes,
+        may_wait: bool,
     ) -> tuple[CallResult, float | None]:
         """Execute one attempt.
 
+        Args:
+            call: Metadata of the call.
+            candidate: Target of the attempt.
+            admitted: The request.
+            request: Method and path.
+            body: Complete body.
+            may_wait: Whether the call may wait for a cold target until its deadline,
+                since no other target is expected to have capacity.
+
         Returns:
             The result, and the pressure in the reply; None if no reply arrived.
         """
         forwarded_headers = admitted.caller.forwarded_headers
         if candidate.address == self.settings.listen.peers:
-            result = await self.runner.run(call, request, forwarded_headers, body)
+            result = await self.runner.run(
+                call, request, forwarded_headers, body, may_wait=may_wait
+            )
             reply = self.runner.build_reply(call.route, None)
+            warmup = self.runner.warmup_report()
         else:
             try:
-                result, reply = await self.peer_client.call(
+                result, reply, warmup = await self.peer_client.call(
                     candidate.address,
                     call,
                     request,
                     forwarded_headers,
                     body,
                     self.target_rates.rate(candidate.address, self.clock.now()),
+                    may_wait,
                 )
             except (PeerError, ProtocolError) as error:
                 return await self.handle_peer_failure(candidate, error), None
@@ -279,8 +295,17 @@
         now = self.clock.now()
         self.call_graph.update(call.route, reply.demands)
         self.levels.update(reply.demands, now)
+        self.observe_warmup(candidate, warmup, now)
         return result, reply.pressure
 
+    def observe_warmup(
+        self, candidate: Candidate, warmup: WarmupReport, now: float
+    ) -> None:
+        """Pass on whether a target is cold, and the share that it is to be sent."""
+        if warmup.is_valid:
+            until = now + warmup.remaining
+            self.router.set_cold(candidate.target_id, until, warmup.share, now)
+
     def remember_rate(self, address: str, result: CallResult) -> None:
         """Note the rate limit that the response of a target states."""
         if isinstance(result, Refusal):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -23,6 +23,7 @@
 from carawaywheel.mesh.links import FrameConnection, Link, LinkServer
 from carawaywheel.mesh.messages import Call, CallReply
 from carawaywheel.mesh.responses import BufferedResponse
+from carawaywheel.mesh.warmupshare import WARM
 
 CALL = Call("a1", "s", "r", 1.0, 1, "mill", "o", False, False, False, True, 3)
 REPLY = CallReply("", "", None, 0.1, True, 3, [])
@@ -135,19 +136,51 @@
     assert received == make_call_frame(7)
 
 
+class FormerResponseFrame(msgspec.Struct, array_like=True, tag=3):
+    """The frame of versions that know no cold targets."""
+
+    number: int
+    reply: CallReply
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    rest: str
+
+
+def test_frames_pass_between_this_version_and_one_without_cold_targets():
+    """Guards against a rollout in which nodes reject each other's frames."""
+    call = make_call_frame(7)
+    call.may_wait = True
+    former_call = msgspec.msgpack.decode(
+        encode_frame(call)[LENGTH_PREFIX.size :], type=FormerCallFrame
+    )
+    assert former_call.number == 7
+    response = make_response_frame(8)
+    response.cold_remaining, response.cold_share = 2.5, 0.125
+    content = encode_frame(response)[LENGTH_PREFIX.size :]
+    former = msgspec.msgpack.decode(content, type=FormerResponseFrame)
+    assert (former.number, former.reply) == (8, REPLY)
+    data = msgspec.msgpack.encode(former)
+    (received,) = FrameDecoder("peer").feed(LENGTH_PREFIX.pack(len(data)) + data)
+    assert received == make_response_frame(8)
+
+
 class SlowRunner:
     """Runs a call until it is told to end, and returns a large response."""
 
     def __init__(self):
         self.ended = curio.Event()
 
-    async def run(self, call, request, headers, body, remembered_rate):
+    async def run(self, call, request, headers, body, remembered_rate, may_wait):
         await self.ended.wait()
         return BufferedResponse(200, [], bytes(500_000))
 
     def build_reply(self, route, refusal):
         return REPLY
 
+    def warmup_report(self):
+        return WARM
+
 
 async def start_call(local, remote):
     """Serve a link on which a call waits for its end.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,7 +16,7 @@
 class AnsweringLink:
     """Link to a node that has run the call and exits before its response is fetched."""
 
-    async def call(self, call, request, headers, body, target_rate):
+    async def call(self, call, request, headers, body, target_rate, may_wait):
         return ResponseFrame(1, REPLY, 200, [], b"", "rest-1")
 
 
