Use targets of new host records as cold ones at first

Cause: until the first response a sender sends a target that has just started its full share, and all senders learn of it within the same second.

A record that tells of a newly ready target, or a new incarnation of its node, makes the target cold with the initial share for the warm-up time of its service, until it responds. Nothing is assumed of the records that a node reads at its own start.

--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -6,7 +6,7 @@
 no requests until a background probe succeeds.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 import curio
@@ -39,6 +39,8 @@
     StateClient,
 )
 from .target import Phase
+from .warmup import WarmupSettings
+from .warmupshare import INITIAL_SHARE
 
 STATE_HEADER = (b"content-type", b"application/msgpack")
 OWN_ORIGIN = "self"
@@ -94,6 +96,7 @@
         outdated: Hosts with an older configuration version than this node.
         generation: Number of changes of the reachable hosts and their phases.
         serving: Returns whether the local target accepts new work.
+        warmup_settings: Returns the limit of the cold targets of a service.
         on_configuration_changed: Called with each configuration that takes effect.
         on_hosts_changed: Called when host records or the reachable hosts change.
         on_own_record: Called with a record of this host that another node has told.
@@ -119,6 +122,7 @@
         self.outdated: dict[str, OutdatedPeer] = {}
         self.generation = 0
         self.serving: Any = lambda: False
+        self.warmup_settings: Any = lambda service: WarmupSettings()
         self.on_configuration_changed: Any = lambda configuration: None
         self.on_hosts_changed: Any = lambda: None
         self.on_own_record: Any = lambda record: None
@@ -217,6 +221,10 @@
             hosts_position: Position up to which all records are known now.
             origin: Who told the records.
         """
+        former = {
+            record.address: self.directory.hosts.get(record.address)
+            for _, record in changes
+        }
         newest = {
             record.address: record
             for position, record in changes
@@ -246,6 +254,25 @@
                 origin=origin,
             )
         self.update_router()
+        if directory.hosts_known:
+            self.assume_cold(
+                record.address
+                for record in merged
+                if may_be_cold(former[record.address], record)
+            )
+
+    def assume_cold(self, addresses: Iterable[str]) -> None:
+        """Use targets as cold ones until they tell how long they stay cold.
+
+        Args:
+            addresses: Hosts whose targets may have started a moment ago.
+        """
+        now = self.clock.now()
+        for address in addresses:
+            settings = self.warmup_settings(self.directory.hosts[address].service)
+            if settings.limit and address != self.own_address:
+                until = now + settings.duration
+                self.router.set_cold(address, until, INITIAL_SHARE, now)
 
     def merge_host(self, position: Position, record: HostRecord, origin: str) -> bool:
         """Merge the record of a host; return whether it was newer."""
@@ -509,3 +536,19 @@
         if reply is not None:
             on_accepted(record)
             self.observe_version(address, reply.version)
+
+
+def may_be_cold(former: HostRecord | None, record: HostRecord) -> bool:
+    """Return whether a record of a host tells of a target that may have started.
+
+    Args:
+        former: Record of the host that was known before; None for none.
+        record: The newer record.
+    """
+    if record.phase != Phase.READY:
+        return False
+    return (
+        former is None
+        or former.phase != Phase.READY
+        or former.incarnation != record.incarnation
+    )
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -10,6 +10,8 @@
 from carawaywheel.mesh.replication.messages import state_decoder
 from carawaywheel.mesh.replication.store import START, Position
 from carawaywheel.mesh.target import Phase
+from carawaywheel.mesh.warmup import WarmupSettings
+from carawaywheel.mesh.warmupshare import INITIAL_SHARE
 
 
 class LineList(list):
@@ -81,3 +83,28 @@
     state = state_decoder.decode(reader.encode_state(0, Position(1, 7)))
     assert state.hosts == [draining]
     assert state.offsets == [7]
+
+
+def test_target_of_a_new_record_is_used_as_a_cold_one():
+    """Guards against a flood of a target that started, or a service that is shunned."""
+    monitor, cold = make_monitor("h1"), []
+    monitor.router.set_cold = lambda *arguments: cold.append(arguments)
+    monitor.warmup_settings = lambda service: WarmupSettings(3.0, 3.1)
+
+    def merge(name, sequence, phase=Phase.READY, incarnation=1):
+        record = make_record(name, sequence, phase)._replace(incarnation=incarnation)
+        monitor.merge_hosts([(START, record)], START, "store")
+        merged, cold[:] = list(cold), []
+        return merged
+
+    # At its own start a node cannot know which targets have just started.
+    assert not merge("h2", 1)
+    monitor.mark_hosts_known()
+    assert not merge("h2", 2)
+    assert not merge("h2", 1, Phase.GONE, incarnation=2)
+    expected = [(address_of("h2"), 13.0, INITIAL_SHARE, 10.0)]
+    assert merge("h2", 2, incarnation=2) == expected
+    assert merge("h2", 1, incarnation=3) == expected
+    assert len(merge("h3", 1)) == 1
+    monitor.warmup_settings = lambda service: WarmupSettings()
+    assert not merge("h4", 1)
