--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,7 @@
 	$(BIN)/python -m bench.overload --seed 7 --mesh okonkwo
 	$(BIN)/python -m bench.rates --seed 7
 	$(BIN)/python -m bench.routing --seed 7
+	$(BIN)/python -m bench.coldtargets --seed 7
 	$(BIN)/python -m bench.membership --seed 7
 	$(BIN)/python -m bench.capacity
 	$(BIN)/python -m bench.connections
