--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -39,7 +39,6 @@
     StateClient,
 )
 from .target import Phase
-from .warmup import WarmupSettings
 from .warmupshare import INITIAL_SHARE
 
 STATE_HEADER = (b"content-type", b"application/msgpack")
@@ -96,7 +95,6 @@
         outdated: Hosts with an older configuration version than this node.
         generation: Number of changes of the reachable hosts and their phases.
         serving: Returns whether the local target accepts new work.
-        warmup_settings: Returns the limit of the cold targets of a service.
         on_configuration_changed: Called with each configuration that takes effect.
         on_hosts_changed: Called when host records or the reachable hosts change.
         on_own_record: Called with a record of this host that another node has told.
@@ -122,7 +120,6 @@
         self.outdated: dict[str, OutdatedPeer] = {}
         self.generation = 0
         self.serving: Any = lambda: False
-        self.warmup_settings: Any = lambda service: WarmupSettings()
         self.on_configuration_changed: Any = lambda configuration: None
         self.on_hosts_changed: Any = lambda: None
         self.on_own_record: Any = lambda record: None
@@ -267,11 +264,15 @@
         Args:
             addresses: Hosts whose targets may have started a moment ago.
         """
+        configuration = self.directory.configuration
+        services = configuration.services if configuration else {}
         now = self.clock.now()
         for address in addresses:
-            settings = self.warmup_settings(self.directory.hosts[address].service)
-            if settings.limit and address != self.own_address:
-                until = now + settings.duration
+            service = services.get(self.directory.hosts[address].service)
+            if service is None or not service.warmup_rate:
+                continue
+            if address != self.own_address:
+                until = now + service.warmup_duration
                 self.router.set_cold(address, until, INITIAL_SHARE, now)
 
     def merge_host(self, position: Position, record: HostRecord, origin: str) -> bool:
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -5,12 +5,12 @@
 import pytest
 
 from carawaywheel.clock import ManualClock
+from carawaywheel.mesh.configuration import Service
 from carawaywheel.mesh.monitor import MAX_LOGGED_HOSTS, OWN_ORIGIN, PeerMonitor
 from carawaywheel.mesh.replication.directory import Directory, HostRecord
 from carawaywheel.mesh.replication.messages import state_decoder
 from carawaywheel.mesh.replication.store import START, Position
 from carawaywheel.mesh.target import Phase
-from carawaywheel.mesh.warmup import WarmupSettings
 from carawaywheel.mesh.warmupshare import INITIAL_SHARE
 
 
@@ -89,7 +89,8 @@
     """Guards against a flood of a target that started, or a service that is shunned."""
     monitor, cold = make_monitor("h1"), []
     monitor.router.set_cold = lambda *arguments: cold.append(arguments)
-    monitor.warmup_settings = lambda service: WarmupSettings(3.0, 3.1)
+    service = Service("desk", "/health", 10, warmup_duration=3.0, warmup_rate=3.1)
+    monitor.directory.configuration = SimpleNamespace(services={"desk": service})
 
     def merge(name, sequence, phase=Phase.READY, incarnation=1):
         record = make_record(name, sequence, phase)._replace(incarnation=incarnation)
@@ -106,5 +107,6 @@
     assert merge("h2", 2, incarnation=2) == expected
     assert merge("h2", 1, incarnation=3) == expected
     assert len(merge("h3", 1)) == 1
-    monitor.warmup_settings = lambda service: WarmupSettings()
+    service = service._replace(warmup_rate=0.0)
+    monitor.directory.configuration.services["desk"] = service
     assert not merge("h4", 1)
