--- a/tests/test_coldtargets.py
+++ b/tests/test_coldtargets.py
@@ -15,6 +15,9 @@
     WarmupShare,
 )
 
+from .platform_harness import Platform, configuration, wait
+from .test_warmup import Load, start_cold_target
+
 SCENARIOS_BY_NAME = {scenario.name: scenario for scenario in SCENARIOS}
 
 
@@ -94,3 +97,29 @@
     warmup = WarmupLimit(WarmupSettings(), 0.0)
     warmup.set_cold(60.0, 0.0)
     assert record_arrivals(WarmupShare(0.0), warmup, 0.0, 1.0, 400.0) == WARM
+
+
+def test_callers_of_real_nodes_do_not_notice_a_cold_target():
+    """Guards against figures that the simulation passes on and the nodes do not."""
+    services = [
+        {"name": name, "health_path": "/h", "warmup_s": 3.0, "warmup_per_s": 3.1}
+        for name in ("desk", "yard")
+    ]
+    with Platform() as platform:
+        platform.publish(configuration(3, services=services))
+        for name, service in (("h1", "desk"), ("h2", "yard"), ("h3", "yard")):
+            platform.start_host(name, service)
+        platform.wait_until_served("h1", "/inner/x")
+        with Load(platform, 8):
+            wait(4.0)
+        platform.processes["target-h2"].kill()
+        start_cold_target(platform)
+        load, known = Load(platform, 8), len(platform.log_lines("h1", "repeat"))
+        with load:
+            wait(4.0)
+        most = platform.target_state("h2")["most_while_cold"]
+        repeats = platform.log_lines("h1", "repeat")[known:]
+        # Without the share a fifth of the requests is refused by the cold target first.
+        assert WARMUP.limit // 2 <= most <= WARMUP.limit
+        assert set(load.statuses) == {200}
+        assert len(repeats) < 0.1 * len(load.statuses)
