Let the last attempt of a call wait for a cold target

Cause: a call that was refused by four targets was lost although its deadline left time to wait.

A target whose reported share is 1 no longer counts as warm for this decision, and the doublings of a share are bounded: after 17 minutes without a report they overflowed.

--- a/src/carawaywheel/mesh/frames.py
+++ b/src/carawaywheel/mesh/frames.py
@@ -28,8 +28,7 @@
         target_rate: Rate limit that the target stated last, in requests per second;
             None if it stated none. Former versions send and read none.
         may_wait: Whether the call may wait for a cold target until its deadline,
-            since no other target is expected to have capacity. Former versions send
-            and read none.
+            since no other target would get it. Former versions send and read none.
     """
 
     number: int
--- a/src/carawaywheel/mesh/sender.py
+++ b/src/carawaywheel/mesh/sender.py
@@ -104,8 +104,9 @@
             quarantined = self.check_quarantine(admitted, request, body)
             if quarantined is not None:
                 return error_response or quarantined._replace(ran=progress.ran)
+            is_last = refusal_count >= MAX_REFUSALS - 1
             result = await self.send_attempt(
-                admitted, request, body, progress, tried_ids
+                admitted, request, body, progress, tried_ids, is_last
             )
             if not isinstance(result, Refusal):
                 if error_response is not None or not self.may_retry_failure(
@@ -191,8 +192,18 @@
         body: bytes,
         progress: RequestProgress,
         tried_ids: list[str],
+        is_last: bool,
     ) -> CallResult:
-        """Send a request once, to a target that was not tried yet if there is one."""
+        """Send a request once, to a target that was not tried yet if there is one.
+
+        Args:
+            admitted: The request.
+            request: Method and path.
+            body: Complete body.
+            progress: Its progress.
+            tried_ids: Targets that were tried; the chosen one is added.
+            is_last: Whether no further attempt follows a refusal.
+        """
         now = self.clock.now()
         candidate = self.router.choose(admitted.service, now, tried_ids)
         if isinstance(candidate, Refusal) and progress.executions:
@@ -202,7 +213,9 @@
             return candidate._replace(retry_after=NO_TARGET_RETRY_SECONDS)
         tried_ids.append(candidate.target_id)
         call = self.build_call(admitted, progress, now)
-        may_wait = not self.router.has_warm_target(admitted.service, now, tried_ids)
+        may_wait = is_last or not self.router.has_warm_target(
+            admitted.service, now, tried_ids
+        )
         self.router.record_start(candidate.target_id, now)
         outcome, pressure, server_error = Outcome.CANCELLED, None, False
         progress.attempt_in_flight = True
@@ -265,7 +278,7 @@
             request: Method and path.
             body: Complete body.
             may_wait: Whether the call may wait for a cold target until its deadline,
-                since no other target is expected to have capacity.
+                since no other target would get it.
 
         Returns:
             The result, and the pressure in the reply; None if no reply arrived.
--- a/src/carawaywheel/routing.py
+++ b/src/carawaywheel/routing.py
@@ -34,6 +34,8 @@
 # share that is too low sends less and is told a new one later, so without this the
 # share would stay too low at many nodes.
 SHARE_DOUBLING_SECONDS = 1.0
+# More doublings change nothing: the smallest share that is reported is above 2 ** -10.
+MAX_SHARE_DOUBLINGS = 10.0
 
 
 class TargetState(enum.IntEnum):
@@ -232,8 +234,7 @@
         if now >= pool.cold_until and others > 0:
             return True
         return any(
-            self._slow_start_share(target, now) >= 1.0
-            for target in self._usable(pool, now, exclude)
+            now >= cold_end(target) for target in self._usable(pool, now, exclude)
         )
 
     def choose(
@@ -499,8 +500,8 @@
         candidate = target.candidate
         share = 1.0
         if now < target.cold_until:
-            age = now - target.cold_reported_at
-            share = target.cold_share * 2.0 ** (age / SHARE_DOUBLING_SECONDS)
+            doublings = (now - target.cold_reported_at) / SHARE_DOUBLING_SECONDS
+            share = target.cold_share * 2.0 ** min(doublings, MAX_SHARE_DOUBLINGS)
         if candidate.state is TargetState.COLD and now < candidate.cold_until:
             elapsed = 1.0 - (candidate.cold_until - now) / self.settings.slow_start
             share = min(share, max(MIN_SLOW_START_SHARE, elapsed))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -245,6 +245,14 @@
     assert choose_counts(router, 1.0, "x")["x"] > 0.4
 
 
+def test_target_that_reports_a_long_warm_up_stays_usable():
+    """Guards against an overflow when the share has doubled for many minutes."""
+    router = make_router(*(make_candidate(name) for name in "xy"))
+    router.set_cold("x", 1e9, 0.01, 0.0)
+    assert choose_counts(router, 5000.0, "x")["x"] > 0.4
+    assert not router.has_warm_target("svc", 5000.0, ["y"])
+
+
 def test_replaced_target_starts_without_earlier_failures():
     """Guards against a new host that takes over the ejection of the old one."""
     router = make_router(*(make_candidate(name) for name in "xyz"))
