--- a/bench/coldtargets.py
+++ b/bench/coldtargets.py
@@ -4,9 +4,10 @@
 ``Router``, ``WarmupShare``, ``WarmupLimit`` and ``AdmissionQueue``. A cold target that
 gets more than its limit would crash; the column ``peak`` is the largest number of
 requests that reached one in any second. There are no admission levels, so that only the
-choice of targets is compared, with two simple baselines: senders that do not know which
-targets are cold, and senders that avoid them. Requests in flight at a target or node
-that ends are lost and count as not answered.
+choice of targets is compared, with simple baselines: the senders of the former version,
+whose calls never wait for a cold target; senders that do not know which targets are
+cold, whose last attempt may wait; and senders that avoid cold targets. Requests in
+flight at a target or node that ends are lost and count as not answered.
 
 Run ``python -m bench.coldtargets --seed 7``.
 """
@@ -67,6 +68,7 @@
     """How senders treat cold targets."""
 
     SHARE = "carawaywheel"
+    FORMER = "former version"
     UNAWARE = "unaware senders"
     AVOID = "cold targets avoided"
 
@@ -303,7 +305,11 @@
             return
         target_id = candidate.target_id
         request.tried.append(target_id)
-        may_wait = not router.has_warm_target(SERVICE, self.now, request.tried)
+        is_last = request.refusals >= MAX_REFUSALS - 1
+        may_wait = is_last or not router.has_warm_target(
+            SERVICE, self.now, request.tried
+        )
+        may_wait = may_wait and self.policy is not Policy.FORMER
         router.record_start(target_id, self.now)
         self.attempts += self.counts(request)
         target = self.targets[target_id]
@@ -432,7 +438,7 @@
 
     def learn(self, router: Router, target_id: str, report: WarmupReport) -> None:
         """Pass the figures of a reply to the router as the policy does."""
-        if self.policy is Policy.UNAWARE:
+        if self.policy in (Policy.FORMER, Policy.UNAWARE):
             return
         share = report.share
         if self.policy is Policy.AVOID and report.remaining:
@@ -569,6 +575,12 @@
         simulation.schedule(EVENT_SECONDS, partial(simulation.make_cold, target))
 
 
+def cool_all(simulation: Simulation) -> None:
+    """All targets of the service become cold while they serve."""
+    for target in simulation.targets.values():
+        simulation.schedule(EVENT_SECONDS, partial(simulation.make_cold, target))
+
+
 def restart_domain(simulation: Simulation) -> None:
     """All targets of a domain restart; the nodes beside them go on."""
     for target in simulation.domain_targets(0):
@@ -662,6 +674,7 @@
     Scenario("scale-out, fast targets", scale_out, capacity=300.0),
     Scenario("evacuation ends", end_evacuation),
     Scenario("same event twice", restart_domain_twice),
+    Scenario("all targets become cold", cool_all, capacity=20.0),
     Scenario("one target left", restart_single_target, 0, 0.25),
     Scenario("node killed", kill_node),
 )
