--- a/src/carawaywheel/mesh/warmupenforcer.py
+++ b/src/carawaywheel/mesh/warmupenforcer.py
@@ -8,7 +8,7 @@
 from .settings import HostSettings
 from .target import Heartbeat
 from .targetconnections import ConnectionObserver
-from .warmup import WarmupLimit, WarmupSettings
+from .warmup import UNLIMITED, WarmupLimit, WarmupSettings
 
 STEP = "warm-up"
 # Longest wait of a call that another target may take at once.
@@ -29,7 +29,6 @@
 
     Attributes:
         limit: Request limit of the target.
-        configured: Whether a configuration is known. Until then the limit is not.
         unsent: Calls that hold a slot and have not been sent yet, by ticket id. The
             limit must have capacity for them.
         health_check_due: Whether a health check may determine an assumed state.
@@ -47,7 +46,6 @@
         self.limit = WarmupLimit(
             WarmupSettings(), clock.now(), restarted=not settings.first_start
         )
-        self.configured = False
         self.unsent: set[str] = set()
         self.health_check_due = False
         self.heartbeat_at: float | None = None
@@ -59,7 +57,6 @@
 
     def configure(self, settings: HostSettings, service: Service | None) -> None:
         """Apply the settings of the node and of the service of its target."""
-        self.configured = True
         self.heartbeat_interval = settings.heartbeat
         bounds = settings.bounds
         duration = service.warmup_duration if service else 0.0
@@ -71,6 +68,8 @@
 
     def free(self, now: float) -> int:
         """Return the number of calls that may be admitted now; see the base class."""
+        if not self.limit.is_cold(now):
+            return UNLIMITED
         return max(0, self.limit.free(now) - len(self.unsent) - self.reserved)
 
     def wait(self, position: int, now: float) -> float:
@@ -92,10 +91,11 @@
 
     def take(self, request_id: str, now: float) -> bool:
         """Count a call that is sent next; return False if it is over the limit."""
-        if self.limit.free(now) <= self.reserved:
+        limit = self.limit
+        if limit.is_cold(now) and limit.free(now) <= self.reserved:
             return False
         self.unsent.discard(request_id)
-        self.limit.record_send(now)
+        limit.record_send(now)
         return True
 
     def take_health_check(self, request_id: str, now: float) -> bool:
