--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -47,6 +47,7 @@
 from .warmup import WarmupLimit
 from .warmupenforcer import MAX_REROUTED_WAIT_SECONDS, WarmupEnforcer
 from .warmupenforcer import STEP as WARMUP_STEP
+from .warmupshare import WarmupReport, WarmupShare
 
 BODY_METHODS = ("POST", "PUT", "PATCH")
 SUCCESS_STATUSES = range(200, 300)
@@ -99,6 +100,7 @@
         awaits_configuration: Whether no call is admitted yet, since the limit of a cold
             target is not known before a configuration.
         checking_health: Whether a health check is in progress.
+        warmup_share: Share of requests that the target is to be sent while it is cold.
     """
 
     def __init__(
@@ -148,6 +150,7 @@
         self.awaits_configuration = False
         self.checking_health = False
         self.level_updated_at = clock.now()
+        self.warmup_share = WarmupShare(clock.now())
         self.configuration_version = 0
         self.ticket_ids = itertools.count()
         self.share_retries(1, 0)
@@ -261,6 +264,7 @@
             str(next(self.ticket_ids)), call.account, queue_importance(call), deadline
         )
         self.active_calls += 1
+        self.warmup_share.record_arrival()
         is_cold = self.warmup.is_cold(now)
         if may_wait or not is_cold:
             self.offered_calls += 1
@@ -609,6 +613,10 @@
             demands,
         )
 
+    def warmup_report(self) -> WarmupReport:
+        """Return what a response tells of the warm-up of the local target."""
+        return self.warmup_share.report(self.warmup, self.clock.now())
+
     @property
     def occupancy(self) -> float:
         """Requests in flight and queued, as a share of the target's limit."""
