Place requests by the speed that targets report

A target on a slowed machine kept its share of the requests until they had filled its slots, since replies told only how many slots are in use. Where a response has the fourth figure of X-Server-Load, the node beside the target smooths it over about the duration of a request and scales the pressure in its replies by half of the excess, fading between full slots and a queue of the same length. Responses without that figure change nothing; a malformed header is counted as load_header_invalid. Capacity and expected wait of the target are gauges only.

Ruled out: the whole excess, as a target at half of its slots and at half of its speed would count as full.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -37,6 +37,7 @@
 from .settings import CONNECT_TIMEOUT_SECONDS, HostSettings
 from .shedding import AdmissionLevel, AdmissionLevelTable, offered_load
 from .target import Heartbeat, LocalTarget, Phase
+from .targetload import TargetLoad
 
 BODY_METHODS = ("POST", "PUT", "PATCH")
 SUCCESS_STATUSES = range(200, 300)
@@ -64,6 +65,7 @@
         target: The local target.
         gate: Admission gate of its current incarnation; None before that is known.
         rate_enforcer: Enforces the rate limit that this incarnation states.
+        target_load: What the responses of this incarnation tell of its speed.
         level: Admission level of the target.
         shutting_down: Whether the node shuts down and admits no more calls.
         active_calls: Calls that wait or run.
@@ -104,6 +106,7 @@
         self.level = AdmissionLevel(1.0)
         self.gate: AdmissionGate | None = None
         self.rate_enforcer = RateEnforcer(journal, clock)
+        self.target_load = TargetLoad()
         self.incarnation: tuple[str, int] | None = None
         self.shutting_down = False
         self.active_calls = 0
@@ -158,6 +161,7 @@
             )
             if self.gate is not None:
                 self.rate_enforcer.start_incarnation()
+                self.target_load = TargetLoad()
             self.gate = AdmissionGate(self.target, queue, self.clock)  # type: ignore[arg-type]
         return self.gate
 
@@ -302,11 +306,13 @@
         )
         self.fanout.record_request(call.route, call.is_retry or call.caused_by_retry)
         number = self.crashes.begin(call, request, body, heartbeat)
+        sent_at = self.clock.now()
         responded = False
         try:
             await connection.send(request.method, request.target, headers, body)
             response = await self.receiver.receive_response(call, connection)
             metadata = decode_target_headers(response.status, response.headers)
+            self.record_load(metadata, sent_at)
             await self.apply_target_state(call, heartbeat, metadata)
             result = await self.read_response(
                 connection, response, metadata, release_slot
@@ -390,6 +396,20 @@
             )
             await self.on_target_changed()
 
+    def record_load(self, metadata: TargetResponseMetadata, sent_at: float) -> None:
+        """Record the load that a response reports.
+
+        Args:
+            metadata: Metadata of the response.
+            sent_at: Time in seconds at which its request was sent.
+        """
+        if not metadata.is_load_valid:
+            self.journal.count("load_header_invalid")
+        if metadata.load is not None and not metadata.wrong_target:
+            now = self.clock.now()
+            duration = None if metadata.rejected else now - sent_at
+            self.target_load.record_response(metadata.load, duration, now)
+
     def record_acceptance(self, accepted: bool) -> None:
         """Note whether a call was accepted, by the queue and by the target."""
         self.accept_ratio += ACCEPT_RATIO_SMOOTHING * (accepted - self.accept_ratio)
@@ -433,7 +453,7 @@
             refusal.reason.value if refusal else "",
             refusal.ran.value if refusal else "",
             refusal.retry_after if refusal else None,
-            round(max(self.occupancy, self.rate_enforcer.limit.pressure(now)), 3),
+            round(self.pressure(now), 3),
             self.current_gate() is not None,
             self.configuration_version,
             demands,
@@ -459,6 +479,13 @@
         queue = self.gate.queue
         return (queue.in_flight + queue.queued) / queue.limit.limit(0.0)
 
+    def pressure(self, now: float) -> float:
+        """Return the load of the target that replies carry."""
+        return max(
+            self.target_load.pressure(self.occupancy, now),
+            self.rate_enforcer.limit.pressure(now),
+        )
+
     async def run_polling(self) -> None:
         """Update the admission level and expire queued calls until cancelled."""
         while True:
--- a/src/carawaywheel/mesh/messages.py
+++ b/src/carawaywheel/mesh/messages.py
@@ -50,6 +50,23 @@
     body_length: int | None
 
 
+class ReportedLoad(NamedTuple):
+    """Load that a target reports with a response.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests that wait in it.
+        slots: Requests that it can run concurrently.
+        slowdown: Ratio of the time that work takes now to the usual time; None if the
+            target does not report it.
+    """
+
+    running: float
+    waiting: float
+    slots: float
+    slowdown: float | None = None
+
+
 class TargetResponseMetadata(NamedTuple):
     """Metadata of a response, from the headers of a target.
 
@@ -61,6 +78,8 @@
         rate_limit: Requests per second that the target takes from all nodes together,
             as it states them; empty if it states no limit.
         leaving: Whether the target is about to leave and takes no new requests.
+        load: Load that the target reports; None if it reports none.
+        is_load_valid: Whether the reported load, if any, can be read.
     """
 
     attempt_id: str
@@ -69,6 +88,8 @@
     wrong_target: bool
     rate_limit: str = ""
     leaving: bool = False
+    load: ReportedLoad | None = None
+    is_load_valid: bool = True
 
 
 class Call(NamedTuple):
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -270,7 +270,14 @@
 
     def read_gauges(self) -> list[Gauge]:
         """Return the present values of all gauges."""
-        return self.peer_monitor.unreadable.gauges()
+        gauges = self.peer_monitor.unreadable.gauges()
+        gate = self.runner.gate
+        if gate is not None:
+            queue, now = gate.queue, self.clock.now()
+            gauges += self.runner.target_load.gauges(
+                queue.in_flight + queue.queued, queue.limit.limit(now), now
+            )
+        return gauges
 
     def apply_configuration(self, configuration: MeshConfiguration) -> None:
         """Pass a new configuration to the components."""
--- a/src/carawaywheel/platform/headers.py
+++ b/src/carawaywheel/platform/headers.py
@@ -6,6 +6,7 @@
 from ..http import Headers, Request
 from ..mesh.messages import (
     CallerMetadata,
+    ReportedLoad,
     TargetRequestMetadata,
     TargetResponseMetadata,
 )
@@ -28,6 +29,8 @@
 KEY_SCHEME = "token"
 WRONG_TARGET_STATUS = 421
 MILLISECONDS_PER_SECOND = 1000.0
+# The fourth figure of a load says how long work takes, in percent of the usual time.
+PERCENT = 100.0
 
 # Headers that only a node may set or that a target must not see.
 STRIPPED_HEADERS = HOP_BY_HOP_HEADERS | {
@@ -95,6 +98,7 @@
     """Decode the headers of a target's response."""
     attempt_id = rate_limit = ""
     has_digest = leaving = False
+    load_text: bytes | None = None
     rejected = status == WRONG_TARGET_STATUS
     for name, value in headers:
         if name == ATTEMPT_ID_HEADER:
@@ -107,12 +111,42 @@
             rate_limit = value.decode("latin-1")
         elif name == LEAVING_HEADER:
             leaving = value == LEAVING_VALUE
+        elif name == LOAD_HEADER:
+            load_text = value
     wrong_target = status == WRONG_TARGET_STATUS
+    load = decode_load(load_text) if load_text is not None else None
     return TargetResponseMetadata(
-        attempt_id, has_digest, rejected, wrong_target, rate_limit, leaving
+        attempt_id,
+        has_digest,
+        rejected,
+        wrong_target,
+        rate_limit,
+        leaving,
+        load,
+        load is not None or load_text is None,
     )
 
 
+def decode_load(value: bytes) -> ReportedLoad | None:
+    """Return the load that a response reports; None if it is malformed.
+
+    The value is ``running,waiting,slots``, and from some targets a fourth figure.
+    """
+    try:
+        running, waiting, slots, *rest = map(float, value.split(b","))
+    except ValueError:
+        return None
+    # The sum is not finite if any of the figures is not.
+    valid = running >= 0.0 and waiting >= 0.0 and slots >= 0.0
+    if not valid or not running + waiting + slots < math.inf:
+        return None
+    if not rest:
+        return ReportedLoad(running, waiting, slots)
+    if len(rest) == 1 and 0.0 < rest[0] < math.inf:
+        return ReportedLoad(running, waiting, slots, rest[0] / PERCENT)
+    return None
+
+
 def decode_rate_limit(headers: Headers) -> float | None:
     """Return the rate limit that a response states; None if it states none."""
     for name, value in headers:
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -46,6 +46,7 @@
         rate_limit: Rate limit that its responses state; empty for none.
         deadly: Prefix of the paths of requests that end the process as it begins to run
             them; empty for none.
+        load: Load that its responses report, as the text of the header; empty for none.
         leaving: Whether its responses say that it is leaving.
         silent: Whether it sends no heartbeats by itself.
         tells_start: Whether its deregistration tells when it started.
@@ -67,6 +68,7 @@
         self.call_delay = 0.0
         self.mode = ""
         self.rate_limit = ""
+        self.load = ""
         self.deadly = options.deadly
         self.leaving = False
         self.silent = False
@@ -114,6 +116,8 @@
         headers = []
         if self.rate_limit:
             headers.append(("server-limit", self.rate_limit))
+        if self.load:
+            headers.append(("x-server-load", self.load))
         if self.leaving:
             headers.append(("server-leaving", "1"))
         return headers
@@ -198,6 +202,7 @@
         """
         self.mode = settings.get("mode", self.mode)
         self.rate_limit = settings.get("rate_limit", self.rate_limit)
+        self.load = settings.get("load", self.load)
         self.leaving = settings.get("leaving", self.leaving)
         self.service_time = settings.get("work", self.service_time)
         self.response_bytes = settings.get("bytes", self.response_bytes)
