--- a/tests/test_targetload.py
+++ b/tests/test_targetload.py
@@ -85,7 +85,9 @@
     """Return a runner whose target runs 4 requests."""
     target = LocalTarget("desk", "10.0.0.1:80")
     target.heartbeat = Heartbeat("i-1", "desk", "10.0.0.1:80", 10, Phase.READY, 1, 1)
-    settings = SimpleNamespace(bounds=Bounds(), service="desk")
+    settings = SimpleNamespace(
+        bounds=Bounds(), service="desk", first_start=True, heartbeat=1.5
+    )
     rng = random.Random(1)
     graph = SimpleNamespace(downstream_calls=lambda *arguments: {})
     runner = TargetRunner(
