Forget closed connections to the local target

Cause: TargetConnections.any_open dropped closed connections only from the end of its list. While lifetimes overlap, the last one is open at each connection, so that the list kept every connection that the node had ever opened.

Evidence: tests/test_targetconnections.py, 21 entries after 20 replaced connections.

Fix: connections that this node has closed are forgotten when another one is opened.

--- a/src/carawaywheel/mesh/targetconnections.py
+++ b/src/carawaywheel/mesh/targetconnections.py
@@ -57,6 +57,7 @@
                 self.observer.on_refused()
             raise
         self.observer.on_connected(self.any_open())
+        self.forget_closed()
         self.connections.append(connection)
         witness, self.witness = self.witness, None
         if witness is not None:
@@ -75,6 +76,15 @@
                     await connection.sock.close()
         await super().close_idle(address)
 
+    def forget_closed(self) -> None:
+        """Forget the connections that this node has closed."""
+        # One that is open keeps any_open() from reaching those before it.
+        self.connections = [
+            connection
+            for connection in self.connections
+            if connection.sock._socket is not None
+        ]
+
     def any_open(self) -> bool:
         """Return whether a connection is open; forget those that are not."""
         while self.connections:
