Keep no witness connection to a target without a limit

Evidence: tests/test_targetconnections.py, the connection was open after close_idle.

Fix: the observer says whether a witness is needed; WarmupEnforcer needs it only while the service has a limit.

--- a/src/carawaywheel/mesh/targetconnections.py
+++ b/src/carawaywheel/mesh/targetconnections.py
@@ -14,6 +14,11 @@
 class ConnectionObserver(ABC):
     """Receives what connection attempts show of the target."""
 
+    @property
+    @abstractmethod
+    def needs_witness(self) -> bool:
+        """Whether to keep an idle connection to recognize the process by."""
+
     @abstractmethod
     def on_refused(self) -> None:
         """Note that a connection failed while none was open: the target has ended."""
@@ -65,8 +70,8 @@
         return connection
 
     async def close_idle(self, address: str) -> None:
-        """Close the idle connections, but keep one that is open as the witness."""
-        if self.witness is None:
+        """Close the idle connections, but keep an open one as the witness if needed."""
+        if self.witness is None and self.observer.needs_witness:
             idle = self.idle_connections.get(address)
             while idle and self.witness is None:
                 connection = idle.pop()
--- a/src/carawaywheel/mesh/warmupenforcer.py
+++ b/src/carawaywheel/mesh/warmupenforcer.py
@@ -143,6 +143,11 @@
         limit = self.limit.settings.limit
         self.health_check_due = limit >= MIN_LIMIT_FOR_HEALTH_CHECK
 
+    @property
+    def needs_witness(self) -> bool:
+        """Whether the target has a limit while it is cold; see the base class."""
+        return self.limit.enabled
+
     def on_refused(self) -> None:
         """Note that the target has ended; see the base class."""
         now = self.clock.now()
--- a/tests/test_targetconnections.py
+++ b/tests/test_targetconnections.py
@@ -1,6 +1,7 @@
 """Connections to the local target are neither kept nor remembered without need."""
 
 import curio
+import pytest
 from curio import socket
 
 from carawaywheel.mesh.targetconnections import ConnectionObserver, TargetConnections
@@ -9,6 +10,8 @@
 class Observer(ConnectionObserver):
     """Records what the connections show."""
 
+    needs_witness = False
+
     def __init__(self):
         self.continuous = []
 
@@ -47,3 +50,22 @@
     count, continuous = curio.run(run)
     assert count <= 2
     assert continuous == [False] + [True] * 20
+
+
+@pytest.mark.parametrize("needs_witness", [False, True])
+def test_no_idle_connection_is_kept_after_a_failure_without_need(needs_witness):
+    """Guards against a connection kept open beside a target that has no limit."""
+
+    async def run():
+        listener, address = await open_target()
+        pool = TargetConnections(1.0, Observer())
+        pool.observer.needs_witness = needs_witness
+        connection = await pool.connect(address)
+        await pool.release(connection)
+        await pool.close_idle(address)
+        is_kept = connection.sock._socket is not None
+        await connection.sock.close()
+        await listener.close()
+        return is_kept
+
+    assert curio.run(run) is needs_witness
