Log each health check that does not determine the state

Cause: a health check of a target whose state is assumed ended without a log line if no response came within 0.5 s, or if the response had another status than 200, came from another target or held a malformed X-Warmup-Ms. The state then stays assumed, and the target limited, for no visible reason.

Evidence: tests/test_warmup.py, test_health_check_that_determines_nothing_is_logged: four of five cases had no line.

Fix: write health_check_failed in these cases too.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -737,9 +737,11 @@
         started_at = self.clock.now()
         events = self.warmup.events
         try:
-            await curio.ignore_after(
+            await curio.timeout_after(
                 HEALTH_CHECK_TIMEOUT_SECONDS, self.check_health, ticket, heartbeat, path
             )
+        except curio.TaskTimeout:
+            self.log_failed_health_check("wait for response", "timed out")
         finally:
             self.checking_health = False
             if events == self.warmup.events:
@@ -764,7 +766,7 @@
             self.warmup_enforcer.record_response()
             await self.drain_response(connection, response)
         except PeerError as error:
-            self.journal.write("health_check_failed", step=error.step, error=str(error))
+            self.log_failed_health_check(error.step, str(error))
             await self.pool.discard(connection)
             return
         except BaseException:
@@ -772,11 +774,20 @@
             raise
         metadata = decode_health_headers(response.headers)
         remaining = metadata.warmup_remaining
-        if metadata.target_id != heartbeat.target_id or remaining is None:
-            return
         if response.status != HEALTHY_STATUS:
+            problem = f"the status is {response.status}"
+        elif metadata.target_id != heartbeat.target_id:
+            problem = f"the target is {metadata.target_id!r}"
+        elif remaining is None:
+            problem = "the warm-up time is not valid"
+        else:
+            self.warmup_enforcer.confirm(remaining, events)
             return
-        self.warmup_enforcer.confirm(remaining, events)
+        self.log_failed_health_check("read response", problem)
+
+    def log_failed_health_check(self, step: str, error: str) -> None:
+        """Log that a health check has not determined the state of the target."""
+        self.journal.write("health_check_failed", step=step, error=error)
 
     def update_level(self, gate: AdmissionGate, now: float) -> None:
         """Update the admission level by the load offered since the last update."""
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -456,6 +456,53 @@
     assert curio.run(run).step == "warm-up"
 
 
+@pytest.mark.parametrize(
+    ("status", "headers", "error"),
+    [
+        (None, [], "timed out"),
+        (503, [(b"x-instance-id", b"i-1")], "the status is 503"),
+        (200, [(b"x-instance-id", b"i-2")], "the target is 'i-2'"),
+        (
+            200,
+            [(b"x-instance-id", b"i-1"), (b"x-warmup-ms", b"soon")],
+            "the warm-up time is not valid",
+        ),
+        (200, [(b"x-instance-id", b"i-1"), (b"x-warmup-ms", b"500")], None),
+    ],
+)
+def test_health_check_that_determines_nothing_is_logged(status, headers, error):
+    """Guards against a state that stays assumed without a log line that tells why."""
+    runner, _ = make_runner()
+    errors = []
+    runner.journal.write = lambda event, **fields: errors.append(
+        (event, fields.get("error"))
+    )
+
+    async def receive_head():
+        if status is None:
+            await curio.sleep(10)
+        return SimpleNamespace(status=status, headers=headers)
+
+    async def do_nothing(*_):
+        pass
+
+    async def connect(*_):
+        return SimpleNamespace(send=do_nothing, receive_head=receive_head)
+
+    runner.connect = connect
+    runner.drain_response = runner.pool.discard = do_nothing
+
+    async def run():
+        gate, ticket = runner.current_gate(), make_ticket("check")
+        gate.queue.admit_ahead(ticket, 100.0)
+        await runner.run_health_check(gate, ticket, runner.target.heartbeat, "/h")
+        return gate.queue.in_flight
+
+    assert curio.run(run) == 0
+    expected = [("health_check_failed", error)] if error else []
+    assert [line for line in errors if line[0] == "health_check_failed"] == expected
+
+
 @pytest.fixture
 def platform():
     services = [
