Refuse calls that wait for a former incarnation of the target as well

Cause: only the current gate was checked for calls that another target may take and for those of an evacuated domain. Calls in the gate of a replaced incarnation waited for the limit of the cold target, up to about a second for each dozen, while warm targets had capacity.

Evidence: tests/test_warmup.py, test_calls_that_wait_for_a_former_incarnation_leave_as_well: both calls still waited.

Fix: poll_replaced_gates refuses them by the same rules.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -662,7 +662,7 @@
                 await sleep_until_tick(IDLE_POLL_SECONDS)
             now = self.clock.now()
             self.warmup_enforcer.observe(now)
-            await self.poll_replaced_gates()
+            await self.poll_replaced_gates(now)
             if self.target.heartbeat is not None:
                 await self.crashes.observe(self.target.heartbeat)
             if gate is not None:
@@ -674,12 +674,15 @@
                 self.update_level(gate, now)
             self.fanout.update(now)
 
-    async def poll_replaced_gates(self) -> None:
+    async def poll_replaced_gates(self, now: float) -> None:
         """Admit or refuse the calls that wait in the gates of former incarnations.
 
         With a limit on the rate, no release of a slot may follow that would do it.
         """
         for gate in self.replaced_gates:
+            if self.evacuated:
+                await gate.refuse_waiting(self.evacuation_refusal())
+            await self.refuse_rerouted(gate, now)
             await gate.poll()
         self.replaced_gates = [
             gate for gate in self.replaced_gates if gate.queue.queued
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -456,6 +456,40 @@
     assert curio.run(run).step == "warm-up"
 
 
+@pytest.mark.parametrize("is_evacuated", [False, True])
+def test_calls_that_wait_for_a_former_incarnation_leave_as_well(is_evacuated):
+    """Guards against calls that wait for a cold target after its replacement."""
+    runner, clock = make_runner()
+
+    async def run():
+        gate = runner.current_gate()
+        for number in range(LIMIT):
+            await runner.acquire_slot(gate, make_ticket(str(number)), True)
+            runner.warmup_enforcer.take(str(number), 100.0)
+        # While one is due, calls that another target may take wait for its result.
+        runner.warmup_enforcer.expect_health_check()
+        calls = [
+            await curio.spawn(runner.acquire_slot, gate, make_ticket(name), may_wait)
+            for name, may_wait in (("a", False), ("b", True))
+        ]
+        await curio.sleep(0)
+        assert gate.queue.queued == 2
+        restarted = runner.target.heartbeat._replace(incarnation=2)
+        assert runner.target.receive(restarted)
+        assert runner.current_gate() is not gate
+        runner.evacuated = is_evacuated
+        await runner.poll_replaced_gates(clock.advance(0.2))
+        assert gate.queue.waiting.keys() == (set() if is_evacuated else {"b"})
+        refusals = [await calls[0].join()]
+        if is_evacuated:
+            refusals.append(await calls[1].join())
+        else:
+            await calls[1].cancel()
+        return {refusal.step for refusal in refusals}
+
+    assert curio.run(run) == {"evacuation" if is_evacuated else "warm-up"}
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "error"),
     [
