Serve calls before a configuration where targets have no limit

Evidence: tests/test_warmup.py, test_only_a_target_that_may_be_restricted_waits_for_a_configuration.

Fix: a node waits only if its settings file states one of the bounds that older installations lack (warmup_overage, warmup_slack, evacuate_s) or if the target tells warmup_left_s. Others admit calls at once, as before.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -99,8 +99,9 @@
         offered_cold_calls: Those of them that may wait for a cold target.
         rerouted_since: Calls that wait and that another target may take at once: time
             of their arrival in seconds, by ticket id.
-        awaits_configuration: Whether no call is admitted yet, since the limit of a cold
-            target is not known before a configuration.
+        awaits_configuration: Whether no configuration is known yet, and with it neither
+            the limit of a cold target nor the evacuations. A target that may have any
+            gets no calls until then.
         checking_health: Whether a health check is in progress.
         warmup_share: Share of requests that the target is to be sent while it is cold.
     """
@@ -178,6 +179,16 @@
         """
         self.warmup_enforcer.assume_cold(reason)
 
+    def may_be_restricted(self, heartbeat: Heartbeat) -> bool:
+        """Return whether the target may be cold with a limit, or evacuated.
+
+        Without a configuration only the settings file and the target tell whether the
+        platform knows of either.
+        """
+        if self.settings.bounds.restricts_targets:
+            return True
+        return heartbeat.warmup_remaining is not None
+
     def share_retries(self, count: int, index: int) -> None:
         """Size the retry budget for one of the targets of the service.
 
@@ -210,7 +221,7 @@
             return None
         if self.clock.now() < self.unreachable_until:
             return None
-        if self.awaits_configuration:
+        if self.awaits_configuration and self.may_be_restricted(heartbeat):
             return None
         incarnation = (heartbeat.target_id, heartbeat.incarnation)
         if self.gate is None or self.incarnation != incarnation:
--- a/src/carawaywheel/mesh/settings.py
+++ b/src/carawaywheel/mesh/settings.py
@@ -50,6 +50,8 @@
         warmup_overage: Factor on the request rate that a cold target takes.
         warmup_slack: Requests per second that it takes in addition.
         evacuate: Seconds after which no request may reach an evacuated domain.
+        restricts_targets: Whether the installation states bounds of cold targets or of
+            evacuations. Older ones, which have neither, do not.
     """
 
     grace: float = 6.0
@@ -59,6 +61,7 @@
     warmup_overage: float = 1.5
     warmup_slack: float = 8.0
     evacuate: float = 5.0
+    restricts_targets: bool = False
 
 
 class HostSettings(NamedTuple):
--- a/src/carawaywheel/platform/settings.py
+++ b/src/carawaywheel/platform/settings.py
@@ -38,9 +38,9 @@
     retry_budget_ratio: float = Bounds().retry_ratio
     budget_window_s: float = Bounds().retry_window
     budget_slack: float = Bounds().retry_slack
-    warmup_overage: Finite = Bounds().warmup_overage
-    warmup_slack: Finite = Bounds().warmup_slack
-    evacuate_s: Finite = Bounds().evacuate
+    warmup_overage: Finite | None = None
+    warmup_slack: Finite | None = None
+    evacuate_s: Finite | None = None
 
 
 class WireProvider(msgspec.Struct):
@@ -116,12 +116,25 @@
             bounds.retry_budget_ratio,
             bounds.budget_window_s,
             bounds.budget_slack,
-            bounds.warmup_overage,
-            bounds.warmup_slack,
-            bounds.evacuate_s,
+            default(bounds.warmup_overage, Bounds().warmup_overage),
+            default(bounds.warmup_slack, Bounds().warmup_slack),
+            default(bounds.evacuate_s, Bounds().evacuate),
+            any(
+                bound is not None
+                for bound in (
+                    bounds.warmup_overage,
+                    bounds.warmup_slack,
+                    bounds.evacuate_s,
+                )
+            ),
         ),
         first_start=wire.first_start,
         heartbeat=wire.heartbeat_s,
         memory_bytes=int(wire.limits.memory_mb * MEGABYTE),
         domains=tuple(wire.zones) if isinstance(wire.zones, dict) else (),
     )
+
+
+def default(value: float | None, otherwise: float) -> float:
+    """Return a value, or another one if the file does not state it."""
+    return otherwise if value is None else value
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -24,7 +24,9 @@
 from carawaywheel.mesh.warmupenforcer import WarmupEnforcer
 from carawaywheel.platform.headers import decode_health_headers
 from carawaywheel.platform.heartbeats import decode_heartbeat
+from carawaywheel.platform.settings import read_host_settings
 from carawaywheel.refusals import Importance, Outcome, Reason
+from standins.platform import HostAddresses
 
 from .platform_harness import Platform, configuration, wait
 
@@ -389,6 +391,20 @@
     return runner, clock
 
 
+@pytest.mark.parametrize(
+    ("remaining", "restricts_targets", "is_admitted"),
+    [(None, False, True), (0.0, False, False), (None, True, False)],
+)
+def test_only_a_target_that_may_be_restricted_waits_for_a_configuration(
+    remaining, restricts_targets, is_admitted
+):
+    """Guards against refused calls where the platform knows of no cold targets."""
+    runner, _ = make_runner(remaining=remaining)
+    runner.awaits_configuration = True
+    runner.settings.bounds = Bounds(restricts_targets=restricts_targets)
+    assert (runner.current_gate() is not None) is is_admitted
+
+
 def make_ticket(name, importance=Importance.NORMAL, deadline=110.0):
     return Ticket(name, "mill", importance, deadline)
 
@@ -641,3 +657,16 @@
     (line, *_) = platform.log_lines("h2", "target_warm")
     assert line["origin"] == "health check"
     assert platform.log_lines("h2", "health_check_failed") == []
+
+
+def test_settings_file_tells_whether_targets_may_be_restricted(tmp_path):
+    path = tmp_path / "boot.toml"
+    content = HostAddresses(5, 20000).boot_file(
+        "h1", "desk", "127.0.0.1:1", "127.0.0.1:2"
+    )
+    path.write_text(content)
+    assert read_host_settings(str(path)).bounds.restricts_targets is False
+    path.write_text(content.replace("[bounds]\n", "[bounds]\nwarmup_slack = 4\n"))
+    bounds = read_host_settings(str(path)).bounds
+    assert bounds.restricts_targets and bounds.warmup_slack == 4
+    assert bounds.warmup_overage == Bounds().warmup_overage
