Extend an assumption when a configuration states a longer warm-up

Cause: an event before the first configuration, such as the first heartbeat of an incarnation without warmup_left_s, was assumed to last for the warm-up time known then, 0 s. The configuration did not change it, so that a target that had just started counted as warm. The same held for a reload with a longer time.

Evidence: tests/test_warmup.py, test_target_that_started_before_its_limit_was_known_is_cold.

Fix: WarmupLimit keeps the time of the last assumption and applies the new duration to it.

--- a/src/carawaywheel/mesh/warmup.py
+++ b/src/carawaywheel/mesh/warmup.py
@@ -58,6 +58,7 @@
         absent: Whether the target has been found not to respond. It may start at any
             time, so that the cold state does not end before it responds again.
         assumed: Reason for which the state is assumed; empty if it was reported.
+        assumed_at: Time of the last assumption, in seconds.
         events: Number of assumptions so far, by which a health check that was sent
             before the last one is recognized.
     """
@@ -79,6 +80,7 @@
         self.held_until = float("-inf")
         self.absent = False
         self.assumed = ""
+        self.assumed_at = float("-inf")
         self.events = 0
         if restarted:
             self.fill_log(now)
@@ -98,6 +100,8 @@
             if was_full:
                 self.fill_log(self.log[0])
         self.settings = settings
+        if self.assumed:
+            self.hold_cold()
 
     def fill_log(self, at: float) -> None:
         """Fill the log with sends at a time not after its oldest one."""
@@ -195,7 +199,13 @@
         """Assume that the target is cold after an event, such as a possible restart."""
         self.events += 1
         self.assumed = reason
-        self.cold_until = max(self.cold_until, now + self.settings.duration)
+        self.assumed_at = now
+        self.hold_cold()
+
+    def hold_cold(self) -> None:
+        """Hold the cold state for the duration of a warm-up since the last event."""
+        until = self.assumed_at + self.settings.duration
+        self.cold_until = max(self.cold_until, until)
         self.held_until = self.cold_until
 
     def mark_absent(self, now: float, reason: str) -> None:
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -138,6 +138,16 @@
     assert limit.wait(99, 0.0) == 0.0
 
 
+def test_target_that_started_before_its_limit_was_known_is_cold():
+    """Guards against a burst at a target that started just before the configuration."""
+    limit = WarmupLimit(WarmupSettings(), 0.0)
+    limit.assume_cold(0.0, "started")
+    assert not limit.is_cold(0.1)
+    limit.configure(SETTINGS)
+    assert limit.is_cold(0.5) and not limit.is_cold(3.0)
+    assert not limit.set_cold(0.5, 0.5) and limit.is_cold(0.5)
+
+
 def test_higher_limit_counts_sends_that_the_log_has_no_more():
     limit = make_limit()
     send(limit, 0.0, 40)
