Use an absent target again whose limit while cold is 0

Cause: an absent target counts as cold until a connection or a response shows that it has come back. With a limit of 0, such as that of warmup_per_s 0.5 and warmup_slack 0, no call was admitted that would open a connection, and the target got no requests ever again.

Evidence: tests/test_warmup.py, test_absent_target_that_takes_nothing_while_cold_is_used_again.

Fix: with a limit of 0, absence lasts no longer than the assumed warm-up. The connection that a call then opens makes the target cold once more before the call is sent.

--- a/src/carawaywheel/mesh/warmup.py
+++ b/src/carawaywheel/mesh/warmup.py
@@ -111,7 +111,11 @@
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold, or assumed to be."""
         # The usual case first: this is asked several times for each request.
-        return (now < self.cold_until or self.absent) and self.settings.rate > 0
+        if now < self.cold_until:
+            return self.settings.rate > 0
+        # Only a request shows that an absent target has come back, so that a limit of 0
+        # must not keep all of them away.
+        return self.absent and self.settings.limit > 0
 
     def remaining(self, now: float) -> float:
         """Return the seconds for which the target stays cold; 0 when it is warm."""
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -130,6 +130,18 @@
     assert limit.remaining(60.0) == pytest.approx(3.0)
 
 
+def test_absent_target_that_takes_nothing_while_cold_is_used_again():
+    """Guards against a target that gets no connection, and so stays absent for ever."""
+    limit = WarmupLimit(WarmupSettings(3.0, 0.5, 1.5, 0.0), 0.0)
+    assert limit.settings.limit == 0
+    limit.mark_absent(0.0, "refused")
+    assert limit.free(2.9) == 0
+    assert limit.free(3.1) > 0
+    assert limit.mark_present(3.1)
+    assert limit.free(6.0) == 0
+    assert limit.free(6.2) > 0
+
+
 def test_service_without_a_rate_has_no_limit():
     limit = WarmupLimit(WarmupSettings(), 0.0, restarted=True)
     limit.mark_absent(0.0, "refused")
