Count reports of cold targets that cannot be used

Cause: a reply whose cold_remaining or cold_share is out of range was ignored without any trace, so that the target stayed in use as a warm one.

Evidence: tests/test_coldtargets.py, test_report_that_cannot_be_used_is_ignored_and_counted.

Fix: count warmup_report_invalid, as load_header_invalid is counted.

--- a/src/carawaywheel/mesh/sender.py
+++ b/src/carawaywheel/mesh/sender.py
@@ -314,9 +314,11 @@
         self, candidate: Candidate, warmup: WarmupReport, now: float
     ) -> None:
         """Pass on whether a target is cold, and the share that it is to be sent."""
-        if warmup.is_valid:
-            until = now + warmup.remaining
-            self.router.set_cold(candidate.target_id, until, warmup.share, now)
+        if not warmup.is_valid:
+            self.journal.count("warmup_report_invalid")
+            return
+        until = now + warmup.remaining
+        self.router.set_cold(candidate.target_id, until, warmup.share, now)
 
     def remember_rate(self, address: str, result: CallResult) -> None:
         """Note the rate limit that the response of a target states."""
--- a/tests/test_coldtargets.py
+++ b/tests/test_coldtargets.py
@@ -1,10 +1,13 @@
 """Cold targets: the share of requests that they are sent, and load scenarios."""
 
 import functools
+from types import SimpleNamespace
 
 import pytest
 
 from bench.coldtargets import SCENARIOS, WARMUP, Policy, Simulation
+from carawaywheel.mesh.journal import Journal
+from carawaywheel.mesh.sender import RequestSender
 from carawaywheel.mesh.warmup import WarmupLimit, WarmupSettings
 from carawaywheel.mesh.warmupshare import (
     INITIAL_SHARE,
@@ -12,6 +15,7 @@
     MAX_STEP,
     MIN_SHARE,
     WARM,
+    WarmupReport,
     WarmupShare,
 )
 
@@ -106,6 +110,26 @@
     assert record_arrivals(WarmupShare(0.0), warmup, 0.0, 1.0, 400.0) == WARM
 
 
+def test_report_that_cannot_be_used_is_ignored_and_counted():
+    """Guards against targets that are used as warm for no visible reason."""
+    journal, reports = Journal("h1"), []
+    sender = SimpleNamespace(
+        journal=journal,
+        router=SimpleNamespace(set_cold=lambda *report: reports.append(report)),
+    )
+    target = SimpleNamespace(target_id="h2")
+    for report in (
+        WarmupReport(1.0, 0.0),
+        WarmupReport(1.0, 1.5),
+        WarmupReport(-1.0, 0.5),
+        WarmupReport(float("nan"), 0.5),
+        WarmupReport(1.0, 0.5),
+    ):
+        RequestSender.observe_warmup(sender, target, report, 10.0)
+    assert reports == [("h2", 11.0, 0.5, 10.0)]
+    assert journal.counters["warmup_report_invalid", ""] == 4
+
+
 def test_callers_of_real_nodes_do_not_notice_a_cold_target():
     """Guards against figures that the simulation passes on and the nodes do not."""
     services = [
