Tell a node that starts all beginnings of evacuations

Cause: nodes told each other only the last beginning of an evacuation that has ended. A node that started later, read the store first after its restoration from a copy, and found an earlier beginning there, took it for a new request. Its reports then revived the revoked evacuation at all nodes, also at those that knew its end, since they merge by era.

Datagrams stay as they are.

--- a/src/carawaywheel/mesh/evacuation.py
+++ b/src/carawaywheel/mesh/evacuation.py
@@ -112,6 +112,17 @@
                 known += [each for each in earlier if each.active][-1:]
         return known
 
+    def history(self) -> list[Evacuation]:
+        """Return what a node that starts is told.
+
+        This includes all beginnings that are remembered: a copy of the store may hold
+        any of them, and the node may be the first to read it.
+        """
+        history = list(self.newest.values())
+        for earlier in self.superseded.values():
+            history += [each for each in earlier if each.active]
+        return history
+
     def merge(self, evacuation: Evacuation) -> EvacuationChange | None:
         """Merge an evacuation that a node told; return what it changed, if anything."""
         replacement = self.without_removed(evacuation)
--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -473,7 +473,7 @@
                 directory.hosts_position.offset,
                 directory.hosts_position.era,
                 [position.era for position, _ in changes],
-                directory.evacuations.known(),
+                directory.evacuations.history(),
             )
         )
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -103,6 +103,17 @@
     assert evacuations.active == {"a"}
 
 
+def test_node_that_starts_recognizes_each_evacuation_in_a_copy_of_the_store():
+    """Guards against an evacuation revoked long ago that a new reader brings back."""
+    later = [Evacuation("a", 1, 4 + n, n % 2 == 1) for n in range(3)]
+    former = known(BEGUN, *later)
+    evacuations = known(*former.history())
+    assert not evacuations.active
+    copy = Evacuation("a", 2, 3, True)
+    (change,) = evacuations.apply_page([copy], Position(2, 4), True)
+    assert change.note and not evacuations.active
+
+
 @pytest.fixture
 def platform():
     """Four hosts in three domains; "a" and "b" hold all targets of "yard"."""
