--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -99,8 +99,9 @@
         offered_cold_calls: Those of them that may wait for a cold target.
         rerouted_since: Calls that wait and that another target may take at once: time
             of their arrival in seconds, by ticket id.
-        awaits_configuration: Whether no call is admitted yet, since the limit of a cold
-            target is not known before a configuration.
+        awaits_configuration: Whether no configuration is known yet, and with it neither
+            the limit of a cold target nor the evacuations. A target that may have any
+            gets no calls until then.
         checking_health: Whether a health check is in progress.
         warmup_share: Share of requests that the target is to be sent while it is cold.
     """
@@ -178,6 +179,16 @@
         """
         self.warmup_enforcer.assume_cold(reason)
 
+    def may_be_restricted(self, heartbeat: Heartbeat) -> bool:
+        """Return whether the target may be cold with a limit, or evacuated.
+
+        Without a configuration only the settings file and the target tell whether the
+        platform knows of either.
+        """
+        if self.settings.bounds.restricts_targets:
+            return True
+        return heartbeat.warmup_remaining is not None
+
     def share_retries(self, count: int, index: int) -> None:
         """Size the retry budget for one of the targets of the service.
 
@@ -210,7 +221,7 @@
             return None
         if self.clock.now() < self.unreachable_until:
             return None
-        if self.awaits_configuration:
+        if self.awaits_configuration and self.may_be_restricted(heartbeat):
             return None
         incarnation = (heartbeat.target_id, heartbeat.incarnation)
         if self.gate is None or self.incarnation != incarnation:
@@ -662,7 +673,7 @@
                 await sleep_until_tick(IDLE_POLL_SECONDS)
             now = self.clock.now()
             self.warmup_enforcer.observe(now)
-            await self.poll_replaced_gates()
+            await self.poll_replaced_gates(now)
             if self.target.heartbeat is not None:
                 await self.crashes.observe(self.target.heartbeat)
             if gate is not None:
@@ -674,12 +685,15 @@
                 self.update_level(gate, now)
             self.fanout.update(now)
 
-    async def poll_replaced_gates(self) -> None:
+    async def poll_replaced_gates(self, now: float) -> None:
         """Admit or refuse the calls that wait in the gates of former incarnations.
 
         With a limit on the rate, no release of a slot may follow that would do it.
         """
         for gate in self.replaced_gates:
+            if self.evacuated:
+                await gate.refuse_waiting(self.evacuation_refusal())
+            await self.refuse_rerouted(gate, now)
             await gate.poll()
         self.replaced_gates = [
             gate for gate in self.replaced_gates if gate.queue.queued
@@ -737,9 +751,11 @@
         started_at = self.clock.now()
         events = self.warmup.events
         try:
-            await curio.ignore_after(
+            await curio.timeout_after(
                 HEALTH_CHECK_TIMEOUT_SECONDS, self.check_health, ticket, heartbeat, path
             )
+        except curio.TaskTimeout:
+            self.log_failed_health_check("wait for response", "timed out")
         finally:
             self.checking_health = False
             if events == self.warmup.events:
@@ -764,7 +780,7 @@
             self.warmup_enforcer.record_response()
             await self.drain_response(connection, response)
         except PeerError as error:
-            self.journal.write("health_check_failed", step=error.step, error=str(error))
+            self.log_failed_health_check(error.step, str(error))
             await self.pool.discard(connection)
             return
         except BaseException:
@@ -772,11 +788,20 @@
             raise
         metadata = decode_health_headers(response.headers)
         remaining = metadata.warmup_remaining
-        if metadata.target_id != heartbeat.target_id or remaining is None:
-            return
         if response.status != HEALTHY_STATUS:
+            problem = f"the status is {response.status}"
+        elif metadata.target_id != heartbeat.target_id:
+            problem = f"the target is {metadata.target_id!r}"
+        elif remaining is None:
+            problem = "the warm-up time is not valid"
+        else:
+            self.warmup_enforcer.confirm(remaining, events)
             return
-        self.warmup_enforcer.confirm(remaining, events)
+        self.log_failed_health_check("read response", problem)
+
+    def log_failed_health_check(self, step: str, error: str) -> None:
+        """Log that a health check has not determined the state of the target."""
+        self.journal.write("health_check_failed", step=step, error=error)
 
     def update_level(self, gate: AdmissionGate, now: float) -> None:
         """Update the admission level by the load offered since the last update."""
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -24,7 +24,9 @@
 from carawaywheel.mesh.warmupenforcer import WarmupEnforcer
 from carawaywheel.platform.headers import decode_health_headers
 from carawaywheel.platform.heartbeats import decode_heartbeat
+from carawaywheel.platform.settings import read_host_settings
 from carawaywheel.refusals import Importance, Outcome, Reason
+from standins.platform import HostAddresses
 
 from .platform_harness import Platform, configuration, wait
 
@@ -128,6 +130,18 @@
     assert limit.remaining(60.0) == pytest.approx(3.0)
 
 
+def test_absent_target_that_takes_nothing_while_cold_is_used_again():
+    """Guards against a target that gets no connection, and so stays absent for ever."""
+    limit = WarmupLimit(WarmupSettings(3.0, 0.5, 1.5, 0.0), 0.0)
+    assert limit.settings.limit == 0
+    limit.mark_absent(0.0, "refused")
+    assert limit.free(2.9) == 0
+    assert limit.free(3.1) > 0
+    assert limit.mark_present(3.1)
+    assert limit.free(6.0) == 0
+    assert limit.free(6.2) > 0
+
+
 def test_service_without_a_rate_has_no_limit():
     limit = WarmupLimit(WarmupSettings(), 0.0, restarted=True)
     limit.mark_absent(0.0, "refused")
@@ -136,6 +150,16 @@
     assert limit.wait(99, 0.0) == 0.0
 
 
+def test_target_that_started_before_its_limit_was_known_is_cold():
+    """Guards against a burst at a target that started just before the configuration."""
+    limit = WarmupLimit(WarmupSettings(), 0.0)
+    limit.assume_cold(0.0, "started")
+    assert not limit.is_cold(0.1)
+    limit.configure(SETTINGS)
+    assert limit.is_cold(0.5) and not limit.is_cold(3.0)
+    assert not limit.set_cold(0.5, 0.5) and limit.is_cold(0.5)
+
+
 def test_higher_limit_counts_sends_that_the_log_has_no_more():
     limit = make_limit()
     send(limit, 0.0, 40)
@@ -389,6 +413,20 @@
     return runner, clock
 
 
+@pytest.mark.parametrize(
+    ("remaining", "restricts_targets", "is_admitted"),
+    [(None, False, True), (0.0, False, False), (None, True, False)],
+)
+def test_only_a_target_that_may_be_restricted_waits_for_a_configuration(
+    remaining, restricts_targets, is_admitted
+):
+    """Guards against refused calls where the platform knows of no cold targets."""
+    runner, _ = make_runner(remaining=remaining)
+    runner.awaits_configuration = True
+    runner.settings.bounds = Bounds(restricts_targets=restricts_targets)
+    assert (runner.current_gate() is not None) is is_admitted
+
+
 def make_ticket(name, importance=Importance.NORMAL, deadline=110.0):
     return Ticket(name, "mill", importance, deadline)
 
@@ -456,6 +494,87 @@
     assert curio.run(run).step == "warm-up"
 
 
+@pytest.mark.parametrize("is_evacuated", [False, True])
+def test_calls_that_wait_for_a_former_incarnation_leave_as_well(is_evacuated):
+    """Guards against calls that wait for a cold target after its replacement."""
+    runner, clock = make_runner()
+
+    async def run():
+        gate = runner.current_gate()
+        for number in range(LIMIT):
+            await runner.acquire_slot(gate, make_ticket(str(number)), True)
+            runner.warmup_enforcer.take(str(number), 100.0)
+        # While one is due, calls that another target may take wait for its result.
+        runner.warmup_enforcer.expect_health_check()
+        calls = [
+            await curio.spawn(runner.acquire_slot, gate, make_ticket(name), may_wait)
+            for name, may_wait in (("a", False), ("b", True))
+        ]
+        await curio.sleep(0)
+        assert gate.queue.queued == 2
+        restarted = runner.target.heartbeat._replace(incarnation=2)
+        assert runner.target.receive(restarted)
+        assert runner.current_gate() is not gate
+        runner.evacuated = is_evacuated
+        await runner.poll_replaced_gates(clock.advance(0.2))
+        assert gate.queue.waiting.keys() == (set() if is_evacuated else {"b"})
+        refusals = [await calls[0].join()]
+        if is_evacuated:
+            refusals.append(await calls[1].join())
+        else:
+            await calls[1].cancel()
+        return {refusal.step for refusal in refusals}
+
+    assert curio.run(run) == {"evacuation" if is_evacuated else "warm-up"}
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "error"),
+    [
+        (None, [], "timed out"),
+        (503, [(b"x-instance-id", b"i-1")], "the status is 503"),
+        (200, [(b"x-instance-id", b"i-2")], "the target is 'i-2'"),
+        (
+            200,
+            [(b"x-instance-id", b"i-1"), (b"x-warmup-ms", b"soon")],
+            "the warm-up time is not valid",
+        ),
+        (200, [(b"x-instance-id", b"i-1"), (b"x-warmup-ms", b"500")], None),
+    ],
+)
+def test_health_check_that_determines_nothing_is_logged(status, headers, error):
+    """Guards against a state that stays assumed without a log line that tells why."""
+    runner, _ = make_runner()
+    errors = []
+    runner.journal.write = lambda event, **fields: errors.append(
+        (event, fields.get("error"))
+    )
+
+    async def receive_head():
+        if status is None:
+            await curio.sleep(10)
+        return SimpleNamespace(status=status, headers=headers)
+
+    async def do_nothing(*_):
+        pass
+
+    async def connect(*_):
+        return SimpleNamespace(send=do_nothing, receive_head=receive_head)
+
+    runner.connect = connect
+    runner.drain_response = runner.pool.discard = do_nothing
+
+    async def run():
+        gate, ticket = runner.current_gate(), make_ticket("check")
+        gate.queue.admit_ahead(ticket, 100.0)
+        await runner.run_health_check(gate, ticket, runner.target.heartbeat, "/h")
+        return gate.queue.in_flight
+
+    assert curio.run(run) == 0
+    expected = [("health_check_failed", error)] if error else []
+    assert [line for line in errors if line[0] == "health_check_failed"] == expected
+
+
 @pytest.fixture
 def platform():
     services = [
@@ -560,3 +679,16 @@
     (line, *_) = platform.log_lines("h2", "target_warm")
     assert line["origin"] == "health check"
     assert platform.log_lines("h2", "health_check_failed") == []
+
+
+def test_settings_file_tells_whether_targets_may_be_restricted(tmp_path):
+    path = tmp_path / "boot.toml"
+    content = HostAddresses(5, 20000).boot_file(
+        "h1", "desk", "127.0.0.1:1", "127.0.0.1:2"
+    )
+    path.write_text(content)
+    assert read_host_settings(str(path)).bounds.restricts_targets is False
+    path.write_text(content.replace("[bounds]\n", "[bounds]\nwarmup_slack = 4\n"))
+    bounds = read_host_settings(str(path)).bounds
+    assert bounds.restricts_targets and bounds.warmup_slack == 4
+    assert bounds.warmup_overage == Bounds().warmup_overage
