Serve calls before a configuration where the settings state no bounds

Targets tell a warm-up time in their heartbeats also where no service has a limit, so that this does not show that calls may have to wait. Only the settings file does: older ones lack the bounds of cold targets and evacuations.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -179,16 +179,6 @@
         """
         self.warmup_enforcer.assume_cold(reason)
 
-    def may_be_restricted(self, heartbeat: Heartbeat) -> bool:
-        """Return whether the target may be cold with a limit, or evacuated.
-
-        Without a configuration only the settings file and the target tell whether the
-        platform knows of either.
-        """
-        if self.settings.bounds.restricts_targets:
-            return True
-        return heartbeat.warmup_remaining is not None
-
     def share_retries(self, count: int, index: int) -> None:
         """Size the retry budget for one of the targets of the service.
 
@@ -221,7 +211,7 @@
             return None
         if self.clock.now() < self.unreachable_until:
             return None
-        if self.awaits_configuration and self.may_be_restricted(heartbeat):
+        if self.awaits_configuration and self.settings.bounds.restricts_targets:
             return None
         incarnation = (heartbeat.target_id, heartbeat.incarnation)
         if self.gate is None or self.incarnation != incarnation:
