--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -15,8 +15,6 @@
 from ..http import Request
 from ..limits import FixedLimit
 from ..platform.headers import (
-    decode_health_headers,
-    encode_health_headers,
     encode_target_headers,
 )
 from ..pool import ClientConnection, Response
@@ -29,6 +27,7 @@
 from .configuration import Service
 from .crashes import CrashDetector
 from .crashreports import CrashReporter
+from .healthchecks import HealthChecker
 from .journal import Journal
 from .messages import (
     Call,
@@ -70,9 +69,6 @@
 ACCEPT_RATIO_SMOOTHING = 0.05
 # Share of the retry slack that nodes use, since their counts of targets lag a little.
 USED_RETRY_SLACK_SHARE = 0.7
-# Health checks of targets take a few milliseconds.
-HEALTH_CHECK_TIMEOUT_SECONDS = 0.5
-HEALTHY_STATUS = 200
 
 
 class TargetRunner:
@@ -102,7 +98,7 @@
         awaits_configuration: Whether no configuration is known yet, and with it neither
             the limit of a cold target nor the evacuations. A target that may have any
             gets no calls until then.
-        checking_health: Whether a health check is in progress.
+        health_checker: Sends health checks while the state of the target is assumed.
         warmup_share: Share of requests that the target is to be sent while it is cold.
     """
 
@@ -152,7 +148,7 @@
         self.offered_cold_calls = 0
         self.rerouted_since: dict[str, float] = {}
         self.awaits_configuration = False
-        self.checking_health = False
+        self.health_checker = HealthChecker(self)
         self.level_updated_at = clock.now()
         self.warmup_share = WarmupShare(clock.now())
         self.configuration_version = 0
@@ -656,7 +652,9 @@
         """Update the admission level and expire queued calls until cancelled."""
         while True:
             gate = self.gate
-            busy = gate is not None and (gate.queue.queued or self.needs_health_check)
+            busy = gate is not None and (
+                gate.queue.queued or self.health_checker.is_due
+            )
             if busy:
                 await curio.sleep(QUEUE_POLL_SECONDS)
             else:
@@ -669,7 +667,7 @@
             if gate is not None:
                 if self.evacuated:
                     await gate.refuse_waiting(self.evacuation_refusal())
-                await self.start_health_check(gate, now)
+                await self.health_checker.start_if_due(gate, now)
                 await self.refuse_rerouted(gate, now)
                 await gate.poll()
                 self.update_level(gate, now)
@@ -700,99 +698,6 @@
             if now - max(since, cold_since) >= MAX_REROUTED_WAIT_SECONDS:
                 await gate.refuse(request_id, self.warmup_enforcer.refuse(now))
 
-    @property
-    def needs_health_check(self) -> bool:
-        """Whether calls wait whose number a health check might raise."""
-        enforcer = self.warmup_enforcer
-        if not enforcer.health_check_due or self.checking_health:
-            return False
-        if self.gate is None or self.warmup.absent:
-            return False
-        return bool(self.gate.queue.queued or enforcer.unsent)
-
-    async def start_health_check(self, gate: AdmissionGate, now: float) -> None:
-        """Send a health check if it may determine an assumed state."""
-        service, heartbeat = self.service, self.target.heartbeat
-        if not self.needs_health_check or service is None or heartbeat is None:
-            return
-        queue = gate.queue
-        if self.warmup.free(now) <= 0:
-            return
-        sent = queue.in_flight - len(self.warmup_enforcer.unsent)
-        if self.current_gate() is not gate or sent >= queue.limit.limit(now):
-            return
-        deadline = now + HEALTH_CHECK_TIMEOUT_SECONDS
-        ticket = Ticket(str(next(self.ticket_ids)), "", Importance.CRITICAL, deadline)
-        queue.admit_ahead(ticket, now)
-        self.checking_health = True
-        await curio.spawn(
-            self.run_health_check,
-            gate,
-            ticket,
-            heartbeat,
-            service.health_path,
-            daemon=True,
-        )
-
-    async def run_health_check(
-        self, gate: AdmissionGate, ticket: Ticket, heartbeat: Heartbeat, path: str
-    ) -> None:
-        """Determine the state of the target by a health check that holds a slot."""
-        started_at = self.clock.now()
-        events = self.warmup.events
-        try:
-            await curio.timeout_after(
-                HEALTH_CHECK_TIMEOUT_SECONDS, self.check_health, ticket, heartbeat, path
-            )
-        except curio.TaskTimeout:
-            self.log_failed_health_check("wait for response", "timed out")
-        finally:
-            self.checking_health = False
-            if events == self.warmup.events:
-                self.warmup_enforcer.health_check_due = False
-            latency = self.clock.now() - started_at
-            await gate.release(ticket.request_id, Outcome.CANCELLED, latency)
-
-    async def check_health(
-        self, ticket: Ticket, heartbeat: Heartbeat, path: str
-    ) -> None:
-        """Send a health check and apply its response."""
-        connection = await self.connect(
-            ticket, True, self.warmup_enforcer.take_health_check
-        )
-        if isinstance(connection, Refusal):
-            return
-        events = self.warmup.events
-        try:
-            headers = encode_health_headers(self.target.address)
-            await connection.send("GET", path, headers, b"")
-            response = await connection.receive_head()
-            self.warmup_enforcer.record_response()
-            await self.drain_response(connection, response)
-        except PeerError as error:
-            self.log_failed_health_check(error.step, str(error))
-            await self.pool.discard(connection)
-            return
-        except BaseException:
-            await self.pool.discard(connection)
-            raise
-        metadata = decode_health_headers(response.headers)
-        remaining = metadata.warmup_remaining
-        if response.status != HEALTHY_STATUS:
-            problem = f"the status is {response.status}"
-        elif metadata.target_id != heartbeat.target_id:
-            problem = f"the target is {metadata.target_id!r}"
-        elif remaining is None:
-            problem = "the warm-up time is not valid"
-        else:
-            self.warmup_enforcer.confirm(remaining, events)
-            return
-        self.log_failed_health_check("read response", problem)
-
-    def log_failed_health_check(self, step: str, error: str) -> None:
-        """Log that a health check has not determined the state of the target."""
-        self.journal.write("health_check_failed", step=step, error=error)
-
     def update_level(self, gate: AdmissionGate, now: float) -> None:
         """Update the admission level by the load offered since the last update."""
         elapsed = now - self.level_updated_at
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -568,7 +568,7 @@
     async def run():
         gate, ticket = runner.current_gate(), make_ticket("check")
         gate.queue.admit_ahead(ticket, 100.0)
-        await runner.run_health_check(gate, ticket, runner.target.heartbeat, "/h")
+        await runner.health_checker.run(gate, ticket, runner.target.heartbeat, "/h")
         return gate.queue.in_flight
 
     assert curio.run(run) == 0
