Record in the target's stand-in what the soak judges cold targets by

The soak is to judge the requests that cold and evacuated targets get. The stand-in told neither when a target turns cold in service, nor requests that it sheds, nor when an acknowledged heartbeat was sent, and settings files left the figures of the warm-up limit to their defaults.

The record gets turned_cold and shed events and the time of sending of heartbeats; settings files state warmup_overage 1.5 and warmup_slack 8, as nodes assume without them. No run of the tests of real processes yet.

--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -126,6 +126,7 @@
             return self.health_response(stated)
         if self.mode == "shed":
             self.rejected += 1
+            self.record("shed", id=request.headers.get("x-attempt-id", ""))
             rejection = [*stated, ("x-not-executed", "1")]
             return Response(503, rejection, single_chunk(b""), 0)
         return await self.run_request(request)
@@ -262,6 +263,7 @@
         self.tells_warmup = settings.get("tells_warmup", self.tells_warmup)
         if "cold" in settings:
             self.cold_until = time.monotonic() + settings["cold"]
+            self.record("turned_cold")
         if "hold" in settings:
             self.held = self.next_heartbeat()
         if "phase" in settings:
@@ -307,11 +309,11 @@
     async def send_state(self, method: str, body: bytes) -> None:
         """Send a heartbeat or a deregistration to the node."""
         path = f"/api/instances/{self.identity}"
-        phase = self.phase
+        phase, sent = self.phase, time.time()
         response = await send_request(self.options.control, method, path, [], body)
         self.acknowledged = response.complete and 200 <= response.status < 300
         if self.acknowledged:
-            self.record("acknowledged", phase=phase)
+            self.record("acknowledged", phase=phase, sent=sent)
 
     async def run_heartbeats(self) -> None:
         """Send heartbeats until cancelled, but none in phase ``gone``."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -18,6 +18,7 @@
 GRACE_SECONDS = 6.0
 DRAIN_SECONDS = 2.0
 HEARTBEAT_SECONDS = 0.3
+WARMUP_OVERAGE, WARMUP_SLACK = 1.5, 8
 ROUTES = (
     ("read", "idempotent", "desk", 1),
     ("order", "non_idempotent", "yard", 0),
@@ -157,6 +158,8 @@
             "[bounds]",
             f"grace_s = {GRACE_SECONDS}",
             f"drain_s = {DRAIN_SECONDS}",
+            f"warmup_overage = {WARMUP_OVERAGE}",
+            f"warmup_slack = {WARMUP_SLACK}",
             "[provider]",
             f'address = "{store}"',
         ]
