Judge cold targets and evacuations in the soak

The soak judged neither the warm-up limit nor evacuations. Three promises are added: at most 12 requests in any second for a cold target, nothing for a domain from 5 s after its evacuation is confirmed until the removal, and requests for its targets again afterwards. A health check and a request that is shed count as requests. The two disturbances are drawn by a generator of their own, so that known seeds keep their entries; a test holds the digest of the schedule of seed 1 as it was before.

--- a/soak/judge.py
+++ b/soak/judge.py
@@ -85,10 +85,14 @@
         self.check(time.time())
         for lifetime in self.record.lifetimes:
             self.check_lifetime(lifetime)
+        for promise in self.promises:
+            self.violations += promise.check_end()
 
     def take(self, host: str, event: dict[str, Any]) -> None:
         """Take one event of a target."""
         at, target = event["at"], event["target"]
+        for promise in self.promises:
+            self.violations += promise.check_event(host, event)
         if event["event"] == "acknowledged":
             if event["phase"] in LEAVING_PHASES:
                 acknowledgement = Acknowledgement(host, at)
@@ -98,7 +102,7 @@
             self.record.runs.setdefault(run.id, []).append(run)
             for promise in self.promises:
                 self.violations += promise.check_run(run)
-        else:
+        elif event["event"] == "end":
             for run in self.record.runs.get(event["id"], []):
                 if run.target == target:
                     run.ended_at = min(run.ended_at, at)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -1,20 +1,35 @@
 """The promises that a soak checks, from what callers and targets saw."""
 
+import math
 import signal
 import time
 from abc import ABC, abstractmethod
 from collections.abc import Iterator
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
-from standins.platform import DRAIN_SECONDS, GRACE_SECONDS
+from standins.platform import DRAIN_SECONDS, GRACE_SECONDS, WARMUP_OVERAGE, WARMUP_SLACK
 
 from .client import DEADLINE_SECONDS, PROMISE_STATUSES
-from .record import ANSWERED, CLOSED, STORE, Attempt, Lifetime, Record, Run
+from .record import (
+    ANSWERED,
+    CLOSED,
+    STORE,
+    Attempt,
+    Evacuation,
+    Lifetime,
+    Record,
+    Run,
+)
 
 # Bounds in seconds from the users' installations.
 STABLE_SECONDS = 3.0
 CONFIG_APPLY_SECONDS = 2.0
 ROLLBACK_SLACK_SECONDS = 0.25
+EVACUATE_SECONDS = 5.0
+WARMUP_SECONDS, WARMUP_PER_SECOND = 3.0, 3.1
+COLD_LIMIT = math.floor(WARMUP_PER_SECOND * WARMUP_OVERAGE + WARMUP_SLACK)
+# Chosen, not from the users: a warm-up and two seconds for the news and a next request.
+SERVED_AGAIN_SECONDS = WARMUP_SECONDS + 2.0
 # A node that stood still may take so many times longer, by the users' rules.
 SLOWED_FACTOR = 8
 # What is sent so late after SIGTERM is owed an answer however long its target works.
@@ -28,6 +43,8 @@
 FAULTS_OF_PROCESSES = frozenset({"kill", "freeze"})
 FAULTS_OF_TARGETS = frozenset({"target-kill", "target-link", "target-mode"})
 FAULTS_OF_HOSTS = FAULTS_OF_PROCESSES | FAULTS_OF_TARGETS
+# At the end of a delay, requests arrive closer together than their node sent them.
+END_OF_DELAY = frozenset({"target-link-delay-ends"})
 FAULTS_OF_NODES = frozenset({"kill", "freeze", "stop", "store-link"})
 FAULTS_OF_STORE = frozenset({"store-down", "store-slow", "store-lose", "store-compact"})
 
@@ -73,6 +90,14 @@
         """Check a run as soon as its target has recorded it."""
         yield from ()
 
+    def check_event(self, host: str, event: dict[str, Any]) -> Iterator[Violation]:
+        """Check any event that a target has recorded."""
+        yield from ()
+
+    def check_end(self) -> Iterator[Violation]:
+        """Check what can only be judged at the end."""
+        yield from ()
+
     def check_attempt(self, attempt: Attempt) -> Iterator[Violation]:
         """Check an attempt some time after it has ended."""
         yield from ()
@@ -353,16 +378,8 @@
 
     def is_in_touch(self, attempt: Attempt) -> bool:
         """Return whether node and store were undisturbed long enough."""
-        since = attempt.sent_at - STABLE_SECONDS
-        until = attempt.ended_at
         lifetime = self.record.lifetime_of(attempt.host, attempt.lifetime)
-        return (
-            lifetime is not None
-            and lifetime.started_at < since
-            and until < lifetime.stopped_at
-            and not self.record.disturbed(attempt.host, FAULTS_OF_NODES, since, until)
-            and not self.record.disturbed(STORE, FAULTS_OF_STORE, since, until)
-        )
+        return is_in_touch(self.record, lifetime, attempt.sent_at, attempt.ended_at)
 
     def is_slowed(self, attempt: Attempt) -> bool:
         """Return whether the node stood still shortly before."""
@@ -371,6 +388,160 @@
         return self.record.disturbed(attempt.host, freeze, since, attempt.ended_at)
 
 
+class ColdLimit(Promise):
+    """A cold target gets no more requests in any second than it takes."""
+
+    name = "limit of a cold target"
+
+    def __init__(self, record: Record) -> None:
+        super().__init__(record)
+        self.turned: dict[str, float] = {}
+        self.excused_until: dict[str, float] = {}
+        self.found: set[str] = set()
+
+    def check_event(self, host: str, event: dict[str, Any]) -> Iterator[Violation]:
+        """Check the requests of the last second that a cold target has counted."""
+        target, at = event["target"], event["at"]
+        if event["event"] == "turned_cold":
+            self.turned[target], self.excused_until[target] = at, math.inf
+        elif event["event"] == "acknowledged":
+            is_excused = self.excused_until.get(target) == math.inf
+            if is_excused and event["sent"] >= self.turned[target]:
+                self.excused_until[target] = at + OBSERVATION_SECONDS
+        elif event["event"] == "cold":
+            if at <= self.excused_until.get(target, 0.0):
+                return
+            self.judged += 1
+            if event["count"] <= COLD_LIMIT or target in self.found:
+                return
+            if self.record.disturbed(host, END_OF_DELAY, at - 1, at):
+                return
+            self.found.add(target)
+            text = f"{target} got {event['count']} requests in a second while cold"
+            yield Violation(self.name, text, at - 1, at, frozenset({host}))
+
+
+class Evacuated(Promise):
+    """Nothing reaches the targets of an evacuated domain."""
+
+    name = "nothing for an evacuated domain"
+
+    def check_event(self, host: str, event: dict[str, Any]) -> Iterator[Violation]:
+        """Check a request that a target got against the evacuations of its domain."""
+        if event["event"] not in ("run", "health", "shed"):
+            return
+        at, attempt_id = event["at"], event.get("id", "")
+        zone = self.record.zones.get(host)
+        for evacuation in self.record.evacuations:
+            begin = evacuation.confirmed_at + EVACUATE_SECONDS + OBSERVATION_SECONDS
+            if evacuation.zone != zone or not begin < at < evacuation.removed_at:
+                continue
+            # The node beside the target refuses what the sender does not know.
+            hosts = frozenset({host, self.sender(host, attempt_id)})
+            if not any(
+                is_in_touch(self.record, self.record.lifetime_at(name, at), at, at)
+                for name in hosts
+            ):
+                continue
+            seconds = at - evacuation.confirmed_at
+            text = f"{event['target']} got a request ({event['event']}) {seconds:.2f} s"
+            text += f" after the evacuation of {zone} was confirmed"
+            yield Violation(self.name, text, at, at, hosts, attempt_id)
+
+    def sender(self, host: str, attempt_id: str) -> str:
+        """Return the host whose node sent a request that a target of a host got."""
+        if attempt_id in self.record.attempts:
+            return self.record.attempts[attempt_id].host
+        if attempt_id.startswith(CALL_PREFIX):
+            # A call is named after the target that makes it: call-i-HOST-NUMBER-COUNT.
+            return attempt_id.split("-")[2]
+        return host
+
+    def check_end(self) -> Iterator[Violation]:
+        """Count the evacuations that lasted long enough to be judged."""
+        self.judged = sum(
+            item.removed_at - item.confirmed_at > EVACUATE_SECONDS
+            for item in self.record.evacuations
+        )
+        yield from ()
+
+
+class ServedAgain(Promise):
+    """Targets of a domain are used again after the end of its evacuation."""
+
+    name = "served again after an evacuation"
+
+    def check_end(self) -> Iterator[Violation]:
+        """Check the targets that had a calm time before the clients ended."""
+        last_sent = max(
+            (item.sent_at for item in self.record.attempts.values()), default=0.0
+        )
+        for evacuation in self.record.evacuations:
+            for host, zone in self.record.zones.items():
+                due = self.due_at(evacuation, host)
+                if evacuation.zone != zone or due == math.inf:
+                    continue
+                served = self.is_served(host, evacuation.ended_at, due)
+                # A target that is used early has kept the promise, whatever follows.
+                self.judged += served or due < last_sent
+                if not served and due < last_sent:
+                    yield self.violation(evacuation, host, due)
+
+    def due_at(self, evacuation: Evacuation, host: str) -> float:
+        """Return until when the target of a host must have run a request.
+
+        The time begins anew after each disturbance of the host or the store; it is
+        infinite if the domain is evacuated again before.
+        """
+        due = evacuation.ended_at + SERVED_AGAIN_SECONDS
+        spans = [
+            (span.begin, span.end)
+            for span in self.record.spans
+            if span.place in (host, STORE)
+        ]
+        spans += [
+            (item.started_at, item.started_at)
+            for item in self.record.lifetimes
+            if item.host == host
+        ]
+        for begin, end in sorted(spans):
+            if begin <= due and end >= evacuation.ended_at - STABLE_SECONDS:
+                due = max(due, end + STABLE_SECONDS + SERVED_AGAIN_SECONDS)
+        if any(
+            item.zone == evacuation.zone
+            and evacuation.ended_at < item.confirmed_at < due
+            for item in self.record.evacuations
+        ):
+            return math.inf
+        return due
+
+    def is_served(self, host: str, begin: float, end: float) -> bool:
+        """Return whether the target of a host has begun to run a request in a span."""
+        runs = (run for item in self.record.runs.values() for run in item)
+        return any(run.host == host and begin <= run.at <= end for run in runs)
+
+    def violation(self, evacuation: Evacuation, host: str, due: float) -> Violation:
+        """Return the violation that the target of a host shows."""
+        begin = evacuation.ended_at
+        text = f"the target of {host} ran nothing in the {due - begin:.2f} s"
+        text += f" after the evacuation of {evacuation.zone}"
+        return Violation(self.name, text, begin, due, frozenset({host}))
+
+
+def is_in_touch(
+    record: Record, lifetime: Lifetime | None, begin: float, end: float
+) -> bool:
+    """Return whether a node and the store were undisturbed long enough."""
+    since = begin - STABLE_SECONDS
+    return (
+        lifetime is not None
+        and lifetime.started_at < since
+        and end < lifetime.stopped_at
+        and not record.disturbed(lifetime.host, FAULTS_OF_NODES, since, end)
+        and not record.disturbed(STORE, FAULTS_OF_STORE, since, end)
+    )
+
+
 PROMISES: tuple[type[Promise], ...] = (
     AtMostOnce,
     WholeAnswer,
@@ -381,4 +552,7 @@
     Memory,
     Drain,
     Configuration,
+    ColdLimit,
+    Evacuated,
+    ServedAgain,
 )
--- a/soak/record.py
+++ b/soak/record.py
@@ -146,6 +146,23 @@
         self.confirmed_at = math.inf
 
 
+class Evacuation:
+    """An evacuation of a failure domain.
+
+    Attributes:
+        zone: The domain.
+        confirmed_at: Unix time of the store's confirmation; infinite before.
+        removed_at: Unix time at which the removal was sent; infinite before.
+        ended_at: Unix time of the confirmation of the removal; infinite before.
+    """
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self.confirmed_at = math.inf
+        self.removed_at = math.inf
+        self.ended_at = math.inf
+
+
 class Record:
     """Everything that the promises are judged by.
 
@@ -156,6 +173,8 @@
         spans: Disturbances that were in force, with their times.
         acknowledgements: First acknowledgement of leaving, by target.
         publications: Versions of the configuration, oldest first.
+        evacuations: Evacuations, oldest first.
+        zones: Failure domain of each host.
         events: Unix time and text of what was done to the system.
     """
 
@@ -166,6 +185,8 @@
         self.spans: list[Span] = []
         self.acknowledgements: dict[str, Acknowledgement] = {}
         self.publications: list[Publication] = []
+        self.evacuations: list[Evacuation] = []
+        self.zones: dict[str, str] = {}
         self.events: list[tuple[float, str]] = []
 
     def begin(self, place: str, kind: str, now: float) -> Span:
@@ -190,6 +211,15 @@
                 return lifetime
         return None
 
+    def lifetime_at(self, host: str, at: float) -> Lifetime | None:
+        """Return the last start of a host's node before a time."""
+        started = [
+            item
+            for item in self.lifetimes
+            if item.host == host and item.started_at <= at
+        ]
+        return max(started, key=lambda item: item.number, default=None)
+
     def current_lifetime(self, host: str) -> int:
         """Return the number of the last start of a host's node."""
         return max(
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -26,7 +26,20 @@
     "target-slow": 1.0,
 }
 OPERATOR_KINDS = {"configure": 2.0}
-KINDS = {**NODE_KINDS, **STORE_KINDS, **LINK_KINDS, **TARGET_KINDS, **OPERATOR_KINDS}
+# Drawn apart, so that the other entries of a seed stay those of its known failure.
+DOMAIN_KINDS = ("cold_return", "evacuate")
+KINDS = {
+    *NODE_KINDS,
+    *STORE_KINDS,
+    *LINK_KINDS,
+    *TARGET_KINDS,
+    *OPERATOR_KINDS,
+    *DOMAIN_KINDS,
+}
+ZONES = ("a", "b", "c")
+# An evacuation is judged from five seconds after its begin.
+SHORTEST_EVACUATION_SECONDS, LONGEST_EVACUATION_SECONDS = 6.5, 9.0
+SHORTEST_DOMAIN_GAP_SECONDS, LONGEST_DOMAIN_GAP_SECONDS = 1.0, 6.0
 FAMILIES = (NODE_KINDS, STORE_KINDS, LINK_KINDS, TARGET_KINDS, OPERATOR_KINDS)
 EMPHASES = (0.3, 1.0, 3.0)
 
@@ -106,11 +119,30 @@
     while True:
         now += choices.uniform(SHORTEST_GAP_SECONDS, LONGEST_GAP_SECONDS)
         if now >= seconds - CALM_END_SECONDS:
-            return sorted(actions)
+            return sorted(actions + draw_domain_actions(seed, seconds))
         (kind,) = choices.choices(list(weights), list(weights.values()))
         actions += draw_actions(choices, now, kind, hosts)
 
 
+def draw_domain_actions(seed: int, seconds: float) -> list[Action]:
+    """Return the entries that concern a failure domain, which their variant names."""
+    choices = random.Random(f"{seed} domains")
+    kinds = choices.sample(DOMAIN_KINDS, len(DOMAIN_KINDS))
+    actions: list[Action] = []
+    now = 0.0
+    while True:
+        now += choices.uniform(SHORTEST_DOMAIN_GAP_SECONDS, LONGEST_DOMAIN_GAP_SECONDS)
+        kind, zone = kinds[len(actions) % len(kinds)], choices.choice(ZONES)
+        duration = choices.uniform(SHORTEST_FAULT_SECONDS, LONGEST_FAULT_SECONDS)
+        if kind == "evacuate":
+            duration = choices.uniform(
+                SHORTEST_EVACUATION_SECONDS, LONGEST_EVACUATION_SECONDS
+            )
+        if now + duration >= seconds - CALM_END_SECONDS:
+            return actions
+        actions.append(Action(now, kind, "", duration, zone))
+
+
 def draw_actions(
     choices: random.Random, at: float, kind: str, hosts: list[str]
 ) -> list[Action]:
--- a/soak/timeline.py
+++ b/soak/timeline.py
@@ -11,7 +11,17 @@
 SECONDS_BEFORE, SECONDS_AFTER = 8.0, 2.0
 SHOWN_CHARACTERS = 200
 LIFE_EVENTS = frozenset(
-    {"start", "stop", "stopped", "configuration", "store_lost", "part_failed"}
+    {
+        "start",
+        "stop",
+        "stopped",
+        "configuration",
+        "store_lost",
+        "part_failed",
+        "evacuation",
+        "target_cold",
+        "target_warm",
+    }
 )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """The soak's schedule, and its promises on records made by hand."""
 
+import hashlib
 import json
 import math
 import time
@@ -10,8 +11,18 @@
 from soak.client import encode_request, find_fault
 from soak.installation import RESTART_SECONDS, Installation
 from soak.judge import Judge
-from soak.record import ANSWERED, CLOSED, STORE, Attempt, Lifetime, Publication, Record
-from soak.schedule import KINDS, draw_schedule
+from soak.promises import COLD_LIMIT
+from soak.record import (
+    ANSWERED,
+    CLOSED,
+    STORE,
+    Attempt,
+    Evacuation,
+    Lifetime,
+    Publication,
+    Record,
+)
+from soak.schedule import DOMAIN_KINDS, KINDS, draw_schedule
 from standins.endpoint import RESPONSE_SIGNATURE
 
 HOSTS = ["h1", "h2", "h3", "h4"]
@@ -309,3 +320,127 @@
     assert f"content-length: {len(body)}".encode() in head.lower()
     assert len(body) > 1 << 14
     assert attempt.ended_at == math.inf
+
+
+def cold(at, count, target="i-h2-1"):
+    return event("cold", at, target, count=count)
+
+
+def beat(sent, at):
+    return event("acknowledged", at, phase="ready", sent=sent)
+
+
+def test_cold_target_that_gets_too_much_is_found_once(record, tmp_path):
+    """Guards against a limit that is not judged; the limit itself is allowed."""
+    assert COLD_LIMIT == 12
+    events = [cold(NOW, 12), cold(NOW + 0.1, 13), cold(NOW + 0.2, 14)]
+    assert judge(record, tmp_path, events) == ["limit of a cold target"]
+
+
+def test_target_that_turns_cold_is_excused_only_until_its_next_heartbeat(
+    record, tmp_path
+):
+    """Guards against an excuse that a heartbeat from before the turn ends, or none."""
+    events = [event("turned_cold", NOW), beat(NOW - 0.1, NOW + 0.2), cold(NOW + 1, 30)]
+    assert judge(record, tmp_path, events) == []
+    events += [beat(NOW + 1.1, NOW + 1.2), cold(NOW + 1.25, 13)]
+    assert judge(record, tmp_path, events) == []
+    events += [cold(NOW + 1.35, 13)]
+    assert judge(record, tmp_path, events) == ["limit of a cold target"]
+
+
+@pytest.mark.parametrize(
+    ("kind", "excused"),
+    [("target-link", False), ("target-link-delay-ends", True)],
+)
+def test_only_the_end_of_a_delay_excuses_too_much_for_a_cold_target(
+    record, tmp_path, kind, excused
+):
+    """Guards against an excuse by faults of the link that hold nothing back."""
+    record.begin("h2", kind, NOW - 1.2).end = NOW - 0.9
+    found = ["limit of a cold target"] * (not excused)
+    assert judge(record, tmp_path, [cold(NOW, 13)]) == found
+
+
+def add_evacuation(record, confirmed_at, ended_at=math.inf):
+    record.zones = dict(zip(HOSTS, "abac", strict=True))
+    evacuation = Evacuation("b")
+    evacuation.confirmed_at = confirmed_at
+    evacuation.removed_at = evacuation.ended_at = ended_at
+    record.evacuations.append(evacuation)
+
+
+@pytest.mark.parametrize("kind", ["run", "health", "shed"])
+def test_request_for_an_evacuated_domain_is_found(record, tmp_path, kind):
+    """Guards against requests that reach a target without being run."""
+    add_evacuation(record, NOW - 5.2)
+    attempt = add_attempt(record, status=200)
+    events = run_of(attempt)
+    events += [event(kind, NOW, id="call-i-h4-1-7", mode="")] * (kind != "run")
+    found = judge(record, tmp_path, events)
+    assert found == ["nothing for an evacuated domain"] * (1 + (kind != "run"))
+
+
+@pytest.mark.parametrize(
+    ("confirmed", "ended", "zone"),
+    [(-5.05, math.inf, "b"), (-9, -0.01, "b"), (-9, math.inf, "a")],
+)
+def test_request_before_or_after_an_evacuation_or_elsewhere_is_allowed(
+    record, tmp_path, confirmed, ended, zone
+):
+    """Guards against false alarms within five seconds, after the removal, elsewhere."""
+    add_evacuation(record, NOW + confirmed, NOW + ended)
+    record.evacuations[0].zone = zone
+    found = judge(record, tmp_path, run_of(add_attempt(record, status=200)))
+    assert "nothing for an evacuated domain" not in found
+
+
+@pytest.mark.parametrize("places", [["h1"], ["h2"], ["h1", "h2"]])
+def test_evacuation_binds_unless_sender_and_node_of_the_target_are_out_of_touch(
+    record, tmp_path, places
+):
+    """Guards against an excuse by one node where the other one knew."""
+    add_evacuation(record, NOW - 6)
+    for place in places:
+        record.begin(place, "store-link", NOW - 9)
+    events = run_of(add_attempt(record, status=200))
+    found = ["nothing for an evacuated domain"] * (len(places) == 1)
+    assert judge(record, tmp_path, events) == found
+
+
+@pytest.mark.parametrize(
+    ("run_at", "fault", "found"),
+    [
+        (1, "", False),
+        (6, "", True),
+        (11.9, "target-kill", False),
+        (13.1, "target-kill", True),
+        (-1, "", True),
+    ],
+)
+def test_target_that_is_not_used_after_an_evacuation_is_found(
+    record, tmp_path, run_at, fault, found
+):
+    """Guards against a domain that stays unused; the time begins anew after a fault."""
+    add_evacuation(record, NOW - 8, NOW)
+    add_attempt(record, status=503, at=NOW + 20)
+    if fault:
+        record.begin("h2", fault, NOW + 4).end = NOW + 5
+    events = run_of(add_attempt(record, status=200, at=NOW + run_at))
+    promises = judge(record, tmp_path, events)
+    assert ("served again after an evacuation" in promises) == found
+
+
+def test_run_of_thirty_seconds_has_both_disturbances_of_domains():
+    """Guards against short runs that test neither cold targets nor evacuations."""
+    for seed in range(20):
+        kinds = {action.kind for action in draw_schedule(seed, 30, HOSTS)}
+        assert kinds >= set(DOMAIN_KINDS)
+
+
+def test_disturbances_of_domains_leave_the_schedule_of_known_seeds(tmp_path):
+    """Guards against seeds of known failures that no longer play them."""
+    schedule = draw_schedule(1, 45, [f"h{number}" for number in range(1, 9)])
+    others = [action for action in schedule if action.kind not in DOMAIN_KINDS]
+    text = "\n".join(map(str, others))
+    assert hashlib.sha256(text.encode()).hexdigest()[:16] == "e10905bacf6bfb0a"
