--- a/soak/disturbance.py
+++ b/soak/disturbance.py
@@ -9,7 +9,13 @@
 
 from standins.platform import DRAIN_SECONDS, GRACE_SECONDS
 
-from .installation import HOSTS_TOPIC, OPERATOR_TOPIC, RESTART_SECONDS, Installation
+from .installation import (
+    HOSTS_TOPIC,
+    OPERATOR_TOPIC,
+    RESTART_SECONDS,
+    Installation,
+)
+from .promises import SERVED_AGAIN_SECONDS, WARMUP_SECONDS
 from .record import STORE, Lifetime
 from .schedule import Action
 
@@ -25,6 +31,8 @@
 LINK_DELAY_SECONDS = 0.3
 SLOW_TARGET_SECONDS = 1.5
 LOST_STORE_ANSWERS = 10
+# Two to three heartbeats before the end of an evacuation.
+COLD_BEFORE_RETURN_SECONDS = 0.8
 
 
 class Disturbance(ABC):
@@ -199,6 +207,11 @@
         fault: Any = LINK_DELAY_SECONDS if action.variant == "delay" else True
         await relay.apply({action.variant: fault})
         await self.hold(action.host, action)
+        if action.variant == "delay":
+            # Requests of before its end arrive together with those after it.
+            kind = f"{action.kind}-delay-ends"
+            span = self.installation.record.begin(action.host, kind, time.time())
+            span.end = span.begin + LINK_DELAY_SECONDS
         if action.variant == "silent_old":
             # Silent connections stay silent; those of the time after it are relayed.
             return
@@ -213,11 +226,13 @@
     async def play(self, action: Action) -> None:
         """Let the target leave and start another one."""
         installation = self.installation
+        span = installation.record.begin(action.host, "target-leave", time.time())
         await installation.control_target(action.host, {"phase": "draining"})
         await curio.sleep(DRAIN_SECONDS + DRAIN_MARGIN_SECONDS)
         await installation.control_target(action.host, {"phase": "gone"})
         await curio.sleep(GONE_SECONDS)
         await replace_target(installation, action)
+        span.end = time.time()
 
 
 async def replace_target(installation: Installation, action: Action) -> None:
@@ -240,6 +255,38 @@
         await replace_target(self.installation, action)
 
 
+class ColdReturn(Disturbance):
+    """The targets of a failure domain end and come back together, cold."""
+
+    async def play(self, action: Action) -> None:
+        """Kill the targets and start others."""
+        async with curio.TaskGroup() as group:
+            for host in self.installation.hosts_in(action.variant):
+                part = action._replace(host=host)
+                await group.spawn(replace_target, self.installation, part)
+
+
+class Evacuate(Disturbance):
+    """The operator evacuates a failure domain; its targets are cold at the end."""
+
+    async def play(self, action: Action) -> None:
+        """Write the evacuation, remove it, and wait until the end is judged."""
+        installation, zone = self.installation, action.variant
+        if any(
+            item.zone == zone and item.removed_at + SERVED_AGAIN_SECONDS > time.time()
+            for item in installation.record.evacuations
+        ):
+            installation.note(f"no evacuation of {zone}, as one is in force")
+            return
+        evacuation = await installation.evacuate(zone)
+        await curio.sleep(action.seconds - COLD_BEFORE_RETURN_SECONDS)
+        for host in installation.hosts_in(zone):
+            await installation.control_target(host, {"cold": WARMUP_SECONDS})
+        await curio.sleep(COLD_BEFORE_RETURN_SECONDS)
+        await installation.end_evacuation(evacuation)
+        await curio.sleep(SERVED_AGAIN_SECONDS)
+
+
 class TargetFault(Disturbance):
     """A target that answers badly or slowly."""
 
@@ -277,4 +324,6 @@
     "target-mode": TargetFault,
     "target-slow": TargetFault,
     "configure": Configure,
+    "cold_return": ColdReturn,
+    "evacuate": Evacuate,
 }
--- a/soak/installation.py
+++ b/soak/installation.py
@@ -12,6 +12,7 @@
 import curio
 
 from standins.caller import request
+from standins.endpoint import HEALTH_PATH
 from standins.httpserver import open_listener
 from standins.platform import (
     KEY,
@@ -26,7 +27,9 @@
 from standins.relay import Relay
 
 from .client import version_key
-from .record import STORE, Lifetime, Publication, Record
+from .promises import WARMUP_PER_SECOND, WARMUP_SECONDS
+from .record import STORE, Evacuation, Lifetime, Publication, Record
+from .schedule import ZONES
 
 POLL_INTERVAL_SECONDS = 0.02
 MEMORY_INTERVAL_SECONDS = 1.0
@@ -37,6 +40,9 @@
 NANOSECONDS_PER_SECOND = 1e9
 SERVICES = ("desk", "yard")
 OPERATOR_TOPIC, HOSTS_TOPIC = "keyed.op", "keyed.hosts"
+# A relay that stands still so long holds back requests for longer than the margin of
+# the warm-up limit, so that they arrive closer together than they were sent.
+STALL_SECONDS = 0.05
 
 
 class Installation:
@@ -58,6 +64,8 @@
         self.record = record
         self.directory = directory
         self.names = names
+        zones = (ZONES[index % len(ZONES)] for index in range(len(names)))
+        record.zones = dict(zip(names, zones, strict=True))
         port_base, self.port_reservation = reserve_ports(len(names))
         self.addresses = {
             name: HostAddresses(index, port_base)
@@ -136,7 +144,9 @@
                 self.service(name),
                 addresses.at(STORE_RELAY_OFFSET),
                 addresses.at(TARGET_RELAY_OFFSET),
+                self.record.zones[name],
             )
+            + "".join(f"[zones.{zone}]\n" for zone in ZONES)
         )
         number = self.record.current_lifetime(name) + 1
         lifetime = Lifetime(name, number, time.time())
@@ -158,6 +168,8 @@
         )
         arguments += ["--announce", self.addresses[name].at(TARGET_RELAY_OFFSET)]
         arguments += ["--record", str(self.directory / f"{name}.runs")]
+        arguments += ["--zone", self.record.zones[name]]
+        arguments += ["--warmup", str(WARMUP_SECONDS)]
         if self.service(name) == SERVICES[0]:
             arguments += ["--call", "mesh.example/inner/deep"]
         self.targets[name] = self.launch(f"{name}.target.log", arguments)
@@ -211,7 +223,11 @@
             if time.time() >= next_memory:
                 self.measure_memory()
                 next_memory = time.time() + MEMORY_INTERVAL_SECONDS
+            resting_at = time.time()
             await curio.sleep(POLL_INTERVAL_SECONDS)
+            stall = time.time() - resting_at - POLL_INTERVAL_SECONDS
+            if stall > STALL_SECONDS:
+                self.note(f"the soak and its relays stood still for {stall:.2f} s")
 
     def ended_by_itself(self, lifetime: Lifetime) -> bool:
         """Return whether a start ended unasked, and long enough ago for a new one."""
@@ -246,19 +262,57 @@
         """Change settings of a target; return whether it confirmed them."""
         return await self.control(self.addresses[name].listener("app"), settings)
 
-    async def publish(self) -> None:
-        """Publish a configuration with a route and a key that no other one has."""
+    async def store_up(self) -> None:
+        """Wait until the store is not down."""
         while self.record.disturbed(
             STORE, frozenset({"store-down"}), time.time(), time.time()
         ):
             await curio.sleep(POLL_INTERVAL_SECONDS)
+
+    async def evacuate(self, zone: str) -> Evacuation:
+        """Write the evacuation of a failure domain as the operator does."""
+        await self.store_up()
+        evacuation = Evacuation(zone)
+        self.record.evacuations.append(evacuation)
+        command = {"topic": OPERATOR_TOPIC, "key": f"evacuate/{zone}", "put": {}}
+        if await self.control_store(command):
+            evacuation.confirmed_at = time.time()
+            self.note(f"evacuation of {zone} confirmed")
+        return evacuation
+
+    async def end_evacuation(self, evacuation: Evacuation) -> None:
+        """Remove the evacuation of a failure domain as the operator does."""
+        await self.store_up()
+        evacuation.removed_at = time.time()
+        key = f"evacuate/{evacuation.zone}"
+        if await self.control_store({"topic": OPERATOR_TOPIC, "remove": key}):
+            evacuation.ended_at = time.time()
+            self.note(f"removal of the evacuation of {evacuation.zone} confirmed")
+
+    def hosts_in(self, zone: str) -> list[str]:
+        """Return the hosts of a failure domain."""
+        return [name for name in self.names if self.record.zones[name] == zone]
+
+    async def publish(self) -> None:
+        """Publish a configuration with a route and a key that no other one has."""
+        await self.store_up()
         publications = self.record.publications
         version = publications[-1].version + 1 if publications else 1
         routes = [route(*fields) for fields in ROUTES]
         routes.append(route(f"v{version}", "idempotent", "desk", 1))
         keys = [KEY, version_key(version)]
         tenant = {"name": "mill", "api_keys": keys, "rate_per_s": 0, "burst": 0}
-        document = configuration(version, routes, tenants=[tenant])
+        services = [
+            {
+                "name": name,
+                "health_path": HEALTH_PATH,
+                "max_connections": 90,
+                "warmup_s": WARMUP_SECONDS,
+                "warmup_per_s": WARMUP_PER_SECOND,
+            }
+            for name in SERVICES
+        ]
+        document = configuration(version, routes, tenants=[tenant], services=services)
         publication = Publication(version, time.time())
         publications.append(publication)
         command = {"topic": OPERATOR_TOPIC, "key": "config", "put": document}
