--- a/soak/promises.py
+++ b/soak/promises.py
@@ -458,11 +458,18 @@
         return host
 
     def check_end(self) -> Iterator[Violation]:
-        """Count the evacuations that lasted long enough to be judged."""
-        self.judged = sum(
-            item.removed_at - item.confirmed_at > EVACUATE_SECONDS
-            for item in self.record.evacuations
-        )
+        """Count the targets whose nodes were in touch in the time that is judged."""
+        for item in self.record.evacuations:
+            begin = item.confirmed_at + EVACUATE_SECONDS
+            if begin == math.inf:
+                continue
+            steps = range(math.ceil(min(item.removed_at, begin + 60) - begin) * 4)
+            for host, zone in self.record.zones.items():
+                self.judged += zone == item.zone and any(
+                    is_in_touch(self.record, self.record.lifetime_at(host, at), at, at)
+                    for at in (begin + step / 4 for step in steps)
+                    if at < item.removed_at
+                )
         yield from ()
 
 
