--- a/soak/installation.py
+++ b/soak/installation.py
@@ -12,6 +12,7 @@
 import curio
 
 from standins.caller import request
+from standins.endpoint import HEALTH_PATH
 from standins.httpserver import open_listener
 from standins.platform import (
     KEY,
@@ -26,17 +27,56 @@
 from standins.relay import Relay
 
 from .client import version_key
-from .record import STORE, Lifetime, Publication, Record
+from .promises import WARMUP_PER_SECOND, WARMUP_SECONDS
+from .record import STORE, Evacuation, Lifetime, Publication, Record
+from .schedule import ZONES
 
 POLL_INTERVAL_SECONDS = 0.02
 MEMORY_INTERVAL_SECONDS = 1.0
-STORE_START_SECONDS = 10.0
+START_SECONDS = 10.0
 # A stand-in that is frozen or whose node does not take its heartbeat answers late.
 CONTROL_SECONDS = 2.0
 RESTART_SECONDS = 0.3
 NANOSECONDS_PER_SECOND = 1e9
 SERVICES = ("desk", "yard")
 OPERATOR_TOPIC, HOSTS_TOPIC = "keyed.op", "keyed.hosts"
+# The margin of the warm-up limit. What the soak times is late by a stall.
+STALL_SECONDS = 0.05
+
+
+class RelayProcess:
+    """A relay in a process of its own.
+
+    Relays to targets within the soak held requests back for 0.08 s while the soak was
+    busy, more than the margin of the warm-up limit of 0.05 s.
+
+    Attributes:
+        control: Address of its control listener.
+    """
+
+    def __init__(self, control: str) -> None:
+        self.control = control
+
+    async def apply(self, changes: dict[str, Any]) -> None:
+        """Change settings by their names."""
+        await self.post("/control", changes)
+
+    async def reset_connections(self) -> None:
+        """Reset all open connections; later ones are relayed."""
+        await self.post("/reset", {})
+
+    async def post(self, path: str, document: dict[str, Any]) -> None:
+        """Send a control request.
+
+        Raises:
+            RuntimeError: If the relay does not confirm it, since a fault would go on.
+        """
+        body = json.dumps(document).encode()
+        response = await request(
+            self.control, "POST", path, [], body, timeout=CONTROL_SECONDS
+        )
+        if response.status != 200:
+            raise RuntimeError(f"relay answered {response.status} to {document}")
 
 
 class Installation:
@@ -58,6 +98,8 @@
         self.record = record
         self.directory = directory
         self.names = names
+        zones = (ZONES[index % len(ZONES)] for index in range(len(names)))
+        record.zones = dict(zip(names, zones, strict=True))
         port_base, self.port_reservation = reserve_ports(len(names))
         self.addresses = {
             name: HostAddresses(index, port_base)
@@ -67,7 +109,8 @@
         self.lifetimes: dict[str, Lifetime] = {}
         self.targets: dict[str, subprocess.Popen[bytes]] = {}
         self.target_numbers: dict[str, int] = dict.fromkeys(names, 0)
-        self.relays: dict[tuple[str, str], Relay] = {}
+        self.relays: dict[tuple[str, str], Relay | RelayProcess] = {}
+        self.relay_processes: dict[str, subprocess.Popen[bytes]] = {}
         self.store: subprocess.Popen[bytes] | None = None
         self.store_address = ""
 
@@ -94,33 +137,38 @@
             RuntimeError: If the store does not start.
         """
         self.store = self.launch("store.log", ["-m", "standins.provider"])
-        self.store_address = await self.read_store_address()
+        self.store_address = (await self.read_startup("store.log"))["address"]
         await self.publish()
         for name in self.names:
             addresses = self.addresses[name]
-            for link, offset, upstream in (
-                ("store-link", STORE_RELAY_OFFSET, self.store_address),
-                ("target-link", TARGET_RELAY_OFFSET, addresses.listener("app")),
-            ):
-                relay = self.relays[link, name] = Relay(upstream)
-                listener = open_listener(addresses.at(offset))
-                await curio.spawn(relay.run_connections, listener, daemon=True)
+            relay = self.relays["store-link", name] = Relay(self.store_address)
+            listener = open_listener(addresses.at(STORE_RELAY_OFFSET))
+            await curio.spawn(relay.run_connections, listener, daemon=True)
+            arguments = ["-m", "standins.relay", "--upstream"]
+            arguments += [addresses.listener("app"), "--listen"]
+            arguments += [addresses.at(TARGET_RELAY_OFFSET)]
+            self.relay_processes[name] = self.launch(f"{name}.relay.log", arguments)
+        for name in self.names:
+            control = (await self.read_startup(f"{name}.relay.log"))["control"]
+            self.relays["target-link", name] = RelayProcess(control)
+        for name in self.names:
             self.start_node(name)
             self.start_target(name)
 
-    async def read_store_address(self) -> str:
-        """Return the address that the store has printed.
+    async def read_startup(self, log: str) -> dict[str, str]:
+        """Return the addresses that a stand-in has printed.
 
         Raises:
             RuntimeError: If it prints none in time.
         """
-        deadline = time.monotonic() + STORE_START_SECONDS
+        deadline = time.monotonic() + START_SECONDS
         while time.monotonic() < deadline:
-            line = (self.directory / "store.log").read_text()
+            line = (self.directory / log).read_text()
             if line.endswith("\n"):
-                return str(json.loads(line)["address"])
+                addresses: dict[str, str] = json.loads(line)
+                return addresses
             await curio.sleep(POLL_INTERVAL_SECONDS)
-        raise RuntimeError(f"the store did not start within {STORE_START_SECONDS} s")
+        raise RuntimeError(f"{log}: no start within {START_SECONDS} s")
 
     def service(self, name: str) -> str:
         """Return the service of a host's target."""
@@ -136,7 +184,9 @@
                 self.service(name),
                 addresses.at(STORE_RELAY_OFFSET),
                 addresses.at(TARGET_RELAY_OFFSET),
+                self.record.zones[name],
             )
+            + "".join(f"[zones.{zone}]\n" for zone in ZONES)
         )
         number = self.record.current_lifetime(name) + 1
         lifetime = Lifetime(name, number, time.time())
@@ -158,6 +208,8 @@
         )
         arguments += ["--announce", self.addresses[name].at(TARGET_RELAY_OFFSET)]
         arguments += ["--record", str(self.directory / f"{name}.runs")]
+        arguments += ["--zone", self.record.zones[name]]
+        arguments += ["--warmup", str(WARMUP_SECONDS)]
         if self.service(name) == SERVICES[0]:
             arguments += ["--call", "mesh.example/inner/deep"]
         self.targets[name] = self.launch(f"{name}.target.log", arguments)
@@ -211,7 +263,11 @@
             if time.time() >= next_memory:
                 self.measure_memory()
                 next_memory = time.time() + MEMORY_INTERVAL_SECONDS
+            resting_at = time.time()
             await curio.sleep(POLL_INTERVAL_SECONDS)
+            stall = time.time() - resting_at - POLL_INTERVAL_SECONDS
+            if stall > STALL_SECONDS:
+                self.note(f"the soak stood still for {stall:.2f} s")
 
     def ended_by_itself(self, lifetime: Lifetime) -> bool:
         """Return whether a start ended unasked, and long enough ago for a new one."""
@@ -246,19 +302,57 @@
         """Change settings of a target; return whether it confirmed them."""
         return await self.control(self.addresses[name].listener("app"), settings)
 
-    async def publish(self) -> None:
-        """Publish a configuration with a route and a key that no other one has."""
+    async def store_up(self) -> None:
+        """Wait until the store is not down."""
         while self.record.disturbed(
             STORE, frozenset({"store-down"}), time.time(), time.time()
         ):
             await curio.sleep(POLL_INTERVAL_SECONDS)
+
+    async def evacuate(self, zone: str) -> Evacuation:
+        """Write the evacuation of a failure domain as the operator does."""
+        await self.store_up()
+        evacuation = Evacuation(zone)
+        self.record.evacuations.append(evacuation)
+        command = {"topic": OPERATOR_TOPIC, "key": f"evacuate/{zone}", "put": {}}
+        if await self.control_store(command):
+            evacuation.confirmed_at = time.time()
+            self.note(f"evacuation of {zone} confirmed")
+        return evacuation
+
+    async def end_evacuation(self, evacuation: Evacuation) -> None:
+        """Remove the evacuation of a failure domain as the operator does."""
+        await self.store_up()
+        evacuation.removed_at = time.time()
+        key = f"evacuate/{evacuation.zone}"
+        if await self.control_store({"topic": OPERATOR_TOPIC, "remove": key}):
+            evacuation.ended_at = time.time()
+            self.note(f"removal of the evacuation of {evacuation.zone} confirmed")
+
+    def hosts_in(self, zone: str) -> list[str]:
+        """Return the hosts of a failure domain."""
+        return [name for name in self.names if self.record.zones[name] == zone]
+
+    async def publish(self) -> None:
+        """Publish a configuration with a route and a key that no other one has."""
+        await self.store_up()
         publications = self.record.publications
         version = publications[-1].version + 1 if publications else 1
         routes = [route(*fields) for fields in ROUTES]
         routes.append(route(f"v{version}", "idempotent", "desk", 1))
         keys = [KEY, version_key(version)]
         tenant = {"name": "mill", "api_keys": keys, "rate_per_s": 0, "burst": 0}
-        document = configuration(version, routes, tenants=[tenant])
+        services = [
+            {
+                "name": name,
+                "health_path": HEALTH_PATH,
+                "max_connections": 90,
+                "warmup_s": WARMUP_SECONDS,
+                "warmup_per_s": WARMUP_PER_SECOND,
+            }
+            for name in SERVICES
+        ]
+        document = configuration(version, routes, tenants=[tenant], services=services)
         publication = Publication(version, time.time())
         publications.append(publication)
         command = {"topic": OPERATOR_TOPIC, "key": "config", "put": document}
@@ -269,6 +363,7 @@
     def end(self) -> None:
         """Kill all processes."""
         processes = [*self.nodes.values(), *self.targets.values()]
+        processes += self.relay_processes.values()
         if self.store is not None:
             processes.append(self.store)
         for process in processes:
