--- a/src/carawaywheel/listener.py
+++ b/src/carawaywheel/listener.py
@@ -21,6 +21,7 @@
 from .lingering import IDLE_LINGER_SECONDS
 from .pipelining import MAX_PIPELINED_REQUESTS, Pipeline, PipelinedExchange
 from .serverexchange import ServerExchange
+from .ticks import sleep_until_tick
 
 ACCEPT_RETRY_SECONDS = 0.05
 REAPER_INTERVAL_SECONDS = 1.0
@@ -98,7 +99,7 @@
             if len(self.connections) >= self.max_connections:
                 await client.close()
                 continue
-            await curio.spawn(self.serve, client, address, daemon=True)
+            await curio.spawn(self.serve(client, address), daemon=True)
 
     async def serve(self, sock: Any, address: tuple[str, int]) -> None:
         """Serve one connection until it closes."""
@@ -107,7 +108,8 @@
         connection.close_after_response = self.draining
         connection.has_idle_reaper = self.reaper_ticks is not None
         self.connections[fd] = connection
-        self.monitor.add(fd, await curio.current_task())
+        connection.task = await curio.current_task()
+        self.monitor.add(fd, connection.task)
         try:
             await self.serve_connection(connection, fd)
             self.monitor.linger(fd, connection)
@@ -187,9 +189,10 @@
             return not connection.close_after_response and (
                 connection.prepare_next_request()
             )
-        await pipeline.wait_for_responses()
-        if connection.closing:
-            return False
+        if pipeline.pending:
+            await pipeline.wait_for_responses()
+            if connection.closing:
+                return False
         await self.serve_exclusively(connection, request, fd)
         if not connection.prepare_next_request():
             return False
@@ -289,7 +292,7 @@
         """
         self.reaper_ticks = 0
         while True:
-            await curio.sleep(REAPER_INTERVAL_SECONDS)
+            await sleep_until_tick(REAPER_INTERVAL_SECONDS)
             self.reaper_ticks += 1
             min_tick = self.reaper_ticks - idle_seconds() / REAPER_INTERVAL_SECONDS
             for fd, since in list(self.idle_since.items()):
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -16,7 +16,6 @@
 from ..limits import FixedLimit
 from ..platform.headers import (
     decode_health_headers,
-    decode_target_headers,
     encode_health_headers,
     encode_target_headers,
 )
@@ -25,6 +24,7 @@
 from ..retries import RetryBudget
 from ..settings import AdmissionSettings, RetrySettings
 from ..stalls import StallDetector
+from ..ticks import sleep_until_tick
 from .callgraph import CallGraph, FanoutEstimator
 from .configuration import Service
 from .crashes import CrashDetector
@@ -60,6 +60,9 @@
 UNREACHABLE_COOLDOWN_SECONDS = 0.4
 QUEUE_POLL_SECONDS = 0.01
 IDLE_POLL_SECONDS = 0.05
+# Least time between updates of the admission level. Below the time between two polls,
+# which may wake a few milliseconds early or late.
+MIN_UPDATE_SECONDS = 0.045
 # Weight of one response in the moving average: it takes about 20 responses to tell a
 # target that sheds load from a single rejection.
 ACCEPT_RATIO_SMOOTHING = 0.05
@@ -67,6 +70,7 @@
 USED_RETRY_SLACK_SHARE = 0.7
 # Health checks of targets take a few milliseconds.
 HEALTH_CHECK_TIMEOUT_SECONDS = 0.5
+HEALTHY_STATUS = 200
 
 
 class TargetRunner:
@@ -92,6 +96,8 @@
         offered_cold_calls: Those of them that may wait for a cold target.
         rerouted_since: Calls that wait and that another target may take at once: time
             of their arrival in seconds, by ticket id.
+        awaits_configuration: Whether no call is admitted yet, since the limit of a cold
+            target is not known before a configuration.
         checking_health: Whether a health check is in progress.
     """
 
@@ -139,6 +145,7 @@
         self.offered_target_calls = 0
         self.offered_cold_calls = 0
         self.rerouted_since: dict[str, float] = {}
+        self.awaits_configuration = False
         self.checking_health = False
         self.level_updated_at = clock.now()
         self.configuration_version = 0
@@ -152,6 +159,7 @@
             settings: Settings of the node.
             service: The service; None if the configuration does not name it.
         """
+        self.awaits_configuration = False
         self.settings = settings
         self.service = service
         self.warmup_enforcer.configure(settings, service)
@@ -196,7 +204,7 @@
             return None
         if self.clock.now() < self.unreachable_until:
             return None
-        if not self.warmup_enforcer.configured:
+        if self.awaits_configuration:
             return None
         incarnation = (heartbeat.target_id, heartbeat.incarnation)
         if self.gate is None or self.incarnation != incarnation:
@@ -406,9 +414,8 @@
         responded = False
         try:
             await connection.send(request.method, request.target, headers, body)
-            response = await self.receiver.receive_response(call, connection)
+            response, metadata = await self.receiver.receive_response(call, connection)
             self.warmup_enforcer.record_response()
-            metadata = decode_target_headers(response.status, response.headers)
             if metadata.wrong_target:
                 self.warmup.forget_send(sent_at)
             await self.apply_target_state(call, heartbeat, metadata)
@@ -576,18 +583,22 @@
     def build_reply(self, route: str, refusal: Refusal | None) -> CallReply:
         """Return the metadata of a response to the calling node."""
         now = self.clock.now()
-        downstream = self.call_graph.downstream_calls(
-            self.fanout, route, self.settings.service
-        )
-        demands = [
-            ServiceDemand(
-                service,
-                round(calls, 3),
-                round(self.service_level(service, now), 3),
-                round(self.service_accept_ratio(service, now), 3),
+        own_service = self.settings.service
+        demands = []
+        for service, calls in self.call_graph.downstream_calls(
+            self.fanout, route, own_service
+        ).items():
+            if service == own_service:
+                # Exact for the local target.
+                level, accept_ratio = self.level.level, self.accept_ratio
+            else:
+                level = min(self.levels.level(service, now), self.level.max_level)
+                accept_ratio = self.levels.accept_ratio(service, now)
+            demands.append(
+                ServiceDemand(
+                    service, round(calls, 3), round(level, 3), round(accept_ratio, 3)
+                )
             )
-            for service, calls in downstream.items()
-        ]
         return CallReply(
             refusal.reason.value if refusal else "",
             refusal.ran.value if refusal else "",
@@ -598,18 +609,6 @@
             demands,
         )
 
-    def service_level(self, service: str, now: float) -> float:
-        """Return the admission level of a service; exact for the local target."""
-        if service == self.settings.service:
-            return self.level.level
-        return min(self.levels.level(service, now), self.level.max_level)
-
-    def service_accept_ratio(self, service: str, now: float) -> float:
-        """Return the share of requests that the targets of a service accept."""
-        if service == self.settings.service:
-            return self.accept_ratio
-        return self.levels.accept_ratio(service, now)
-
     @property
     def occupancy(self) -> float:
         """Requests in flight and queued, as a share of the target's limit."""
@@ -623,7 +622,10 @@
         while True:
             gate = self.gate
             busy = gate is not None and (gate.queue.queued or self.needs_health_check)
-            await curio.sleep(QUEUE_POLL_SECONDS if busy else IDLE_POLL_SECONDS)
+            if busy:
+                await curio.sleep(QUEUE_POLL_SECONDS)
+            else:
+                await sleep_until_tick(IDLE_POLL_SECONDS)
             now = self.clock.now()
             self.warmup_enforcer.observe(now)
             await self.poll_replaced_gates()
@@ -738,12 +740,14 @@
         remaining = metadata.warmup_remaining
         if metadata.target_id != heartbeat.target_id or remaining is None:
             return
+        if response.status != HEALTHY_STATUS:
+            return
         self.warmup_enforcer.confirm(remaining, events)
 
     def update_level(self, gate: AdmissionGate, now: float) -> None:
         """Update the admission level by the load offered since the last update."""
         elapsed = now - self.level_updated_at
-        if elapsed < IDLE_POLL_SECONDS:
+        if elapsed < MIN_UPDATE_SECONDS:
             return
         queue = gate.queue
         load = offered_load(
--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -18,6 +18,7 @@
 from ..platform.configuration import decode_configuration, find_version
 from ..routing import Router
 from ..serverexchange import JSON_HEADER, ServerExchange
+from ..ticks import sleep_until_tick
 from .configuration import MeshConfiguration
 from .evacuation import Evacuation, EvacuationChange
 from .journal import Journal
@@ -474,7 +475,7 @@
     async def run(self) -> None:
         """Probe suspended hosts and push state to outdated ones until cancelled."""
         while True:
-            await curio.sleep(PROBE_INTERVAL_SECONDS / 2)
+            await sleep_until_tick(PROBE_INTERVAL_SECONDS / 2)
             now = self.clock.now()
             due = [
                 address
@@ -482,6 +483,8 @@
                 if suspension.next_probe_at <= now
             ]
             outdated = self.take_outdated(now)
+            if not due and not outdated:
+                continue
             async with curio.TaskGroup() as group:
                 for address in due:
                     await group.spawn(self.probe, address)
