--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -44,9 +44,11 @@
 from .shedding import AdmissionLevel, AdmissionLevelTable, offered_load
 from .target import Heartbeat, LocalTarget, Phase
 from .targetconnections import TargetConnections
+from .targetload import TargetLoad
 from .warmup import WarmupLimit
 from .warmupenforcer import MAX_REROUTED_WAIT_SECONDS, WarmupEnforcer
 from .warmupenforcer import STEP as WARMUP_STEP
+from .warmupshare import WarmupReport, WarmupShare
 
 BODY_METHODS = ("POST", "PUT", "PATCH")
 SUCCESS_STATUSES = range(200, 300)
@@ -83,6 +85,7 @@
         warmup_enforcer: Paces the requests while the target is cold.
         warmup: Its request limit.
         replaced_gates: Gates of former incarnations in which calls still wait.
+        target_load: What the responses of this incarnation tell of its speed.
         level: Admission level of the target.
         evacuated: Whether the failure domain is evacuated and the target gets no calls.
         shutting_down: Whether the node shuts down and admits no more calls.
@@ -99,6 +102,7 @@
         awaits_configuration: Whether no call is admitted yet, since the limit of a cold
             target is not known before a configuration.
         checking_health: Whether a health check is in progress.
+        warmup_share: Share of requests that the target is to be sent while it is cold.
     """
 
     def __init__(
@@ -135,6 +139,7 @@
         self.gate: AdmissionGate | None = None
         self.replaced_gates: list[AdmissionGate] = []
         self.rate_enforcer = RateEnforcer(journal, clock)
+        self.target_load = TargetLoad()
         self.incarnation: tuple[str, int] | None = None
         self.evacuated = False
         self.shutting_down = False
@@ -148,6 +153,7 @@
         self.awaits_configuration = False
         self.checking_health = False
         self.level_updated_at = clock.now()
+        self.warmup_share = WarmupShare(clock.now())
         self.configuration_version = 0
         self.ticket_ids = itertools.count()
         self.share_retries(1, 0)
@@ -221,6 +227,7 @@
             if self.gate is not None:
                 self.rate_enforcer.start_incarnation()
                 self.replaced_gates.append(self.gate)
+                self.target_load = TargetLoad()
             self.gate = AdmissionGate(self.target, queue, self.clock)  # type: ignore[arg-type]
         return self.gate
 
@@ -261,6 +268,7 @@
             str(next(self.ticket_ids)), call.account, queue_importance(call), deadline
         )
         self.active_calls += 1
+        self.warmup_share.record_arrival()
         is_cold = self.warmup.is_cold(now)
         if may_wait or not is_cold:
             self.offered_calls += 1
@@ -418,6 +426,7 @@
             self.warmup_enforcer.record_response()
             if metadata.wrong_target:
                 self.warmup.forget_send(sent_at)
+            self.record_load(metadata, sent_at)
             await self.apply_target_state(call, heartbeat, metadata)
             result = await self.read_response(
                 connection, response, metadata, release_slot
@@ -556,6 +565,20 @@
             )
             await self.on_target_changed()
 
+    def record_load(self, metadata: TargetResponseMetadata, sent_at: float) -> None:
+        """Record the load that a response reports.
+
+        Args:
+            metadata: Metadata of the response.
+            sent_at: Time in seconds at which its request was sent.
+        """
+        if not metadata.is_load_valid:
+            self.journal.count("load_header_invalid")
+        if metadata.load is not None and not metadata.wrong_target:
+            now = self.clock.now()
+            duration = None if metadata.rejected else now - sent_at
+            self.target_load.record_response(metadata.load, duration, now)
+
     def record_acceptance(self, accepted: bool) -> None:
         """Note whether a call was accepted, by the queue and by the target."""
         self.accept_ratio += ACCEPT_RATIO_SMOOTHING * (accepted - self.accept_ratio)
@@ -603,12 +626,16 @@
             refusal.reason.value if refusal else "",
             refusal.ran.value if refusal else "",
             refusal.retry_after if refusal else None,
-            round(max(self.occupancy, self.rate_enforcer.limit.pressure(now)), 3),
+            round(self.pressure(now), 3),
             self.current_gate() is not None,
             self.configuration_version,
             demands,
         )
 
+    def warmup_report(self) -> WarmupReport:
+        """Return what a response tells of the warm-up of the local target."""
+        return self.warmup_share.report(self.warmup, self.clock.now())
+
     @property
     def occupancy(self) -> float:
         """Requests in flight and queued, as a share of the target's limit."""
@@ -617,6 +644,13 @@
         queue = self.gate.queue
         return (queue.in_flight + queue.queued) / queue.limit.limit(0.0)
 
+    def pressure(self, now: float) -> float:
+        """Return the load of the target that replies carry."""
+        return max(
+            self.target_load.pressure(self.occupancy, now),
+            self.rate_enforcer.limit.pressure(now),
+        )
+
     async def run_polling(self) -> None:
         """Update the admission level and expire queued calls until cancelled."""
         while True:
--- a/src/carawaywheel/mesh/messages.py
+++ b/src/carawaywheel/mesh/messages.py
@@ -7,9 +7,14 @@
 from ..errors import ProtocolError
 from ..http import Headers
 from ..refusals import Ran, Reason, Refusal
+from .warmupshare import WARM, WarmupReport
 
 CALL_HEADER = b"x-cw-call"
 REPLY_HEADER = b"x-cw-reply"
+# Of a call over HTTP; see ``CallFrame.may_wait``.
+MAY_WAIT_HEADER = b"x-cw-may-wait"
+# Of a response over HTTP, while the target is cold.
+WARMUP_HEADER = b"x-cw-warmup"
 
 
 class CallerMetadata(NamedTuple):
@@ -50,6 +55,23 @@
     body_length: int | None
 
 
+class ReportedLoad(NamedTuple):
+    """Load that a target reports with a response.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests that wait in it.
+        slots: Requests that it can run concurrently.
+        slowdown: Ratio of the time that work takes now to the usual time; None if the
+            target does not report it.
+    """
+
+    running: float
+    waiting: float
+    slots: float
+    slowdown: float | None = None
+
+
 class TargetResponseMetadata(NamedTuple):
     """Metadata of a response, from the headers of a target.
 
@@ -61,6 +83,8 @@
         rate_limit: Requests per second that the target takes from all nodes together,
             as it states them; empty if it states no limit.
         leaving: Whether the target is about to leave and takes no new requests.
+        load: Load that the target reports; None if it reports none.
+        is_load_valid: Whether the reported load, if any, can be read.
     """
 
     attempt_id: str
@@ -69,6 +93,8 @@
     wrong_target: bool
     rate_limit: str = ""
     leaving: bool = False
+    load: ReportedLoad | None = None
+    is_load_valid: bool = True
 
 
 class HealthMetadata(NamedTuple):
@@ -170,6 +196,7 @@
 
 call_decoder = msgspec.json.Decoder(Call)
 reply_decoder = msgspec.json.Decoder(CallReply)
+warmup_decoder = msgspec.json.Decoder(WarmupReport)
 encode_header = msgspec.json.encode
 
 
@@ -195,3 +222,17 @@
         return reply_decoder.decode(value)
     except (msgspec.DecodeError, ValueError) as error:
         raise ProtocolError(str(error), "decode reply", peer) from error
+
+
+def decode_warmup(value: str, peer: str) -> WarmupReport:
+    """Decode the state of a target from its header; it is warm if there is none.
+
+    Raises:
+        ProtocolError: If it cannot be read.
+    """
+    if not value:
+        return WARM
+    try:
+        return warmup_decoder.decode(value)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise ProtocolError(str(error), "decode warm-up", peer) from error
--- a/src/carawaywheel/mesh/monitor.py
+++ b/src/carawaywheel/mesh/monitor.py
@@ -6,7 +6,7 @@
 no requests until a background probe succeeds.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 import curio
@@ -42,6 +42,7 @@
 )
 from .target import Phase
 from .unreadable import UnreadableDocument, UnreadableDocuments
+from .warmupshare import INITIAL_SHARE
 
 STATE_HEADER = (b"content-type", b"application/msgpack")
 OWN_ORIGIN = "self"
@@ -104,8 +105,6 @@
         on_newer_version: Called with the address of a peer and its newer version.
         on_evacuation_changed: Called with a failure domain and whether it is evacuated
             from now on.
-        on_targets_returned: Called with the ids of the targets that are candidates
-            again after an evacuation, and may be cold.
     """
 
     def __init__(
@@ -133,7 +132,6 @@
         self.on_own_record: Any = lambda record: None
         self.on_newer_version: Any = lambda address, version: None
         self.on_evacuation_changed: Any = lambda domain, active: None
-        self.on_targets_returned: Any = lambda target_ids: None
 
     def observe_reply(self, address: str, reply: CallReply) -> None:
         """Process the version and readiness that a reply carries."""
@@ -231,6 +229,10 @@
             hosts_position: Position up to which all records are known now.
             origin: Who told the records.
         """
+        former = {
+            record.address: self.directory.hosts.get(record.address)
+            for _, record in changes
+        }
         newest = {
             record.address: record
             for position, record in changes
@@ -260,6 +262,29 @@
                 origin=origin,
             )
         self.update_router()
+        if directory.hosts_known:
+            self.assume_cold(
+                record.address
+                for record in merged
+                if may_be_cold(former[record.address], record)
+            )
+
+    def assume_cold(self, addresses: Iterable[str]) -> None:
+        """Use targets as cold ones until they tell how long they stay cold.
+
+        Args:
+            addresses: Hosts whose targets may have started a moment ago.
+        """
+        configuration = self.directory.configuration
+        services = configuration.services if configuration else {}
+        now = self.clock.now()
+        for address in addresses:
+            service = services.get(self.directory.hosts[address].service)
+            if service is None or not service.warmup_rate:
+                continue
+            if address != self.own_address:
+                until = now + service.warmup_duration
+                self.router.set_cold(address, until, INITIAL_SHARE, now)
 
     def merge_host(self, position: Position, record: HostRecord, origin: str) -> bool:
         """Merge the record of a host; return whether it was newer."""
@@ -318,8 +343,7 @@
             for record in self.directory.hosts.values()
             if record.domain in ended and record.phase == Phase.READY
         ]
-        if returned:
-            self.on_targets_returned(returned)
+        self.assume_cold(returned)
 
     def mark_hosts_known(self) -> None:
         """Record that the records of all other hosts have been read."""
@@ -577,3 +601,19 @@
         if reply is not None:
             on_accepted(record)
             self.observe_version(address, reply.version)
+
+
+def may_be_cold(former: HostRecord | None, record: HostRecord) -> bool:
+    """Return whether a record of a host tells of a target that may have started.
+
+    Args:
+        former: Record of the host that was known before; None for none.
+        record: The newer record.
+    """
+    if record.phase != Phase.READY:
+        return False
+    return (
+        former is None
+        or former.phase != Phase.READY
+        or former.incarnation != record.incarnation
+    )
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -6,6 +6,7 @@
 import pytest
 
 from carawaywheel.clock import ManualClock
+from carawaywheel.mesh.configuration import Service
 from carawaywheel.mesh.monitor import MAX_LOGGED_HOSTS, OWN_ORIGIN, PeerMonitor
 from carawaywheel.mesh.quotas import Quotas
 from carawaywheel.mesh.ratelimiter import RateLimiter
@@ -14,6 +15,7 @@
 from carawaywheel.mesh.replication.store import START, Position
 from carawaywheel.mesh.target import Phase
 from carawaywheel.mesh.unreadable import MAX_KNOWN_DOCUMENTS
+from carawaywheel.mesh.warmupshare import INITIAL_SHARE
 
 
 class LineList(list):
@@ -156,3 +158,30 @@
     monitor.suspended[address_of("h2")].reason = "cannot be reached"
     limiter.refresh_changed_nodes()
     assert quotas.reachable == []
+
+
+def test_target_of_a_new_record_is_used_as_a_cold_one():
+    """Guards against a flood of a target that started, or a service that is shunned."""
+    monitor, cold = make_monitor("h1"), []
+    monitor.router.set_cold = lambda *arguments: cold.append(arguments)
+    service = Service("desk", "/health", 10, warmup_duration=3.0, warmup_rate=3.1)
+    monitor.directory.configuration = SimpleNamespace(services={"desk": service})
+
+    def merge(name, sequence, phase=Phase.READY, incarnation=1):
+        record = make_record(name, sequence, phase)._replace(incarnation=incarnation)
+        monitor.merge_hosts([(START, record)], START, "store")
+        merged, cold[:] = list(cold), []
+        return merged
+
+    # At its own start a node cannot know which targets have just started.
+    assert not merge("h2", 1)
+    monitor.mark_hosts_known()
+    assert not merge("h2", 2)
+    assert not merge("h2", 1, Phase.GONE, incarnation=2)
+    expected = [(address_of("h2"), 13.0, INITIAL_SHARE, 10.0)]
+    assert merge("h2", 2, incarnation=2) == expected
+    assert merge("h2", 1, incarnation=3) == expected
+    assert len(merge("h3", 1)) == 1
+    service = service._replace(warmup_rate=0.0)
+    monitor.directory.configuration.services["desk"] = service
+    assert not merge("h4", 1)
