--- a/src/carawaywheel/mesh/targetconnections.py
+++ b/src/carawaywheel/mesh/targetconnections.py
@@ -14,6 +14,11 @@
 class ConnectionObserver(ABC):
     """Receives what connection attempts show of the target."""
 
+    @property
+    @abstractmethod
+    def needs_witness(self) -> bool:
+        """Whether to keep an idle connection to recognize the process by."""
+
     @abstractmethod
     def on_refused(self) -> None:
         """Note that a connection failed while none was open: the target has ended."""
@@ -57,6 +62,7 @@
                 self.observer.on_refused()
             raise
         self.observer.on_connected(self.any_open())
+        self.forget_closed()
         self.connections.append(connection)
         witness, self.witness = self.witness, None
         if witness is not None:
@@ -64,8 +70,8 @@
         return connection
 
     async def close_idle(self, address: str) -> None:
-        """Close the idle connections, but keep one that is open as the witness."""
-        if self.witness is None:
+        """Close the idle connections, but keep an open one as the witness if needed."""
+        if self.witness is None and self.observer.needs_witness:
             idle = self.idle_connections.get(address)
             while idle and self.witness is None:
                 connection = idle.pop()
@@ -75,6 +81,15 @@
                     await connection.sock.close()
         await super().close_idle(address)
 
+    def forget_closed(self) -> None:
+        """Forget the connections that this node has closed."""
+        # One that is open keeps any_open() from reaching those before it.
+        self.connections = [
+            connection
+            for connection in self.connections
+            if connection.sock._socket is not None
+        ]
+
     def any_open(self) -> bool:
         """Return whether a connection is open; forget those that are not."""
         while self.connections:
