--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -288,7 +288,10 @@
         platform.wait_until_served("h1", "/read/x")
         assert platform.readiness("h1") == (200, {})
         for name in names:
-            (line,) = platform.log_lines(name, "configuration_invalid")
+            (line,) = platform.wait_for(
+                lambda name=name: platform.log_lines(name, "configuration_invalid"),
+                f"{name} has written its log",
+            )
             assert line["version"] == 9
 
 
