--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -687,9 +687,11 @@
     content = HostAddresses(5, 20000).boot_file(
         "h1", "desk", "127.0.0.1:1", "127.0.0.1:2"
     )
-    path.write_text(content)
+    lines = content.splitlines(keepends=True)
+    older = "".join(line for line in lines if not line.startswith("warmup_"))
+    path.write_text(older)
     assert read_host_settings(str(path)).bounds.restricts_targets is False
-    path.write_text(content.replace("[bounds]\n", "[bounds]\nwarmup_slack = 4\n"))
+    path.write_text(older.replace("[bounds]\n", "[bounds]\nwarmup_slack = 4\n"))
     bounds = read_host_settings(str(path)).bounds
     assert bounds.restricts_targets and bounds.warmup_slack == 4
     assert bounds.warmup_overage == Bounds().warmup_overage
