--- a/review/deployment/deployment.py
+++ b/review/deployment/deployment.py
@@ -26,6 +26,8 @@
 LISTENERS = ("inbound", "outbound", "ready", "control", "app", "nodes")
 PORTS_PER_HOST = 10
 READY_SECONDS = 20.0
+# Memory of a process at the smallest site of the pages.
+MEMORY_MB = 300
 # The environment that a process of the platform gets, besides its settings.
 ENVIRONMENT = ("PATH", "HOME", "LANG")
 # Bounds of the smallest site of the pages.
@@ -122,7 +124,7 @@
         ]
         for listener in ("inbound", "outbound", "ready", "control"):
             lines.append(f'{listener} = "{self.at(listener)}"')
-        lines += ["[limits]", "memory_mb = 300", "max_fds = 4100", "[bounds]"]
+        lines += ["[limits]", f"memory_mb = {MEMORY_MB}", "max_fds = 4100", "[bounds]"]
         lines += [f"{name} = {json.dumps(value)}" for name, value in BOUNDS.items()]
         lines += ["[provider]", f'address = "{store}"', 'form = "log"']
         return "\n".join(lines) + "\n"
--- a/review/deployment/messages.py
+++ b/review/deployment/messages.py
@@ -75,11 +75,15 @@
     return await reader.readexactly(int(length)) if length else b""
 
 
+def encode_head(first: str, headers: Headers) -> bytes:
+    """Encode the head of a message."""
+    lines = [first, *(f"{name}: {value}" for name, value in headers)]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
+
+
 def encode(first: str, headers: Headers, body: bytes) -> bytes:
     """Encode a message with the length of its body."""
-    lines = [first, *(f"{name}: {value}" for name, value in headers)]
-    lines.append(f"content-length: {len(body)}")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+    return encode_head(first, [*headers, ("content-length", str(len(body)))]) + body
 
 
 def encode_response(status: int, headers: Headers, body: bytes) -> bytes:
