Show that a withdrawn key works while both readers stand still

Cause: nodes notice that a reader is silent after up to 2.8 s, and a change of the configuration must be in force within 2 s.

--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,4 +1,4 @@
-"""The node that counts a tenant's usage stands still while the tenant sends a surge."""
+"""A key is withdrawn while both nodes that read the store for others stand still."""
 
 import asyncio
 import hashlib
@@ -7,117 +7,81 @@
 
 from review.deployment.deployment import (
     BOUNDS,
+    KEY,
     Deployment,
     configuration,
     route,
     run_case,
 )
 
-RATE = 50
-BURST = 250
-# Usual requests per second at each host, and for how long they come alone: until all
-# buckets are full and all nodes are in touch.
-USUAL_PER_SECOND = 5
-USUAL_SECONDS = 8.0
-# Requests per second at each other host, while the tenant sends many
-# times its usual, and for how long.
-OFFERED_PER_SECOND = 120
-OFFERED_SECONDS = 5.5
-# After this time the first burst is used up.
-FREEZE_AFTER_SECONDS = 1.2
-FREEZE_SECONDS = 3.0
-# Slots of accounts in the product, which are spread over the nodes.
-SLOT_COUNT = 4
-SERVER_SLOTS = 40
+HOSTS = 15
+# A tenth of the hosts, rounded up.
+FROZEN = 2
+FREEZE_SECONDS = 5.0
+OTHER_KEY = "another-key-of-the-mill"
+# Between the end of the start and the disruption, and from that to the withdrawal.
+CALM_SECONDS = 4.0
+WITHDRAWAL_AFTER_SECONDS = 0.3
+# From the end of config_apply_s to the only request that each node gets.
+MARGIN_SECONDS = 0.05
+LAST_REQUEST_SECONDS = 1.0
 
 
 async def play(deployment: Deployment, trouble: bool) -> bool:
-    """Play the case; return whether QUOTA was kept."""
+    """Play the case; return whether CONFIG was kept."""
     record = deployment.record
     routes = [route("read", "idempotent", "desk")]
-    await deployment.start(
-        configuration(1, routes, RATE, BURST), slots=SERVER_SLOTS, work=0.005
-    )
-    await deployment.wait_for(lambda: is_served(deployment), "requests are served")
-    await asyncio.gather(
-        *(
-            run_client(deployment, name, USUAL_PER_SECOND, USUAL_SECONDS)
-            for name in deployment.hosts
-        )
-    )
-    owner = counting_host(deployment)
-    record.write("counting node", host=owner)
-    clients = [
-        asyncio.ensure_future(
-            run_client(deployment, name, OFFERED_PER_SECOND, OFFERED_SECONDS)
+    first, second = configuration(1, routes), configuration(2, routes)
+    first["tenants"][0]["api_keys"] = [KEY, OTHER_KEY]
+    second["tenants"][0]["api_keys"] = [OTHER_KEY]
+    await deployment.start(first)
+    for name in deployment.hosts:
+        await deployment.wait_for(
+            lambda name=name: is_served(deployment, name), f"{name} serves"
         )
-        for name in deployment.hosts
-        if name != owner
-    ]
-    await asyncio.sleep(FREEZE_AFTER_SECONDS)
+    await asyncio.sleep(CALM_SECONDS)
+    frozen = reading_hosts(deployment)
+    record.write("reading nodes", hosts=frozen)
     if trouble:
-        deployment.signal_node(owner, signal.SIGSTOP)
-        await asyncio.sleep(FREEZE_SECONDS)
-        deployment.signal_node(owner, signal.SIGCONT)
-    await asyncio.gather(*clients)
-    most = most_in_window(deployment)
-    window = BOUNDS["quota_window_s"]
-    allowed = RATE * window + BURST
-    allowed = allowed * (1 + BOUNDS["quota_overage"]) + BOUNDS["quota_slack"]
-    record.write("most in a window", runs=most, allowed=round(allowed, 1))
-    return most <= allowed
-
-
-async def run_client(
-    deployment: Deployment, name: str, per_second: float, seconds: float
-) -> None:
-    """Send requests at a steady rate to the node of one host."""
-    loop = asyncio.get_running_loop()
-    started_at = loop.time()
-    sent = []
-    while loop.time() - started_at < seconds:
-        due = int((loop.time() - started_at) * per_second)
-        while len(sent) < due:
-            sent.append(asyncio.ensure_future(deployment.request(name, "/read/x")))
-        await asyncio.sleep(0.01)
-    await asyncio.gather(*sent)
+        for name in frozen:
+            deployment.signal_node(name, signal.SIGSTOP)
+    await asyncio.sleep(WITHDRAWAL_AFTER_SECONDS)
+    deployment.store.publish(second)
+    confirmed_at = record.now()
+    record.write("key withdrawn", version=2)
+    calm = [name for name in deployment.hosts if name not in frozen]
+    await asyncio.sleep(BOUNDS["config_apply_s"] + MARGIN_SECONDS)
+    answers = await asyncio.gather(
+        *(deployment.request(name, "/read/withdrawn") for name in calm)
+    )
+    await asyncio.sleep(FREEZE_SECONDS - (record.now() - confirmed_at))
+    for name in frozen:
+        deployment.signal_node(name, signal.SIGCONT)
+    await asyncio.sleep(LAST_REQUEST_SECONDS)
+    ran = {fields["id"] for _, fields in record.of("run")}
+    accepted = [attempt for attempt, _ in answers if attempt in ran]
+    record.write("withdrawn key", nodes=len(calm), accepted=len(accepted))
+    return not accepted
 
 
-def counting_host(deployment: Deployment) -> str:
-    """Return the host whose node counts the usage of the tenant.
+def reading_hosts(deployment: Deployment) -> list[str]:
+    """Return the hosts whose nodes read the store for the others.
 
-    It follows from the name of the tenant and the addresses of the nodes.
+    That follows from the addresses of the nodes.
     """
-    digest = hashlib.blake2b(b"mill").digest()
-    slot = int.from_bytes(digest[:4], "big") % SLOT_COUNT
 
-    def score(name: str) -> bytes:
+    def rank(name: str) -> bytes:
         address = deployment.hosts[name].at("inbound")
-        return hashlib.blake2b(f"{slot} {address}".encode(), digest_size=8).digest()
-
-    return max(deployment.hosts, key=score)
+        return hashlib.blake2b(address.encode(), digest_size=8).digest()
 
-
-def most_in_window(deployment: Deployment) -> int:
-    """Return how many requests were sent and run in some window, at the most."""
-    window = BOUNDS["quota_window_s"]
-    sent = {fields["id"]: at for at, fields in deployment.record.of("request")}
-    runs = [
-        (sent[fields["id"]], at)
-        for at, fields in deployment.record.of("run")
-        if fields["id"] in sent
-    ]
-    return max(
-        sum(start <= at and ran <= start + window for at, ran in runs)
-        for start, _ in runs
-    )
+    return sorted(deployment.hosts, key=rank)[:FROZEN]
 
 
-async def is_served(deployment: Deployment) -> bool:
-    """Return whether a request is served."""
-    _, exchange = await deployment.request("h1", "/read/first", quiet=True)
+async def is_served(deployment: Deployment, name: str) -> bool:
+    """Return whether a node serves a request."""
+    _, exchange = await deployment.request(name, "/read/first", quiet=True)
     return exchange.status == 200
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, ["desk", "desk", "desk", "desk"], play)
+    run_case(Path(__file__).parent, ["desk"] * HOSTS, play)
