--- a/review/deployment/deployment.py
+++ b/review/deployment/deployment.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 from collections.abc import Awaitable, Callable
@@ -26,6 +27,9 @@
 LISTENERS = ("inbound", "outbound", "ready", "control", "app", "nodes")
 PORTS_PER_HOST = 10
 READY_SECONDS = 20.0
+# A case may take 120 seconds in all.
+CASE_SECONDS = 100.0
+GUARD_SECONDS = 110.0
 # Memory of a process at the smallest site of the pages.
 MEMORY_MB = 300
 # The environment that a process of the platform gets, besides its settings.
@@ -138,6 +142,7 @@
         hosts: Hosts by name.
         nodes: Last process of each node, by host.
         servers: Last server of each host, by host.
+        all_servers: All servers that were built.
         store: The platform's store.
     """
 
@@ -152,13 +157,21 @@
         self.store = Store(f"127.0.0.1:{port}")
         self.nodes: dict[str, subprocess.Popen[bytes]] = {}
         self.servers: dict[str, Server] = {}
+        self.all_servers: list[Server] = []
         self.attempts = 0
         with (ROOT / "deploy/system.toml").open("rb") as file:
             self.command = tomllib.load(file)["roles"]["node"]["run"].split(" ")
 
-    async def start(self, configuration: dict, **servers: Any) -> None:
+    async def start(
+        self, configuration: dict, later: tuple[str, ...] = (), **servers: Any
+    ) -> None:
         """Start everything and wait until all nodes are ready.
 
+        Args:
+            configuration: First configuration.
+            later: Hosts whose servers the case starts itself.
+            servers: Options of the other servers.
+
         Raises:
             CannotRunError: If a node does not become ready.
         """
@@ -166,7 +179,7 @@
         self.store.publish(configuration)
         for name in self.hosts:
             self.start_node(name, first_start=True)
-        for name in self.hosts:
+        for name in self.hosts.keys() - set(later):
             self.servers[name] = self.build_server(name, f"i-{name}", **servers)
             await self.servers[name].start()
         for name in self.hosts:
@@ -175,7 +188,7 @@
     def build_server(self, name: str, identity: str, **options: Any) -> Server:
         """Return a server for a host, not started yet."""
         host = self.hosts[name]
-        return Server(
+        server = Server(
             identity,
             host.service,
             host.at("app"),
@@ -183,6 +196,8 @@
             self.record.write,
             **options,
         )
+        self.all_servers.append(server)
+        return server
 
     def start_node(self, name: str, first_start: bool = False) -> None:
         """Start the node of a host with the command of the deploy file."""
@@ -275,7 +290,13 @@
         return attempt, exchange
 
     async def stop(self) -> None:
-        """End all processes that were started."""
+        """End all processes that were started, and all servers."""
+        for server in self.all_servers:
+            await server.crash()
+        self.kill_nodes()
+
+    def kill_nodes(self) -> None:
+        """Kill all nodes and wait for their ends."""
         for process in self.nodes.values():
             if process.poll() is None:
                 process.kill()
@@ -342,6 +363,13 @@
     }
 
 
+def end_at_once(deployment: Deployment) -> None:
+    """Kill all nodes and end with 2, if the case or its end takes too long."""
+    deployment.record.write("could not run", error="it did not end in time")
+    deployment.kill_nodes()
+    os._exit(2)
+
+
 Case = Callable[[Deployment, bool], Awaitable[bool]]
 
 
@@ -360,8 +388,11 @@
     async def play() -> bool:
         with tempfile.TemporaryDirectory() as folder:
             deployment = Deployment(record, services, Path(folder))
+            guard = threading.Timer(GUARD_SECONDS, end_at_once, [deployment])
+            guard.daemon = True
+            guard.start()
             try:
-                return await asyncio.wait_for(case(deployment, trouble), 100.0)
+                return await asyncio.wait_for(case(deployment, trouble), CASE_SECONDS)
             finally:
                 await deployment.stop()
 
--- a/review/deployment/server.py
+++ b/review/deployment/server.py
@@ -25,6 +25,7 @@
         phase: Phase in its check-ins.
         sequence: Number of its last check-in.
         running: Attempt ids that run now.
+        checks_in: Whether it sends check-ins by itself.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self.free = asyncio.Semaphore(slots)
         self.listener = HttpListener(address, self.handle)
         self.check_ins: asyncio.Task[None] | None = None
+        self.checks_in = True
 
     async def start(self, interval: float = 0.5) -> None:
         """Listen, and check in at intervals."""
@@ -67,13 +69,18 @@
         self.record("server ends", server=self.identity)
 
     def stop_check_ins(self) -> None:
-        """Send no further check-ins."""
+        """Send no further check-ins.
+
+        A cancellation alone may be lost: ``asyncio.wait_for`` drops it if the
+        connection fails at the same moment.
+        """
+        self.checks_in = False
         if self.check_ins is not None:
             self.check_ins.cancel()
 
     async def run_check_ins(self, interval: float) -> None:
-        """Check in at intervals until cancelled."""
-        while True:
+        """Check in at intervals until told to stop."""
+        while self.checks_in:
             await self.check_in()
             await asyncio.sleep(interval)
 
