--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -38,6 +38,7 @@
 )
 from .rateenforcer import RateEnforcer
 from .receiving import ResponseReceiver
+from .requests import CallProgress
 from .responses import BufferedResponse, CallResult, StreamedResponse, buffer_response
 from .settings import CONNECT_TIMEOUT_SECONDS, HostSettings
 from .shedding import AdmissionLevel, AdmissionLevelTable, offered_load
@@ -236,6 +237,7 @@
         body: bytes,
         remembered_rate: float | None = None,
         may_wait: bool = True,
+        progress: CallProgress | None = None,
     ) -> CallResult:
         """Execute a call, or refuse it.
 
@@ -248,7 +250,9 @@
                 None if it remembers none.
             may_wait: Whether the call may wait until a cold target takes it. Otherwise
                 another target may have capacity for it at once.
+            progress: Progress of the call; updated.
         """
+        progress = progress or CallProgress()
         refusal = self.check_call(call) or self.crashes.check_quarantine(
             call, request, body, self.clock.now()
         )
@@ -286,7 +290,7 @@
                     self.record_acceptance(False)
                 return refusal
             return await self.run_admitted(
-                call, gate, ticket, request, forwarded_headers, body, may_wait
+                call, gate, ticket, request, forwarded_headers, body, may_wait, progress
             )
         finally:
             self.active_calls -= 1
@@ -347,6 +351,7 @@
         forwarded_headers: Any,
         body: bytes,
         may_wait: bool,
+        progress: CallProgress,
     ) -> CallResult:
         """Execute a call that holds a slot, and release the slot at its end."""
         started_at = self.clock.now()
@@ -368,6 +373,7 @@
                 body,
                 release_slot,
                 may_wait,
+                progress,
             )
             is_streamed = isinstance(result, StreamedResponse)
             outcome = Outcome.OK
@@ -389,6 +395,7 @@
         body: bytes,
         release_slot: Any,
         may_wait: bool,
+        progress: CallProgress,
     ) -> CallResult:
         """Send a call to the target and read its response."""
         peer = self.target.address
@@ -417,6 +424,7 @@
         self.fanout.record_request(call.route, call.is_retry or call.caused_by_retry)
         number = self.crashes.begin(call, request, body, heartbeat)
         responded = False
+        progress.begun = True
         try:
             await connection.send(request.method, request.target, headers, body)
             response, metadata = await self.receiver.receive_response(call, connection)
--- a/src/carawaywheel/mesh/links.py
+++ b/src/carawaywheel/mesh/links.py
@@ -36,6 +36,7 @@
 from .journal import Journal
 from .messages import Call, CallReply
 from .monitor import PeerMonitor
+from .requests import CallProgress
 from .responses import BufferedResponse, StreamedResponse
 from .settings import CONNECT_TIMEOUT_SECONDS
 
@@ -396,6 +397,7 @@
         call = frame.call
         self.peer_monitor.observe_caller(connection.peer, call.version)
         self.calls_in_progress += 1
+        progress = CallProgress()
         try:
             request = Request(frame.method, frame.target, frame.headers)
             result = await self.runner.run(
@@ -405,12 +407,14 @@
                 frame.body,
                 frame.target_rate,
                 may_wait=frame.may_wait,
+                progress=progress,
             )
             await connection.write(await self.make_response(frame, result))
         except PeerError:
             self.journal.count("answer_not_taken")
         except curio.CancelledError:
-            self.journal.count("call_cancelled")
+            stage = "at work" if progress.begun else "waiting"
+            self.journal.count("call_cancelled", stage)
         except Exception as error:
             # An error in one call must not stop the node. Closing the link makes the
             # caller treat the call as possibly executed.
--- a/src/carawaywheel/mesh/requests.py
+++ b/src/carawaywheel/mesh/requests.py
@@ -61,6 +61,17 @@
         return Ran.UNKNOWN if self.executions or self.attempt_in_flight else Ran.NOT_RUN
 
 
+class CallProgress:
+    """Progress of a call at the node beside its target.
+
+    Attributes:
+        begun: Whether the target may have begun to run it.
+    """
+
+    def __init__(self) -> None:
+        self.begun = False
+
+
 class TrafficSplitter:
     """Smooth weighted round robin between the services of a route.
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -171,7 +171,9 @@
     def __init__(self):
         self.ended = curio.Event()
 
-    async def run(self, call, request, headers, body, remembered_rate, may_wait):
+    async def run(
+        self, call, request, headers, body, remembered_rate, may_wait, progress
+    ):
         await self.ended.wait()
         return BufferedResponse(200, [], bytes(500_000))
 
