Refuse requests that still wait for a target when a node exits

Cause: the end of a stop cancelled all that was in flight, and a cancelled call was dropped beside its target without a word, so that nobody could say that it had not run.

Ruled out: a refusal that is written and lost, a node beside the target that gives up first.

Why it works: the exiting node refuses its own queue and asks the other nodes to cancel what has not begun; such a call is answered as not run, and one at work goes on. Former versions read the new frame as the cancellation that they always got.

--- a/src/carawaywheel/mesh/entry.py
+++ b/src/carawaywheel/mesh/entry.py
@@ -29,16 +29,13 @@
     StreamedResponse,
     send_response,
 )
-from .sender import NO_TARGET_RETRY_SECONDS, RequestSender
+from .sender import NO_TARGET_RETRY_SECONDS, RequestSender, shutdown_refusal
 from .settings import HostSettings
 from .shedding import AdmissionLevelTable
 
 STEP = "entry"
 RATE_RETRY_SECONDS = 1.0
 NOT_READY_RETRY_SECONDS = 1.0
-# A process that refuses new requests mostly ends the others at once, and is started
-# again within a second of its exit.
-STOPPING_RETRY_SECONDS = 1.5
 
 
 class EntryHandler(RequestHandler):
@@ -113,9 +110,11 @@
             result = await self.send_before_deadline(
                 connection, admitted, request, max_body_bytes, progress
             )
-        except BaseException:
-            self.log_abandoned(caller, progress, started_at)
-            raise
+        except BaseException as error:
+            if not self.is_cut_off_before_it_ran(error, progress):
+                self.log_abandoned(caller, progress, started_at)
+                raise
+            result = shutdown_refusal()
         if isinstance(result, Refusal):
             if progress.charged and result.ran is Ran.NOT_RUN and admitted.account:
                 self.rate_limiter.quotas.refund(admitted.account, self.clock.now())
@@ -139,6 +138,16 @@
                 waited=round(self.clock.now() - started_at, 3),
             )
 
+    def is_cut_off_before_it_ran(
+        self, error: BaseException, progress: RequestProgress
+    ) -> bool:
+        """Return whether the exit of the process cancels a request that did not run."""
+        return (
+            self.cutting_off
+            and isinstance(error, curio.CancelledError)
+            and progress.ran is Ran.NOT_RUN
+        )
+
     def check_intake(self, admitted: AdmittedRequest) -> Refusal | None:
         """Refuse a request if the process is about to stop.
 
@@ -148,7 +157,7 @@
         is_needed = admitted.from_target and self.runner.active_calls > 0
         if not self.refusing or (is_needed and not self.cutting_off):
             return None
-        return Refusal(Reason.SHUTTING_DOWN, Ran.NOT_RUN, STOPPING_RETRY_SECONDS, STEP)
+        return shutdown_refusal()
 
     async def deliver(
         self,
--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -86,6 +86,8 @@
         level: Admission level of the target.
         evacuated: Whether the failure domain is evacuated and the target gets no calls.
         shutting_down: Whether the node shuts down and admits no more calls.
+        refusing_waiting: Whether the node is about to exit, so that calls that still
+            wait must not begin.
         active_calls: Calls that wait or run.
         unreachable_until: Local time until which the target gets no calls, in seconds.
         accept_ratio: Moving average of the share of calls that are accepted, by the
@@ -141,6 +143,7 @@
         self.incarnation: tuple[str, int] | None = None
         self.evacuated = False
         self.shutting_down = False
+        self.refusing_waiting = False
         self.active_calls = 0
         self.unreachable_until = 0.0
         self.accept_ratio = 1.0
@@ -319,8 +322,9 @@
     def check_call(self, call: Call) -> Refusal | None:
         """Refuse a call that no target can run or that exceeds the retry budget."""
         if call.service != self.settings.service or self.current_gate() is None:
-            reason = Reason.SHUTTING_DOWN if self.shutting_down else Reason.NO_TARGET
-            return Refusal(reason, Ran.NOT_RUN, RETRY_AFTER_SECONDS, "target")
+            if self.shutting_down:
+                return shutdown_refusal()
+            return Refusal(Reason.NO_TARGET, Ran.NOT_RUN, RETRY_AFTER_SECONDS, "target")
         if self.evacuated:
             return self.evacuation_refusal()
         now = self.clock.now()
@@ -342,6 +346,13 @@
         if not active:
             self.assume_cold("evacuation ended")
 
+    async def refuse_waiting(self) -> None:
+        """Refuse the calls that have not begun, as the node is about to exit."""
+        self.refusing_waiting = True
+        gates = [*self.replaced_gates, self.gate]
+        for gate in filter(None, gates):
+            await gate.refuse_waiting(shutdown_refusal())
+
     async def run_admitted(
         self,
         call: Call,
@@ -454,6 +465,8 @@
 
     def check_target(self, ticket: Ticket, now: float) -> Refusal | None:
         """Refuse an admitted call that the target does not take any more."""
+        if self.refusing_waiting:
+            return shutdown_refusal()
         peer = self.target.address
         heartbeat = self.target.heartbeat
         if heartbeat is None or heartbeat.phase is not Phase.READY:
@@ -731,6 +744,11 @@
         self.level_updated_at = now
 
 
+def shutdown_refusal() -> Refusal:
+    """Return the refusal of a call that did not begin before the node shuts down."""
+    return Refusal(Reason.SHUTTING_DOWN, Ran.NOT_RUN, RETRY_AFTER_SECONDS, "target")
+
+
 def equal_part(total: int, count: int, index: int) -> int:
     """Return one of ``count`` parts of a total, which differ by at most 1."""
     count = max(1, count)
--- a/src/carawaywheel/mesh/frames.py
+++ b/src/carawaywheel/mesh/frames.py
@@ -44,11 +44,16 @@
 class CancelFrame(msgspec.Struct, array_like=True, tag=2):
     """Cancels a call whose caller disconnected or whose deadline passed.
 
+    A call that has not begun to run is answered with a refusal that says so.
+
     Attributes:
         number: Number of the call on its link.
+        only_waiting: Whether a call that has begun goes on. Former versions send none
+            and cancel the call.
     """
 
     number: int
+    only_waiting: bool = False
 
 
 class ResponseFrame(msgspec.Struct, array_like=True, tag=3):
--- a/src/carawaywheel/mesh/inbound.py
+++ b/src/carawaywheel/mesh/inbound.py
@@ -15,11 +15,13 @@
     MAY_WAIT_HEADER,
     REPLY_HEADER,
     WARMUP_HEADER,
+    Call,
     decode_call,
     encode_header,
 )
 from .monitor import PeerMonitor
-from .responses import StreamedResponse, send_response
+from .requests import CallProgress
+from .responses import CallResult, StreamedResponse, send_response
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 REFUSED_STATUS = 503
@@ -64,13 +66,7 @@
         call = decode_call(request.header(CALL_HEADER), connection.peer)
         self.peer_monitor.observe_caller(connection.peer, call.version)
         body = await connection.read_body(MAX_BODY_BYTES)
-        result = await self.runner.run(
-            call,
-            request,
-            forwarded_headers(request),
-            body,
-            may_wait=bool(request.header(MAY_WAIT_HEADER)),
-        )
+        result = await self.execute(call, request, body)
         refusal = result if isinstance(result, Refusal) else None
         reply_headers = [
             (REPLY_HEADER, encode_header(self.runner.build_reply(call.route, refusal)))
@@ -88,6 +84,23 @@
             self.journal.count("answer_not_taken")
             raise
 
+    async def execute(self, call: Call, request: Request, body: bytes) -> CallResult:
+        """Execute a call; refuse it if its caller cancels it before it begins."""
+        progress = CallProgress()
+        try:
+            return await self.runner.run(
+                call,
+                request,
+                forwarded_headers(request),
+                body,
+                may_wait=bool(request.header(MAY_WAIT_HEADER)),
+                progress=progress,
+            )
+        except curio.CancelledError:
+            if progress.begun:
+                raise
+            return Refusal(Reason.CANCELLED, Ran.NOT_RUN, None, "target")
+
     async def retain_response(self, result: StreamedResponse) -> str:
         """Retain a response until it is fetched or expires; return its name."""
         self.last_number += 1
--- a/src/carawaywheel/mesh/links.py
+++ b/src/carawaywheel/mesh/links.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import curio
 
@@ -21,7 +21,7 @@
     set_socket_options,
 )
 from ..listener import ACCEPT_RETRY_SECONDS
-from ..refusals import Refusal
+from ..refusals import Ran, Reason, Refusal
 from ..serverexchange import send_available
 from ..sockets import split_address, unacknowledged_bytes
 from .execution import TargetRunner
@@ -201,14 +201,24 @@
             )
         return pending.response
 
-    async def cancel(self, number: int) -> None:
-        """Ask the other node to cancel a call."""
+    async def cancel(self, number: int, only_waiting: bool = False) -> None:
+        """Ask the other node to cancel a call.
+
+        Args:
+            number: Number of the call.
+            only_waiting: Whether to let the call go on if it has begun.
+        """
         try:
-            await self.connection.write(CancelFrame(number))
+            await self.connection.write(CancelFrame(number, only_waiting))
         except PeerError:
             # The other node sees the connection close and cancels all its calls.
             return
 
+    async def cancel_waiting(self) -> None:
+        """Cancel the calls in flight that have not begun; they get a refusal."""
+        for number in list(self.pending):
+            await self.cancel(number, only_waiting=True)
+
     async def run(self) -> None:
         """Receive responses until the connection ends."""
         decoder = FrameDecoder(self.connection.peer)
@@ -266,6 +276,12 @@
             return await self.wait_until_open(address)
         return min(links, key=lambda link: len(link.pending))
 
+    async def cancel_waiting(self) -> None:
+        """Cancel the calls on all links that have not begun."""
+        for links in list(self.links.values()):
+            for link in links:
+                await link.cancel_waiting()
+
     async def wait_until_open(self, address: str) -> Link:
         """Return the link that another task is opening.
 
@@ -308,6 +324,18 @@
             await open_event.set()
 
 
+class ServedCall(NamedTuple):
+    """A call that is being served.
+
+    Attributes:
+        task: Task that serves it.
+        progress: How far it is.
+    """
+
+    task: Any
+    progress: CallProgress
+
+
 class LinkServer:
     """Serving side of the links that other nodes open.
 
@@ -358,63 +386,58 @@
         """Serve one link until it ends, then cancel its calls."""
         decoder = FrameDecoder(connection.peer)
         writer_task = await curio.spawn(connection.run_writes, daemon=True)
-        tasks_by_number: dict[int, Any] = {}
+        calls: dict[int, ServedCall] = {}
         self.connections.add(connection)
         try:
             while (frames := await connection.read(decoder)) is not None:
                 for frame in frames:
-                    await self.dispatch_frame(connection, frame, tasks_by_number)
+                    await self.dispatch_frame(connection, frame, calls)
         except ProtocolError as error:
             self.journal.write("bad_frame", peer=connection.peer, error=error.message)
         finally:
             connection.broken = True
             self.connections.discard(connection)
             await writer_task.cancel()
-            for task in list(tasks_by_number.values()):
-                await task.cancel(blocking=False)
+            for served in list(calls.values()):
+                await served.task.cancel(blocking=False)
             await connection.sock.close()
 
     async def dispatch_frame(
-        self, connection: FrameConnection, frame: Frame, tasks_by_number: dict[int, Any]
+        self,
+        connection: FrameConnection,
+        frame: Frame,
+        calls: dict[int, ServedCall],
     ) -> None:
         """Start or cancel a call as a frame requests."""
         if isinstance(frame, CallFrame):
-            tasks_by_number[frame.number] = await curio.spawn(
-                self.serve_call(connection, frame, tasks_by_number), daemon=True
+            progress = CallProgress()
+            task = await curio.spawn(
+                self.serve_call(connection, frame, calls, progress), daemon=True
             )
+            calls[frame.number] = ServedCall(task, progress)
         elif isinstance(frame, CancelFrame):
-            task = tasks_by_number.get(frame.number)
-            if task is not None:
-                await task.cancel(blocking=False)
+            served = calls.get(frame.number)
+            if served is None or (frame.only_waiting and served.progress.begun):
+                return
+            await served.task.cancel(blocking=False)
 
     async def serve_call(
         self,
         connection: FrameConnection,
         frame: CallFrame,
-        tasks_by_number: dict[int, Any],
+        calls: dict[int, ServedCall],
+        progress: CallProgress,
     ) -> None:
         """Execute one call and send its response."""
         call = frame.call
         self.peer_monitor.observe_caller(connection.peer, call.version)
         self.calls_in_progress += 1
-        progress = CallProgress()
         try:
-            request = Request(frame.method, frame.target, frame.headers)
-            result = await self.runner.run(
-                call,
-                request,
-                frame.headers,
-                frame.body,
-                frame.target_rate,
-                may_wait=frame.may_wait,
-                progress=progress,
-            )
-            await connection.write(await self.make_response(frame, result))
+            await self.execute(connection, frame, progress)
         except PeerError:
             self.journal.count("answer_not_taken")
         except curio.CancelledError:
-            stage = "at work" if progress.begun else "waiting"
-            self.journal.count("call_cancelled", stage)
+            self.journal.count("call_cancelled", "at work")
         except Exception as error:
             # An error in one call must not stop the node. Closing the link makes the
             # caller treat the call as possibly executed.
@@ -425,7 +448,33 @@
             await connection.sock.close()
         finally:
             self.calls_in_progress -= 1
-            tasks_by_number.pop(frame.number, None)
+            calls.pop(frame.number, None)
+
+    async def execute(
+        self, connection: FrameConnection, frame: CallFrame, progress: CallProgress
+    ) -> None:
+        """Execute one call; refuse it if it is cancelled before it begins.
+
+        Raises:
+            PeerError: If the response could not be sent.
+        """
+        request = Request(frame.method, frame.target, frame.headers)
+        try:
+            result = await self.runner.run(
+                frame.call,
+                request,
+                frame.headers,
+                frame.body,
+                frame.target_rate,
+                may_wait=frame.may_wait,
+                progress=progress,
+            )
+        except curio.CancelledError:
+            if progress.begun:
+                raise
+            self.journal.count("call_cancelled", "waiting")
+            result = Refusal(Reason.CANCELLED, Ran.NOT_RUN, None, "target")
+        await connection.write(await self.make_response(frame, result))
 
     async def make_response(
         self, frame: CallFrame, result: BufferedResponse | StreamedResponse | Refusal
@@ -433,7 +482,8 @@
         """Return the response frame for the result of a call."""
         call, number = frame.call, frame.number
         if isinstance(result, Refusal):
-            self.runner.log_refused_call(call, result)
+            if result.reason is not Reason.CANCELLED:
+                self.runner.log_refused_call(call, result)
             reply = self.runner.build_reply(call.route, result)
             warmup = self.runner.warmup_report()
             return ResponseFrame(number, reply, REFUSED_STATUS, [], b"", "", *warmup)
--- a/src/carawaywheel/mesh/node.py
+++ b/src/carawaywheel/mesh/node.py
@@ -54,9 +54,6 @@
 FLUSH_INTERVAL_SECONDS = 0.1
 SETTINGS_CHECK_SECONDS = 1.0
 IDLE_POLL_SECONDS = 0.05
-# Time for cancelled requests to be logged before the process exits: some turns of the
-# event loop.
-CANCEL_SECONDS = 0.1
 STORE_TIMEOUT_SECONDS = 1.5
 # A client that observes the idle timeout must never find its connection closed.
 IDLE_MARGIN_SECONDS = 5.0
@@ -434,7 +431,8 @@
         The stop is announced to clients and nodes first, and requests that they still
         send in the meantime are served. After that new requests are refused: with
         clients that keep sending there would be no moment without one in flight, and
-        the end of the grace period would cut off the last ones.
+        the end of the grace period would cut off the last ones. Those that have not
+        begun at a target by then are refused.
         """
         started = self.clock.now()
         schedule = schedule_stop(self.settings.bounds.grace)
@@ -451,8 +449,11 @@
         await curio.ignore_after(remaining, self.wait_until_idle)
         self.log_running("stopped")
         self.entry.cutting_off = True
+        await self.runner.refuse_waiting()
+        await self.sender.refuse_waiting()
+        await curio.ignore_after(schedule.refusal_time, self.wait_until_idle)
         await self.connection_monitor.cancel_busy()
-        await curio.ignore_after(CANCEL_SECONDS, self.wait_until_idle)
+        await curio.ignore_after(schedule.cancel_time, self.wait_until_idle)
 
     def log_running(self, event: str) -> None:
         """Log an event of the stop with what is still in flight."""
--- a/src/carawaywheel/mesh/peers.py
+++ b/src/carawaywheel/mesh/peers.py
@@ -40,11 +40,16 @@
 
 
 class PeerClient:
-    """Sends calls over links, and over HTTP if the body is too large for a frame."""
+    """Sends calls over links, and over HTTP if the body is too large for a frame.
+
+    Attributes:
+        unanswered: Connections of calls over HTTP whose response has not begun.
+    """
 
     def __init__(self, port: int) -> None:
         self.link_pool = LinkPool(port)
         self.pool = ConnectionPool(CONNECT_TIMEOUT_SECONDS)
+        self.unanswered: set[ClientConnection] = set()
 
     async def call(
         self,
@@ -102,7 +107,11 @@
             request_headers.append((b"content-length", str(len(body)).encode()))
         try:
             await connection.send(request.method, request.target, request_headers, body)
-            response = await connection.receive_head()
+            self.unanswered.add(connection)
+            try:
+                response = await connection.receive_head()
+            finally:
+                self.unanswered.discard(connection)
             reply = decode_reply(response.header(REPLY_HEADER), address)
             warmup = decode_warmup(response.header(WARMUP_HEADER), address)
             result = await self.read_response(connection, response)
@@ -111,6 +120,15 @@
             raise
         return PeerResponse(reply.refusal(address) or result, reply, warmup)
 
+    async def cancel_waiting(self) -> None:
+        """Cancel the calls in flight that have not begun; they get a refusal.
+
+        Calls over HTTP are also cancelled if they have begun.
+        """
+        await self.link_pool.cancel_waiting()
+        for connection in self.unanswered:
+            connection.end_output()
+
     async def fetch_retained(
         self, address: str, name: str
     ) -> BufferedResponse | StreamedResponse:
--- a/src/carawaywheel/mesh/sender.py
+++ b/src/carawaywheel/mesh/sender.py
@@ -29,6 +29,10 @@
 MAX_REFUSALS = 4
 # Retry-After of a request for which no target is known.
 NO_TARGET_RETRY_SECONDS = 0.5
+# Retry-After of a request that is refused as the node shuts down. A process that
+# refuses new requests mostly ends the others at once, and is started again within a
+# second of its exit.
+STOPPING_RETRY_SECONDS = 1.5
 # Response status of a target that failed while it ran a request.
 TARGET_ERROR_STATUS = 500
 
@@ -59,6 +63,7 @@
 
     Attributes:
         target_rates: Rate limits that the targets beside other nodes have stated.
+        refusing_waiting: Whether the node is about to exit and begins no more attempts.
     """
 
     def __init__(
@@ -85,6 +90,7 @@
         self.journal = journal
         self.clock = clock
         self.target_rates = RememberedRates()
+        self.refusing_waiting = False
         self.peer_client = PeerClient(split_address(settings.listen.links)[1])
 
     async def send_with_retries(
@@ -100,9 +106,9 @@
         last_refusal: Refusal | None = None
         error_response: BufferedResponse | None = None
         while True:
-            quarantined = self.check_quarantine(admitted, request, body)
-            if quarantined is not None:
-                return error_response or quarantined._replace(ran=progress.ran)
+            refusal = self.check_attempt(admitted, request, body)
+            if refusal is not None:
+                return error_response or refusal._replace(ran=progress.ran)
             is_last = refusal_count >= MAX_REFUSALS - 1
             result = await self.send_attempt(
                 admitted, request, body, progress, tried_ids, is_last
@@ -132,7 +138,8 @@
                 refusal_count += 1
                 progress.deliveries += result.reason is Reason.TARGET_SHED
             if not self.may_retry_refusal(admitted, result, progress, refusal_count):
-                return result._replace(ran=progress.ran)
+                final = shutdown_refusal() if self.refusing_waiting else result
+                return final._replace(ran=progress.ran)
             self.journal.write(
                 "repeat",
                 request=admitted.caller.attempt_id,
@@ -142,10 +149,20 @@
                 step=result.step,
             )
 
-    def check_quarantine(
+    async def refuse_waiting(self) -> None:
+        """Refuse the requests that no target has begun, as the node is about to exit.
+
+        The nodes beside the targets confirm that they have not begun.
+        """
+        self.refusing_waiting = True
+        await self.peer_client.cancel_waiting()
+
+    def check_attempt(
         self, admitted: AdmittedRequest, request: Request, body: bytes
     ) -> Refusal | None:
-        """Refuse a request that is quarantined since targets ended under it."""
+        """Refuse an attempt as the node shuts down, or since targets ended under it."""
+        if self.refusing_waiting:
+            return shutdown_refusal()
         if not self.quarantine.suspects:
             return None
         account = admitted.account.name if admitted.account else ""
@@ -178,6 +195,8 @@
         """Return whether a refused request may be retried at another target."""
         if refusal.reason not in REROUTABLE_REASONS or refusal_count >= MAX_REFUSALS:
             return False
+        if self.refusing_waiting:
+            return False
         if refusal.step == "routing":
             return False
         if progress.executions and not admitted.route.kind.may_repeat:
@@ -341,3 +360,8 @@
                 ran = Ran.NOT_RUN
                 self.peer_monitor.report_unreachable(candidate.address)
         return Refusal(Reason.PEER_FAILED, ran, None, error.step, candidate.address)
+
+
+def shutdown_refusal() -> Refusal:
+    """Return the refusal of a request that did not run before the node shuts down."""
+    return Refusal(Reason.SHUTTING_DOWN, Ran.NOT_RUN, STOPPING_RETRY_SECONDS, "entry")
--- a/src/carawaywheel/mesh/shutdown.py
+++ b/src/carawaywheel/mesh/shutdown.py
@@ -9,6 +9,10 @@
 # share of a short one: what is in flight then has had nearly all of it.
 STOP_MARGIN_SECONDS = 0.7
 MAX_STOP_MARGIN_SHARE = 0.125
+# Parts of this margin in which requests that have not begun are refused, and in which
+# those that have are cancelled and logged.
+REFUSAL_MARGIN_SHARE = 0.4
+CANCEL_MARGIN_SHARE = 0.15
 # Time to send the responses that came while the process stood still beyond the end.
 MIN_FINISH_SECONDS = 0.2
 # Longest part of the stop that the announcement may take, so that a short grace period
@@ -22,11 +26,16 @@
     Attributes:
         refuse_after: Until then new requests of callers are served, from then on they
             are refused.
-        end_after: The process exits then, even if requests are still in flight.
+        end_after: Requests that have not begun are refused then, and the process exits
+            soon after, even if others are still in flight.
+        refusal_time: Time in seconds for these refusals to be sent.
+        cancel_time: Time in seconds for the other requests to be cancelled and logged.
     """
 
     refuse_after: float
     end_after: float
+    refusal_time: float
+    cancel_time: float
 
     def time_to_finish(self, elapsed: float) -> float:
         """Return how long requests in flight may still take.
@@ -43,6 +52,12 @@
     Args:
         grace: Seconds after which the platform kills the process.
     """
-    end_after = grace - min(STOP_MARGIN_SECONDS, grace * MAX_STOP_MARGIN_SHARE)
+    margin = min(STOP_MARGIN_SECONDS, grace * MAX_STOP_MARGIN_SHARE)
+    end_after = grace - margin
     announcement = min(ANNOUNCEMENT_SECONDS, end_after * MAX_ANNOUNCEMENT_SHARE)
-    return StopSchedule(announcement, end_after)
+    return StopSchedule(
+        announcement,
+        end_after,
+        margin * REFUSAL_MARGIN_SHARE,
+        margin * CANCEL_MARGIN_SHARE,
+    )
--- a/src/carawaywheel/pool.py
+++ b/src/carawaywheel/pool.py
@@ -4,6 +4,7 @@
 that the rest can never be taken for the response to a later request.
 """
 
+import socket
 from collections import deque
 from typing import Any
 
@@ -139,6 +140,14 @@
         except OSError as error:
             raise self.request_error(str(error), "send") from error
 
+    def end_output(self) -> None:
+        """Shut the connection down for writing, which cancels the request."""
+        try:
+            self.sock._socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The connection has failed, which its reader will see.
+            return
+
     async def receive_head(self, allow_close_delimited: bool = False) -> Response:
         """Wait for the response head.
 
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -17,7 +17,7 @@
 from carawaywheel.mesh.settings import Bounds, HostSettings, Listeners, StoreSettings
 from carawaywheel.mesh.shedding import AdmissionLevelTable
 from carawaywheel.mesh.target import Heartbeat, LocalTarget, Phase
-from carawaywheel.refusals import Importance, Outcome, Ran
+from carawaywheel.refusals import Importance, Outcome, Ran, Reason
 from carawaywheel.settings import AdmissionSettings
 from carawaywheel.stalls import StallDetector
 
@@ -65,19 +65,51 @@
             assert max(parts) - min(parts) <= 1
 
 
-def test_evacuation_that_begins_while_a_connection_opens_keeps_the_call_back():
-    """Guards against a request to the target up to 0.3 s after all nodes know."""
+def make_runner(slots):
+    """Return a runner whose target is ready."""
     address = "127.0.0.1:1"
     store, bounds = StoreSettings(""), Bounds()
     listen = Listeners(*[""] * 7)
     settings = HostSettings("n", "a", "s", address, listen, store, bounds, 0)
     clock, rng = ManualClock(10.0), random.Random(1)
     target = LocalTarget("s", address)
-    target.receive(Heartbeat("i", "s", address, 5, Phase.READY, 1, 1))
+    target.receive(Heartbeat("i", "s", address, slots, Phase.READY, 1, 1))
     reporter = SimpleNamespace(quarantine=SimpleNamespace(suspects={}))
     state = settings, target, CallGraph(), AdmissionLevelTable(rng), Journal("n")
     runner = TargetRunner(*state, clock, StallDetector(clock), rng, None, reporter)
     runner.configure(settings, None)
+    return runner
+
+
+async def refuse_waiting_calls():
+    """Refuse the calls that wait, while one is in the queue and one connects."""
+    runner = make_runner(1)
+    opened = curio.Event()
+
+    async def acquire(peer):
+        await opened.wait()
+
+    runner.pool = SimpleNamespace(acquire=acquire, release=AsyncMock())
+    tasks = [
+        await curio.spawn(runner.run, make_call(1), SimpleNamespace(), [], b"")
+        for _ in range(2)
+    ]
+    while runner.gate is None or not runner.gate.queue.queued:
+        await curio.sleep(0)
+    await runner.refuse_waiting()
+    await opened.set()
+    return [await task.join() for task in tasks]
+
+
+def test_calls_that_have_not_begun_when_the_node_exits_are_refused_as_not_run():
+    """Guards against calls that are cut off in the queue, and ones begun too late."""
+    for refusal in curio.run(refuse_waiting_calls):
+        assert (refusal.reason, refusal.ran) == (Reason.SHUTTING_DOWN, Ran.NOT_RUN)
+
+
+def test_evacuation_that_begins_while_a_connection_opens_keeps_the_call_back():
+    """Guards against a request to the target up to 0.3 s after all nodes know."""
+    runner = make_runner(5)
 
     async def acquire(peer):
         runner.on_evacuation_changed(True)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -20,10 +20,17 @@
     ResponseFrame,
     encode_frame,
 )
-from carawaywheel.mesh.links import FrameConnection, Link, LinkServer
+from carawaywheel.mesh.journal import Journal
+from carawaywheel.mesh.links import (
+    FrameConnection,
+    Link,
+    LinkServer,
+    result_from_frame,
+)
 from carawaywheel.mesh.messages import Call, CallReply
 from carawaywheel.mesh.responses import BufferedResponse
 from carawaywheel.mesh.warmupshare import WARM
+from carawaywheel.refusals import Ran, Reason
 
 CALL = Call("a1", "s", "r", 1.0, 1, "mill", "o", False, False, False, True, 3)
 REPLY = CallReply("", "", None, 0.1, True, 3, [])
@@ -203,6 +210,63 @@
     return server, runner.ended, server_task
 
 
+class FormerCancelFrame(msgspec.Struct, array_like=True, tag=2):
+    number: int
+
+
+def test_former_versions_read_a_cancel_frame_that_is_only_for_waiting_calls():
+    content = msgspec.msgpack.encode(CancelFrame(3, True))
+    former = msgspec.msgpack.decode(content, type=FormerCancelFrame)
+    assert former == FormerCancelFrame(3)
+    content = msgspec.msgpack.encode(former)
+    assert msgspec.msgpack.decode(content, type=CancelFrame) == CancelFrame(3, False)
+
+
+class StagedRunner(SlowRunner):
+    """Runs calls that wait or have begun, by their numbers."""
+
+    async def run(
+        self, call, request, headers, body, remembered_rate, may_wait, progress
+    ):
+        progress.begun = headers == [(b"begun", b"1")]
+        await self.ended.wait()
+        return BufferedResponse(200, [], b"done")
+
+    def build_reply(self, route, refusal):
+        if refusal is None:
+            return REPLY
+        fields = refusal.reason.value, refusal.ran.value, refusal.retry_after
+        return CallReply(*fields, 0.1, True, 3, [])
+
+
+async def cancel_waiting_calls():
+    local, remote = socket.socketpair()
+    runner, journal = StagedRunner(), Journal("n")
+    monitor = SimpleNamespace(observe_caller=lambda peer, version: None)
+    server = LinkServer(None, runner, monitor, journal, None)
+    await curio.spawn(server.serve, FrameConnection(remote, "peer"), daemon=True)
+    link = Link(local, "peer")
+    await curio.spawn(link.run, daemon=True)
+    request = Request("GET", "/x", [])
+    calls = [
+        await curio.spawn(link.call, CALL, request, headers, b"")
+        for headers in ([], [(b"begun", b"1")])
+    ]
+    while server.calls_in_progress < len(calls):
+        await curio.sleep(0)
+    await link.cancel_waiting()
+    waiting = await calls[0].join()
+    await runner.ended.set()
+    return result_from_frame(waiting, "peer")[0], (await calls[1].join()).body
+
+
+def test_only_calls_that_have_not_begun_are_refused_when_waiting_calls_are_cancelled():
+    """Guards against a stop that cuts off calls in a queue without saying so."""
+    refusal, body = curio.run(cancel_waiting_calls)
+    assert (refusal.reason, refusal.ran) == (Reason.CANCELLED, Ran.NOT_RUN)
+    assert body == b"done"
+
+
 async def receive_response(remote, pause=0.0):
     """Receive one response, and wait for some time after it."""
     decoder, decoded = FrameDecoder("peer"), []
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -46,7 +46,7 @@
 class ColdRunner:
     """Runner beside a cold target, which refuses calls that may not wait."""
 
-    async def run(self, call, request, headers, body, may_wait):
+    async def run(self, call, request, headers, body, may_wait, progress):
         if not may_wait:
             return Refusal(Reason.QUEUE_FULL, Ran.NOT_RUN, 0.3, "warm-up")
         return BufferedResponse(200, [], str(len(body)).encode())
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -16,6 +16,8 @@
 from .platform_harness import HOST, KEY, Platform, configuration, route, wait
 
 GRACE_SECONDS = 6.0
+# Calls that the node lets its target of ten slots run at the same time.
+USABLE_SLOTS = 9
 
 
 class Sent(NamedTuple):
@@ -309,5 +311,36 @@
     """Requests accepted late need time, and the first ones nearly all of it."""
     schedule = schedule_stop(grace)
     assert schedule.end_after >= grace * 5 / 6
-    assert schedule.end_after <= grace
+    exit_after = schedule.end_after + schedule.refusal_time + schedule.cancel_time
+    assert schedule.end_after <= exit_after <= grace
     assert 0.0 <= schedule.refuse_after <= min(3.0, schedule.end_after / 2)
+
+
+@pytest.mark.parametrize(
+    ("stopped", "size"), [("h1", 1), ("h2", 1), ("h1 h2", 1), ("h1", 600_000)]
+)
+def test_requests_that_still_wait_at_the_exit_are_refused_as_not_run(
+    platform, stopped, size
+):
+    """Guards against requests cut off in the queue of a target, without an answer."""
+    platform.configure_target("h2", work=9.0)
+    options = {"timeout": 12.0, "deadline_ms": 9000}
+    arguments = ("POST", b"x" * size)
+    sent = {
+        f"/bundle/{number}": platform.send_in_background(
+            "h1", f"/bundle/{number}", *arguments, **options
+        )
+        for number in range(USABLE_SLOTS + 4)
+    }
+    platform.wait_for(
+        lambda: len(platform.runs("h2", "/bundle/")) == USABLE_SLOTS, "all slots work"
+    )
+    for name in stopped.split():
+        platform.processes[name].signal(signal.SIGTERM)
+    for name in stopped.split():
+        assert platform.processes[name].process.wait(GRACE_SECONDS) == 0
+    ran = {run["path"] for run in platform.runs("h2", "/bundle/")}
+    waiting = {path: response for path, response in sent.items() if path not in ran}
+    assert len(waiting) == 4
+    statuses = {path: response.result(8.0).status for path, response in waiting.items()}
+    assert statuses == dict.fromkeys(waiting, 503)
