Refuse what waits for the target when a node started with flags exits

Evidence: test_requests_that_wait_at_the_end_of_the_grace_time_are_refused_as_not_run failed before: the request still waited when the stop was complete, "2 in flight".

Requests that wait beside other nodes remain cut off (suspected).

--- a/src/carawaywheel/shutdown.py
+++ b/src/carawaywheel/shutdown.py
@@ -7,12 +7,13 @@
 
 from .claimservice import ClaimService
 from .events import EventKind
-from .executor import TargetExecutor
+from .executor import TargetExecutor, admission_refusal
 from .gossip import GossipService
 from .intake import Intake
 from .listener import Listener
 from .logwriter import PeriodicLogWriter
 from .recorder import Recorder
+from .refusals import Reason
 from .settings import NodeSettings
 from .slotservice import SlotService
 from .supervisor import Supervisor
@@ -83,10 +84,28 @@
         await curio.ignore_after(
             self.settings.stop_grace, self.finish_requests, announcement
         )
+        await self.refuse_waiting()
         self.recorder.flush()
         in_flight = self.intake.in_flight
         logger.info("node {} has stopped, {} in flight", node_id, in_flight)
 
+    async def refuse_waiting(self) -> None:
+        """Refuse the requests that still wait for the target, as the process exits."""
+        gate = self.executor.gate
+        if gate is None or not gate.wake_events:
+            return
+        waiting = len(gate.wake_events)
+        others = self.intake.in_flight - waiting
+        logger.info("node {} refuses {} waiting", self.settings.node_id, waiting)
+        refusal = admission_refusal(Reason.SHUTTING_DOWN, gate.target.service)
+        await gate.refuse_waiting(refusal)
+        await curio.ignore_after(CLOSE_WAIT_SECONDS, self.wait_until_left, others)
+
+    async def wait_until_left(self, count: int) -> None:
+        """Wait until no more than some requests are in flight."""
+        while self.intake.in_flight > count:
+            await curio.sleep(IDLE_POLL_SECONDS)
+
     async def announce(self) -> None:
         """Announce to the other nodes that this one leaves, and release its slots."""
         await self.supervisor.attempt(self.gossip.leave)
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -1,4 +1,6 @@
 import random
+from types import SimpleNamespace
+from unittest.mock import AsyncMock, Mock
 
 import curio
 
@@ -6,9 +8,10 @@
 from carawaywheel.clock import ManualClock
 from carawaywheel.executor import AdmissionGate
 from carawaywheel.limits import FixedLimit
-from carawaywheel.refusals import Importance, Outcome, Reason, Refusal
+from carawaywheel.refusals import Importance, Outcome, Ran, Reason, Refusal
 from carawaywheel.routing import TargetState
 from carawaywheel.settings import AdmissionSettings
+from carawaywheel.shutdown import Shutdown
 from carawaywheel.targets import LocalTarget
 
 TARGET = LocalTarget("t", "s", "127.0.0.1:1", 1, 7, 0.0, TargetState.READY, 0.0)
@@ -80,3 +83,41 @@
 
     assert curio.run(run) is None
     assert set(gate.queue.running) == {"c"}
+
+
+class SimulatedStop:
+    """A stop of a node with one request at work and one that waits."""
+
+    def __init__(self):
+        self.gate = make_gate(ManualClock(0.0))
+        self.intake = SimpleNamespace(in_flight=0, closed=False)
+        settings = SimpleNamespace(node_id="n", leave_wait=0.0, stop_grace=0.02)
+        executor = SimpleNamespace(gate=self.gate, shutting_down=False)
+        parts = [SimpleNamespace(leave=AsyncMock()), SimpleNamespace(), None, None]
+        parts[1].release_slots = AsyncMock()
+        supervisor = SimpleNamespace(attempt=lambda component: component())
+        self.shutdown = Shutdown(
+            settings, self.intake, executor, [], *parts, supervisor, Mock()
+        )
+
+    async def wait(self):
+        """Wait in the queue; return the refusal."""
+        self.intake.in_flight += 1
+        refusal = await self.gate.acquire(ticket("waiting"))
+        self.intake.in_flight -= 1
+        return refusal
+
+    async def run(self):
+        """Stop the node; return the refusal of the request that waits."""
+        await self.gate.acquire(ticket("at work"))
+        self.intake.in_flight += 1
+        task = await curio.spawn(self.wait)
+        await curio.sleep(0)
+        await self.shutdown.run()
+        return task.terminated and await task.join()
+
+
+def test_requests_that_wait_at_the_end_of_the_grace_time_are_refused_as_not_run():
+    """Guards against requests that a stop cuts off in the queue without an answer."""
+    refusal = curio.run(SimulatedStop().run)
+    assert (refusal.reason, refusal.ran) == (Reason.SHUTTING_DOWN, Ran.NOT_RUN)
