Ask the other reader before spare ones, and let the hosts wait

After a reader the next one is asked, as before the bound on the age; a node whose readers do not confirm in time passes both over at once. The first poll of the hosts waits again.

--- a/src/carawaywheel/mesh/replication/follower.py
+++ b/src/carawaywheel/mesh/replication/follower.py
@@ -37,8 +37,9 @@
         asked_at: Time of the request in flight in seconds; None between requests.
         confirmed_at: Time in seconds at which all changes in the store were known;
             minus infinity before the first response.
-        is_following: Whether the last request asked for changes. The first one after a
-            pause does not wait, so that it confirms at once what is known.
+        is_following: Whether the last request asked for changes.
+        is_prompt: Whether the first one after a pause does not wait, so that it
+            confirms at once what is known.
         failing: Whether the last request failed.
         on_availability_changed: Awaited when this has changed.
     """
@@ -69,6 +70,7 @@
         self.asked_at: float | None = None
         self.confirmed_at = -math.inf
         self.is_following = False
+        self.is_prompt = False
         self.failing = False
         self.on_availability_changed: Callable[[], Awaitable[None]] | None = None
 
@@ -135,8 +137,10 @@
 
     def next_wait(self) -> float:
         """Return how many seconds the next request for changes waits for them."""
+        if self.is_prompt and not self.is_following:
+            return 0.0
         # A store that has been away shows at once that it is back, and its era.
-        return self.wait if self.is_following and not self.failing else 0.0
+        return 0.0 if self.failing else self.wait
 
     async def read_all(self) -> None:
         """Read and apply the newest value of each key.
--- a/src/carawaywheel/mesh/replication/readers.py
+++ b/src/carawaywheel/mesh/replication/readers.py
@@ -18,10 +18,10 @@
 NODES_PER_READER = 40
 MIN_READERS = 2
 # Readers that are asked in turn before a node reads the store itself.
-MAX_CANDIDATES = 3
+MAX_CANDIDATES = 4
 # Time without a reply after which a reader counts as silent: two lost queries.
 REPLY_TIMEOUT_SECONDS = 1.6
-# The same for a reader that has also not confirmed the configuration in time.
+# The same for a reader that has not confirmed the configuration in time either.
 SUSPECT_SECONDS = 0.3
 # Time for which a silent reader, or one that is out of touch, is passed over.
 SILENT_SECONDS = 10.0
@@ -99,15 +99,16 @@
 
 
 def rank_substitutes(addresses: list[str], index: int, count: int) -> list[str]:
-    """Rank a reader, the spare nodes that stand in for it, and the other readers.
+    """Rank a reader, the next one, and the spare nodes that stand in for the first.
 
     Args:
         addresses: Addresses of all hosts that may read, the readers first.
         index: Index of the reader.
         count: Number of readers.
     """
-    others = addresses[index + 1 : count] + addresses[:index]
-    return (addresses[index::count] + others)[:MAX_CANDIDATES]
+    following = addresses[(index + 1) % count]
+    candidates = [addresses[index], following, *addresses[index + count :: count]]
+    return list(dict.fromkeys(candidates))[:MAX_CANDIDATES]
 
 
 def first_readers(ranked: list[ReaderHost]) -> list[ReaderHost]:
@@ -201,20 +202,14 @@
             self.lost_at = now
             self.patience = self.rng.uniform(MIN_PATIENCE_SECONDS, MAX_PATIENCE_SECONDS)
 
-    def replace(self, now: float) -> str:
-        """Pass the current reader over since it does not confirm the configuration.
+    def is_suspect(self, now: float) -> bool:
+        """Return whether the current reader owes a reply and may be silent."""
+        return self.asked_at is not None and now - self.asked_at >= SUSPECT_SECONDS
 
-        Returns:
-            The reader if it is silent; else empty.
-        """
-        former = self.current
-        if not former:
-            return ""
-        is_silent = self.asked_at is not None and now - self.asked_at >= SUSPECT_SECONDS
-        seconds = SILENT_SECONDS if is_silent else OUT_OF_TOUCH_SECONDS
-        self.avoided_until[former] = now + seconds
+    def avoid(self, address: str, seconds: float, now: float) -> None:
+        """Pass a reader over for some time."""
+        self.avoided_until[address] = now + seconds
         self.choose(now)
-        return former if is_silent else ""
 
     def record_query(self, now: float) -> None:
         """Note that a query is sent to the current reader."""
--- a/src/carawaywheel/mesh/replication/synchronizer.py
+++ b/src/carawaywheel/mesh/replication/synchronizer.py
@@ -30,7 +30,14 @@
     encode,
 )
 from .publisher import RecordPublisher
-from .readers import ReaderChoice, ReaderHost, expected_followers, rank_readers
+from .readers import (
+    OUT_OF_TOUCH_SECONDS,
+    SILENT_SECONDS,
+    ReaderChoice,
+    ReaderHost,
+    expected_followers,
+    rank_readers,
+)
 from .restorer import RecordRestorer
 from .store import START, Position, Store, TablePage
 
@@ -146,6 +153,7 @@
             clock,
             rng,
         )
+        self.configuration_follower.is_prompt = True
         self.host_follower = TableFollower(
             tables[1],
             store,
@@ -317,12 +325,17 @@
 
     async def replace_readers(self, now: float) -> None:
         """Ask other readers, since the present ones do not confirm in time."""
-        for choice in self.choices:
-            if choice.is_own_turn:
-                continue
-            silent = choice.replace(now)
-            if silent:
-                await curio.spawn(self.peer_monitor.check, silent, daemon=True)
+        suspects = {
+            choice.current: choice.is_suspect(now)
+            for choice in self.choices
+            if choice.current and not choice.is_own_turn
+        }
+        for address, is_suspect in suspects.items():
+            seconds = SILENT_SECONDS if is_suspect else OUT_OF_TOUCH_SECONDS
+            for choice in self.choices:
+                choice.avoid(address, seconds, now)
+            if is_suspect:
+                await curio.spawn(self.peer_monitor.check, address, daemon=True)
         await self.update_role(now)
         for choice in self.choices:
             await self.ask(choice, now)
