Show the logs of the nodes in the report of a failed test

KNOWN-RED 9, 21, 22, 31 and 33 are tests of real processes that failed once each and could not be traced, because the logs of their nodes are deleted with the working directory before the report is written.

The report now ends with the last 200 lines of each node's log: printed by the platform if the block fails that it is a context manager of, and added by a hook if it is a fixture, since pytest does not pass the failure to fixtures.

Checked by hand with a bound that fails, on test_mesh (fixture).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,12 @@
-"""Hypothesis profiles, and the mark for the faults that a test covers."""
+"""Hypothesis profiles, marks, and the logs of the nodes in reports of failures."""
 
 import os
 
+import pytest
 from hypothesis import HealthCheck, Phase, settings
 
+from .platform_harness import Platform
+
 SLOW_TEST_CHECKS = [HealthCheck.too_slow, HealthCheck.data_too_large]
 
 settings.register_profile(
@@ -29,3 +32,13 @@
         "proves(invariant, step, fault): the test shows that an invariant holds under "
         "a fault in a step; bench/faults.py writes docs/FAULTS.md from these marks",
     )
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(item, call):
+    """Add the logs of the nodes to the report; a fixture deletes them afterwards."""
+    report = yield
+    platform = item.funcargs.get("platform")
+    if report.failed and isinstance(platform, Platform):
+        report.sections.append(("node logs", platform.log_ends()))
+    return report
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -29,6 +29,8 @@
 __all__ = ["HOST", "KEY", "Platform", "configuration", "route", "wait"]
 
 HOSTS = 6
+# Lines of the log of each node in the report of a failure.
+LOG_LINES = 200
 
 
 class Platform(Mesh):
@@ -43,10 +45,22 @@
         self.store_address = self.processes["store"].startup_info["address"]
 
     def __exit__(self, *exception):
-        """Stop all processes, and then give up the reserved ports."""
+        """Stop all processes, and then give up the reserved ports.
+
+        The logs of the nodes are printed if the block has failed.
+        """
+        if exception[0] is not None:
+            print(self.log_ends())
         super().__exit__(*exception)
         self.reservation.close()
 
+    def log_ends(self):
+        """Return the last lines of each node's log, for the report of a failure."""
+        lines = []
+        for path in sorted(self.work_dir.glob("h*.log")):
+            lines += [f"== {path.name}", *path.read_text().splitlines()[-LOG_LINES:]]
+        return "\n".join(lines)
+
     def addresses(self, name):
         """Return the addresses of a host; ports are the same on all hosts."""
         index = self.hosts.setdefault(name, len(self.hosts) + 1)
