--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -56,6 +56,8 @@
 
     def log_ends(self):
         """Return the last lines of each node's log, for the report of a failure."""
+        # The nodes write their logs at intervals.
+        wait(1.0)
         lines = []
         for path in sorted(self.work_dir.glob("h*.log")):
             lines += [f"== {path.name}", *path.read_text().splitlines()[-LOG_LINES:]]
