--- a/tests/test_coldtargets.py
+++ b/tests/test_coldtargets.py
@@ -130,6 +130,7 @@
     assert journal.counters["warmup_report_invalid", ""] == 4
 
 
+@pytest.mark.known_red(21)
 def test_callers_of_real_nodes_do_not_notice_a_cold_target():
     """Guards against figures that the simulation passes on and the nodes do not."""
     services = [
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -100,6 +100,18 @@
     assert "x" in choose_repeatedly(router, now + SETTINGS.latency_age)
 
 
+@pytest.mark.known_red(21)
+def test_target_is_used_again_soon_after_a_single_slow_response():
+    """Guards against a cold target that a short stall keeps unused while it is cold."""
+    router = make_router(make_candidate("x"), make_candidate("y"))
+    for _ in range(60):
+        for name in "xy":
+            router.record_finish(name, 0.0, Outcome.OK, 0.005, 0.1)
+    router.record_finish("x", 0.0, Outcome.OK, 0.3, 0.1)
+    router.set_cold("x", 4.0, 0.2, 1.0)
+    assert "x" in choose_repeatedly(router, 1.0)
+
+
 def test_own_domain_is_kept_until_its_load_exceeds_the_margin():
     """Guards against needless cross-domain calls and an overloaded own domain."""
     router = make_router(make_candidate("x", "a"), make_candidate("y", "b"))
