Cancel a call before it begins, or not at all

Cause: curio delivers a cancellation to a task that is ready to run only at its next wait. A task that has just been spawned (call and cancellation in one read, as after a pause of the node), or just got its slot, does not wait until it has sent the call to the target: it is cancelled there, at work.

Evidence: the test cancels such a task; before, the call was sent to the target (the run ended in receive_head), now it is not and has not begun.

Why it works: the pending cancellation is looked for as the last step before the call begins, with no wait in between. From then on the call counts as begun, and such a request for cancellation leaves it alone.

--- a/src/carawaywheel/mesh/execution.py
+++ b/src/carawaywheel/mesh/execution.py
@@ -503,6 +503,13 @@
                 return Refusal(
                     Reason.TARGET_FAILED, Ran.NOT_RUN, None, error.step, error.peer
                 )
+            try:
+                # A cancellation of a task that is ready to run is held back until it
+                # waits again, which the call would do after it has begun.
+                await curio.check_cancellation()
+            except curio.CancelledError:
+                await self.pool.release(connection)
+                raise
             now = self.clock.now()
             refusal = self.check_target(ticket, now)
             if refusal is None and take(ticket.request_id, now):
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -9,11 +9,13 @@
 from carawaywheel.admission import AdmissionQueue, Admitted, Queued
 from carawaywheel.clock import ManualClock
 from carawaywheel.fairness import Ticket
+from carawaywheel.http import Request
 from carawaywheel.limits import FixedLimit
 from carawaywheel.mesh.callgraph import CallGraph
 from carawaywheel.mesh.execution import TargetRunner, equal_part, queue_importance
 from carawaywheel.mesh.journal import Journal
 from carawaywheel.mesh.messages import Call
+from carawaywheel.mesh.requests import CallProgress
 from carawaywheel.mesh.settings import Bounds, HostSettings, Listeners, StoreSettings
 from carawaywheel.mesh.shedding import AdmissionLevelTable
 from carawaywheel.mesh.target import Heartbeat, LocalTarget, Phase
@@ -107,6 +109,31 @@
         assert (refusal.reason, refusal.ran) == (Reason.SHUTTING_DOWN, Ran.NOT_RUN)
 
 
+async def cancel_before_the_first_step():
+    """Cancel a call whose task has not run yet, as for two frames of one read."""
+    runner, connection = make_runner(1), SimpleNamespace(send=AsyncMock())
+    runner.pool = SimpleNamespace(
+        acquire=AsyncMock(return_value=connection), release=AsyncMock()
+    )
+    progress = CallProgress()
+    call = runner.run(
+        make_call(1), Request("GET", "/x", []), [], b"", progress=progress
+    )
+    task = await curio.spawn(call)
+    await task.cancel()
+    return runner, connection, progress, task
+
+
+def test_call_that_is_cancelled_before_it_runs_is_not_sent_to_the_target():
+    """Guards against a call that runs and whose caller never gets an answer."""
+    runner, connection, progress, task = curio.run(cancel_before_the_first_step)
+    assert isinstance(task.exception, curio.CancelledError)
+    connection.send.assert_not_awaited()
+    assert not progress.begun
+    runner.pool.release.assert_awaited_once_with(connection)
+    assert not runner.gate.queue.running
+
+
 def test_evacuation_that_begins_while_a_connection_opens_keeps_the_call_back():
     """Guards against a request to the target up to 0.3 s after all nodes know."""
     runner = make_runner(5)
