Learn the end of the log without a long poll at a start

What callers saw: an operator's change at a node that had just started, with an empty log, was refused as stale_node ("check base version").

Cause: the first read of the log was a long poll, and the node knows that it has read everything only when that ends, 1 s later. A long poll was used where an answer is needed now; so it was after a suspension of the process.

Why it works: a read waits for records only if those of the node are at most two long polls old. In the steady state nothing changes.

--- a/src/carawaywheel/follower.py
+++ b/src/carawaywheel/follower.py
@@ -25,6 +25,8 @@
 RELAY_TIMEOUT_SECONDS = 1.0
 PEER_POLL_INTERVAL_SECONDS = 10.0
 HINT_POLL_INTERVAL_SECONDS = 0.25
+# Age of the records, in long polls, above which a read does not wait for new ones.
+MAX_LONG_POLL_AGE = 2.0
 # If the records of a peer are older, the next source is asked.
 MAX_RELAY_AGE_SECONDS = 10.0
 
@@ -164,7 +166,7 @@
         readers = self.sources.reader_addresses()
         if readers is None:
             return (
-                await self.poll_log(self.long_poll_seconds)
+                await self.poll_log(self.log_wait_seconds())
                 or await self.poll_any_peer()
             )
         hint = self.sources.newest_position() if self.has_position_hint else NO_HINT
@@ -179,6 +181,16 @@
                 return True
         return await self.poll_log(0.0)
 
+    def log_wait_seconds(self) -> float:
+        """Return how many seconds the next read of the log waits for a record.
+
+        Changes may be refused until the end of the stream is known, so a node that
+        starts or was suspended learns it without a wait.
+        """
+        if self.age > MAX_LONG_POLL_AGE * self.long_poll_seconds:
+            return 0.0
+        return self.long_poll_seconds
+
     async def poll_any_peer(self) -> bool:
         """Read what a peer has while the log does not respond; always return False."""
         hint = self.sources.newest_position() if self.has_position_hint else NO_HINT
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -17,6 +17,7 @@
         self.down = False
         self.responses_to_lose = 0
         self.reads = 0
+        self.waits = []
 
     async def append(self, stream, data):
         if self.down:
@@ -30,6 +31,7 @@
 
     async def read(self, stream, offset, limit, wait):
         self.reads += 1
+        self.waits.append(wait)
         if self.down:
             raise LogError("down", "read", "fake")
         first = self.first_offsets.get(stream, 0)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -40,12 +40,14 @@
         return self.newest
 
 
-def make_follower(log, addresses=None):
+def make_follower(log, addresses=None, long_poll_seconds=0.0):
     sink = ListSink()
     clock = ManualClock(100.0)
     sources = FixedSources(addresses)
     signer = Signer(b"x")
-    follower = StreamFollower("s", sink, log, sources, signer, clock, 0.0, True)
+    follower = StreamFollower(
+        "s", sink, log, sources, signer, clock, long_poll_seconds, True
+    )
     return follower, sink, clock
 
 
@@ -61,6 +63,21 @@
     assert sink.applied == [(0, b"a"), (1, b"b"), (2, b"c")]
 
 
+def test_reader_without_recent_records_does_not_wait_for_new_ones():
+    """Guards against changes that are refused until a read of the empty log ends."""
+    log = FakeLog()
+    follower, sink, clock = make_follower(log, long_poll_seconds=1.0)
+    curio.run(follower.poll)
+    assert sink.end_times == [100.0]
+    for _ in range(2):
+        curio.run(follower.poll)
+        clock.advance(1.0)
+    clock.advance(3.0)
+    curio.run(follower.poll)
+    curio.run(follower.poll)
+    assert log.waits == [0.0, 1.0, 1.0, 0.0, 1.0]
+
+
 def test_age_counts_from_the_request_not_from_the_response():
     """Guards against a lease that is renewed by a delayed response."""
     log = FakeLog()
