Let the simulated store hold back and delay its answers

Polls of the simulated fleet asked the store only when its answer was due, so that a node never had a request in flight, and answers took no time. Now a poll waits at the store in simulated time, its answer can be on its way for a while, and a process that stands still or is gone gets it late or never.

--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -9,6 +9,7 @@
 
 import heapq
 import json
+import math
 import random
 import statistics
 from collections import Counter
@@ -24,7 +25,7 @@
 from carawaywheel.mesh.monitor import PeerMonitor
 from carawaywheel.mesh.replication.directory import Directory, HostRecord, encode_record
 from carawaywheel.mesh.replication.follower import TableFollower
-from carawaywheel.mesh.replication.store import KeyValue, Position, Store, TablePage
+from carawaywheel.mesh.replication.store import KeyValue, Store, TablePage
 from carawaywheel.mesh.replication.synchronizer import TICK_SECONDS, StateSynchronizer
 from carawaywheel.mesh.target import Phase
 
@@ -80,6 +81,10 @@
     ) -> TablePage | None:
         """Return the changes from an offset on; see the base class."""
         self.calls += 1
+        return self.changes(table, offset)
+
+    def changes(self, table: str, offset: int) -> TablePage | None:
+        """Return the changes from an offset on, None if the table ends before it."""
         if offset > len(self.tables[table]):
             return None
         changes = enumerate(self.tables[table][offset:], offset)
@@ -105,14 +110,19 @@
     """The path of one node to the store.
 
     Attributes:
-        store: The store.
+        fleet: Fleet with the store and the clock.
+        address: Address of the node.
         fault: ``"refused"`` if each call fails at once, ``"silent"`` if none is
             answered; empty if the path is sound.
+        delay: Seconds that each answer is on its way.
     """
 
-    def __init__(self, store: SimulatedStore) -> None:
-        self.store = store
+    def __init__(self, fleet: "SimulatedFleet", address: str) -> None:
+        self.fleet = fleet
+        self.store = fleet.store
+        self.address = address
         self.fault = ""
+        self.delay = 0.0
 
     def check(self) -> None:
         """Fail if the path is not sound.
@@ -123,17 +133,45 @@
         if self.fault:
             raise LogError("the path to the store is cut", "read", "store")
 
+    def is_running(self) -> bool:
+        """Return whether the process that made the call runs."""
+        node = self.fleet.nodes.get(self.address)
+        is_same = node is not None and node.store_link is self
+        return is_same and self.address not in self.fleet.frozen
+
+    async def deliver(self) -> None:
+        """Wait until an answer has arrived and its node runs."""
+        arrival = self.fleet.clock.now() + self.delay
+        while self.fleet.clock.now() < arrival or not self.is_running():
+            await self.fleet.stepped.wait()
+
     async def read_all(self, table: str) -> TablePage:
         """Read a table; see the base class."""
         self.check()
-        return await self.store.read_all(table)
+        page = await self.store.read_all(table)
+        await self.deliver()
+        return page
 
     async def poll_changes(
         self, table: str, offset: int, wait: float
     ) -> TablePage | None:
         """Read changes; see the base class."""
-        self.check()
-        return await self.store.poll_changes(table, offset, wait)
+        self.store.calls += 1
+        era = self.store.era
+        asked_at = self.fleet.clock.now()
+        while True:
+            # The store cuts waiting reads when it goes away.
+            if self.fault != "silent":
+                self.check()
+                page = self.store.changes(table, offset)
+                waited = self.fleet.clock.now() >= asked_at + wait
+                if page is None or page.items or page.era > era or waited:
+                    break
+            elif self.fleet.clock.now() >= asked_at + wait + STORE_TIMEOUT_SECONDS:
+                self.check()
+            await self.fleet.stepped.wait()
+        await self.deliver()
+        return page
 
     async def put(self, table: str, key: str, value: bytes) -> int:
         """Write a value; see the base class."""
@@ -196,8 +234,8 @@
         due_at: Time at which it chooses and asks readers next, in seconds.
         freshness_due_at: Time at which it checks its configuration next, in seconds.
         published_at: Time of the first heartbeat of its target, in seconds.
-        poll_due_at: Time at which each follower may poll next, by table.
-        polling_since: Time since which each follower waits for changes, by table.
+        poll_due_at: Time at which each follower may poll next, by table; infinite
+            while it polls.
     """
 
     def __init__(
@@ -227,7 +265,7 @@
         )
         self.monitor.fleet = fleet
         sock: Any = SimulatedSocket(fleet, self.address)
-        self.store_link = StoreLink(fleet.store)
+        self.store_link = StoreLink(fleet, self.address)
         self.synchronizer = StateSynchronizer(
             self.store_link,
             TABLES,
@@ -247,7 +285,6 @@
         self.published_at = now + rng.random() * HEARTBEAT_SECONDS
         self.turn = 0
         self.poll_due_at = dict.fromkeys(TABLES, 0.0)
-        self.polling_since = dict.fromkeys(TABLES, now)
 
     @property
     def directory(self) -> Directory:
@@ -271,38 +308,24 @@
             synchronizer.configuration_follower,
             synchronizer.host_follower,
         ):
-            await self.poll(fleet, follower, now)
-        await synchronizer.fetch_changes()
+            if follower.active and now >= self.poll_due_at[follower.table]:
+                self.poll_due_at[follower.table] = math.inf
+                await curio.spawn(self.poll, fleet, follower, daemon=True)
+        if synchronizer.sources:
+            await curio.spawn(synchronizer.fetch_changes, daemon=True)
         publisher = synchronizer.publisher
         if publisher.published and publisher.is_unwritten():
             await self.write(fleet)
 
-    async def poll(
-        self, fleet: "SimulatedFleet", follower: TableFollower, now: float
-    ) -> None:
-        """Poll a table if the follower is active and a long poll would return."""
-        table = follower.table
-        if not follower.active or now < self.poll_due_at[table]:
-            self.polling_since[table] = now
-            return
-        if self.store_link.fault == "silent":
-            follower.asked_at = self.polling_since[table]
-            if now - follower.asked_at < follower.wait + STORE_TIMEOUT_SECONDS:
-                return
-        # The store cuts waiting reads when it goes away.
-        end = Position(fleet.store.era, len(fleet.store.tables[table]))
-        has_news = follower.is_stale or follower.position < end
-        has_news = has_news or bool(self.store_link.fault)
-        if not has_news and now - self.polling_since[table] < follower.next_wait():
-            return
+    async def poll(self, fleet: "SimulatedFleet", follower: TableFollower) -> None:
+        """Read a table once, or wait for its next changes."""
         try:
             pause = await follower.poll()
             await follower.record_availability(None)
         except LogError as error:
             pause = 1.0
             await follower.record_availability(error)
-        self.poll_due_at[table] = now + pause
-        self.polling_since[table] = now
+        self.poll_due_at[follower.table] = fleet.clock.now() + pause
 
     async def publish(self, fleet: "SimulatedFleet", phase: Phase) -> None:
         """Write the own record, as after a heartbeat of the target."""
@@ -326,6 +349,7 @@
         nodes: Nodes that run, by address.
         frozen: Nodes that stand still.
         muted: Nodes from which nothing reaches the others.
+        stepped: Event set, and replaced, after each step of the time.
         events: Number of each event that the nodes have logged.
         datagrams: Datagrams sent so far.
         fetches: Fetches over HTTP so far.
@@ -340,6 +364,7 @@
         self.nodes: dict[str, SimulatedNode] = {}
         self.frozen: set[str] = set()
         self.muted: set[str] = set()
+        self.stepped = curio.Event()
         self.in_flight: list[tuple[float, int, str, str, bytes, bytes]] = []
         self.sent_count = 0
         self.events: Counter[str] = Counter()
@@ -380,7 +405,9 @@
             for node in list(self.nodes.values()):
                 if node.address not in self.frozen:
                     await node.step(self, now)
-            # Lets the tasks run that nodes have started.
+            # Lets the tasks run that nodes have started, or that wait for the time.
+            stepped, self.stepped = self.stepped, curio.Event()
+            await stepped.set()
             await curio.sleep(0)
 
     def publish_configuration(self, version: int) -> None:
