Count a confirmation from the request if the response holds changes

What callers saw: with a slow store (0.24 s an answer) a change right after another one was in force 2.20 to 2.24 s after the store had it, where 2 s are promised, if the readers and their stand-ins were lost then.

Cause: a reader takes min(request + wait, now) as the time as of which it knows everything. That holds for an empty response, which the store gives at the end of the wait. One with changes leaves the store at once and may be on its way for any time, in which further changes are made. So the sum of the delays held the way of a response twice: once in the read of the store at 1.7 s, and once in the age that the readers tell.

Both new tests failed before.

Why it works: the age is never too small now. The next poll does not wait, so that the age is right again one read later.

--- a/src/carawaywheel/mesh/replication/follower.py
+++ b/src/carawaywheel/mesh/replication/follower.py
@@ -130,9 +130,11 @@
         if page is None or page.era > asked.era:
             self.is_stale = self.position == asked
             return 0.0
-        self.is_following = True
+        self.is_following = not page.items
+        # Changes are returned at once, so their response may be any time on its way.
+        waited = 0.0 if page.items else wait
         # A process that stood still reads the response late.
-        await self.accept(page, min(asked_at + wait, self.clock.now()))
+        await self.accept(page, min(asked_at + waited, self.clock.now()))
         return self.pause if page.items else 0.0
 
     def next_wait(self) -> float:
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -18,6 +18,8 @@
 # config_apply_s of the strictest deployments.
 APPLY_SECONDS = 2.0
 SIZE = 20
+# Sixty times the 4 ms of a sound store.
+SLOW_STORE_SECONDS = 0.24
 
 
 def make_freshness(now=10.0):
@@ -91,6 +93,30 @@
         fleet.nodes[address].store_link.fault = "refused"
 
 
+async def start_fleet(seconds):
+    """Return a fleet that has run for some seconds with its first configuration."""
+    fleet = SimulatedFleet(SIZE, 7)
+    for number in range(SIZE):
+        fleet.start(number, first_start=True)
+    fleet.publish_configuration(1)
+    await fleet.run(seconds)
+    return fleet
+
+
+def first_readers(fleet, count):
+    """Return the readers, the nodes that stand in for them, and then any others."""
+    node = next(iter(fleet.nodes.values()))
+    rankings = [choice.ranking for choice in node.synchronizer.choices]
+    by_rank = [address for rank in zip(*rankings, strict=True) for address in rank]
+    return list(dict.fromkeys(fleet.readers() + by_rank + list(fleet.nodes)))[:count]
+
+
+def times_to_learn(fleet, version):
+    return fleet.times_to_learn(
+        lambda directory: directory.configuration_version == version, 10.0
+    )
+
+
 async def change_in_trouble(trouble, count, phase, seconds):
     """Publish a configuration some time after nodes got into trouble.
 
@@ -103,16 +129,8 @@
     Returns:
         Seconds until the last of the other nodes knew the change.
     """
-    fleet = SimulatedFleet(SIZE, 7)
-    for number in range(SIZE):
-        fleet.start(number, first_start=True)
-    fleet.publish_configuration(1)
-    await fleet.run(8.0 + phase)
-    readers = fleet.readers()
-    node = next(iter(fleet.nodes.values()))
-    rankings = [choice.ranking for choice in node.synchronizer.choices]
-    by_rank = [address for rank in zip(*rankings, strict=True) for address in rank]
-    affected = list(dict.fromkeys(readers + by_rank + list(fleet.nodes)))[:count]
+    fleet = await start_fleet(8.0 + phase)
+    affected = first_readers(fleet, count)
     if seconds >= 0:
         trouble(fleet, affected)
         await fleet.run(seconds)
@@ -120,12 +138,36 @@
     if seconds < 0:
         await fleet.run(-seconds)
         trouble(fleet, affected)
-    times = await fleet.times_to_learn(
-        lambda directory: directory.configuration_version == 2, 10.0
-    )
+    times = await times_to_learn(fleet, 2)
     return times[-1] - min(0.0, seconds)
 
 
+async def changes_with_slow_store(trouble, phase, gap, seconds):
+    """Publish two configurations, then bring seven nodes into trouble.
+
+    Args:
+        trouble: Brings nodes into trouble.
+        phase: Seconds by which all of it comes later.
+        gap: Time between the configurations in seconds.
+        seconds: Time from the second one to the trouble.
+
+    Returns:
+        Seconds until the last of the other nodes knew the second one.
+    """
+    fleet = await start_fleet(8.0 + phase)
+    for node in fleet.nodes.values():
+        node.store_link.delay = SLOW_STORE_SECONDS
+    await fleet.run(3.0)
+    affected = first_readers(fleet, 7)
+    fleet.publish_configuration(2)
+    await fleet.run(gap)
+    fleet.publish_configuration(3)
+    await fleet.run(seconds)
+    trouble(fleet, affected)
+    times = await times_to_learn(fleet, 3)
+    return times[-1] + seconds
+
+
 @pytest.mark.parametrize("count", [2, 7])
 @pytest.mark.parametrize("trouble", [freeze, kill, mute, cut_silently, turn_away])
 def test_change_is_in_force_in_time_at_any_moment_of_the_loss_of_readers(
@@ -136,3 +178,15 @@
         for seconds in (-0.1, 0.0, 0.1, 0.3, 0.7, 1.1, 1.4, 1.8):
             last = curio.run(change_in_trouble, trouble, count, tenths / 10, seconds)
             assert last <= APPLY_SECONDS, f"phase {tenths / 10}, change at {seconds}"
+
+
+@pytest.mark.parametrize("trouble", [freeze, cut_silently])
+def test_change_right_after_another_is_in_force_in_time_with_a_slow_store(trouble):
+    """Guards against a confirmation that counts from the arrival of a late response."""
+    for tenths in range(0, 10, 2):
+        for gap in (0.02, 0.1, 0.2):
+            for seconds in (0.06, 0.26, 0.4, 0.6):
+                last = curio.run(
+                    changes_with_slow_store, trouble, tenths / 10, gap, seconds
+                )
+                assert last <= APPLY_SECONDS, f"phase {tenths / 10}, {gap}, {seconds}"
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -221,3 +221,14 @@
     for _ in range(2):
         curio.run(follower.poll)
     assert store.polls == [(1, 0.0), (1, WAIT)]
+
+
+def test_late_response_with_changes_confirms_only_the_time_of_its_request():
+    """Guards against changes made while the response was on its way."""
+    follower, store, clock, _ = make_follower()
+    follower.is_prompt = True
+    curio.run(follower.poll)
+    store.seconds = 0.3
+    curio.run(follower.poll)
+    assert follower.confirmed_at == pytest.approx(clock.now() - 0.3)
+    assert follower.next_wait() == 0.0
