--- a/review/testbed.py
+++ b/review/testbed.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -33,6 +34,8 @@
 STABLE_WINDOW_SECONDS = 3.0
 HEARTBEAT_SECONDS = 1.5
 START_SECONDS = 20.0
+# A script may run for 120 seconds.
+MAX_SECONDS = 100.0
 DIGEST = "3e1b.07.5a2.600.0.c9f2a4d1"
 BROKEN, HELD, FAILED = 1, 0, 2
 
@@ -314,7 +317,7 @@
             "[listen]",
             *(f'{name} = "{value}"' for name, value in listen.items()),
             "[limits]",
-            "memory_mb = 300",
+            f"memory_mb = {self.bed.memory_mb}",
             "[bounds]",
             f"grace_s = {GRACE_SECONDS}",
             f"drain_s = {DRAIN_SECONDS}",
@@ -523,6 +526,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.record = (case / "record.txt").open("w")
         self.base = find_ports(len(services))
+        self.memory_mb = 300
         self.runs: list[Run] = []
         self.sent: list[Sent] = []
         self.counter = 0
@@ -598,7 +602,7 @@
                 ),
                 deadline,
             )
-        except asyncio.TimeoutError:
+        except TimeoutError:
             reply = NO_REPLY
         echoed = reply.headers.get("x-attempt-id", "")
         self.note(f"client: {attempt} -> {reply.status} {echoed} {reply.body[:40]!r}")
@@ -614,11 +618,10 @@
                 machine.node.kill()
                 machine.node.wait()
         self.record.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def route(
-    name: str, kind: str, service: str, **changes: Any
-) -> dict[str, Any]:
+def route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
     """Return a route of a configuration."""
     return {
         "name": f"r-{name}",
@@ -644,10 +647,11 @@
     async def run() -> int:
         bed = Testbed(case, services)
         try:
-            finding = await scenario(bed)
-        except Unusable as error:
-            bed.note(f"could not run: {error}")
-            print(f"could not run: {error}")
+            async with asyncio.timeout(MAX_SECONDS):
+                finding = await scenario(bed)
+        except (Unusable, TimeoutError) as error:
+            bed.note(f"could not run: {error!r}")
+            print(f"could not run: {error!r}")
             return FAILED
         finally:
             await bed.close()
