--- a/review/testbed.py
+++ b/review/testbed.py
@@ -527,6 +527,8 @@
         self.record = (case / "record.txt").open("w")
         self.base = find_ports(len(services))
         self.memory_mb = 300
+        # Requests a second and burst of the tenant; 0 for no limit.
+        self.tenant_limit = (0.0, 0.0)
         self.runs: list[Run] = []
         self.sent: list[Sent] = []
         self.counter = 0
@@ -559,7 +561,12 @@
                 "idle_timeout_s": 15,
             },
             "tenants": [
-                {"name": "mill", "api_keys": [KEY], "rate_per_s": 0, "burst": 0}
+                {
+                    "name": "mill",
+                    "api_keys": [KEY],
+                    "rate_per_s": self.tenant_limit[0],
+                    "burst": self.tenant_limit[1],
+                }
             ],
         }
         self.store.put("keyed.op", "config", json.dumps(document).encode())
