--- a/review/12/scenario.py
+++ b/review/12/scenario.py
@@ -1,6 +1,7 @@
-"""A server that left is used again after its node restarts, by late check-ins."""
+"""A planned stop cuts off answers that wait behind a request still at work."""
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
@@ -8,78 +9,95 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from testbed import (  # noqa: E402
-    DRAIN_SECONDS,
-    STABLE_WINDOW_SECONDS,
+    GRACE_SECONDS,
+    HOST,
+    KEY,
+    NO_REPLY,
     Machine,
+    Reply,
     Testbed,
     Unusable,
     play,
+    read_body,
+    read_head,
     route,
     trouble,
 )
 
 CASE = Path(__file__).resolve().parent
-PACE_SECONDS = 0.05
-RESTART_SECONDS = 0.5
-# Both check-ins were sent before the endpoint said that it goes.
-LATE_AT_SECONDS = (3.0, 3.2)
-WATCH_SECONDS = 10.0
+CLIENTS = 6
+QUICK_REQUESTS = 3
+# The reads are sent this long before the SIGTERM.
+SEND_SECONDS = 0.1
+SLOW_SECONDS = 5.8
+QUICK_SECONDS = 0.05
+DEADLINE_SECONDS = 6.0
 
 
-async def send_traffic(bed: Testbed, machine: Machine) -> None:
-    """Send orders at a steady pace until cancelled."""
-    async with asyncio.TaskGroup() as group:
-        while True:
-            group.create_task(bed.ask(machine, "/order/1", "POST", body=b"order"))
-            await asyncio.sleep(PACE_SECONDS)
+async def run_client(bed: Testbed, machine: Machine, number: int) -> dict[str, Reply]:
+    """Send one slow read and quick ones behind it; return the answers by attempt."""
+    host, _, port = machine.addresses["outbound"].rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    attempts = [f"{number:08x}{index:08x}" for index in range(1 + QUICK_REQUESTS)]
+    replies = dict.fromkeys(attempts, NO_REPLY)
+    heads = [
+        f"GET /{'quick' if index else 'slow'}/1 HTTP/1.1\r\nhost: {HOST}\r\n"
+        f"x-attempt-id: {attempt}\r\n"
+        f"x-deadline-ms: {int(DEADLINE_SECONDS * 1000)}\r\n"
+        f"authorization: Token {KEY}\r\n\r\n"
+        for index, attempt in enumerate(attempts)
+    ]
+    bed.note(f"client {number}: sends {attempts}")
+    writer.write("".join(heads).encode())
+    try:
+        async with asyncio.timeout(DEADLINE_SECONDS):
+            for attempt in attempts:
+                first, headers = await read_head(reader)
+                body = await read_body(reader, headers)
+                replies[attempt] = Reply(int(first.split()[1]), headers, body)
+    except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+        bed.note(f"client {number}: {error!r}")
+    writer.close()
+    for attempt, reply in replies.items():
+        bed.note(f"client {number}: {attempt} -> {reply.status}")
+    return replies
 
 
 async def scenario(bed: Testbed) -> str:
-    """Let an endpoint leave, and restart the node beside it."""
-    await bed.start([route("order", "non_idempotent", "yard")])
-    entry, leaver = bed.machines[0], bed.machines[2]
-    traffic = asyncio.ensure_future(send_traffic(bed, entry))
-    await asyncio.sleep(2.0)
-    endpoint = leaver.endpoint
-    if not any(run.endpoint == endpoint.identity for run in bed.runs):
-        raise Unusable("the endpoint got no request while it was ready")
-    endpoint.stop_beats()
-    first_late = endpoint.next_check_in()
-    await asyncio.sleep(1.5)
-    second_late = endpoint.next_check_in()
-    await asyncio.sleep(0.5)
-    if not await endpoint.leave():
-        raise Unusable("the endpoint's leaving was not acknowledged")
-    left_at = time.time()
+    """Stop the entry node while quick reads wait behind slow ones."""
+    slow = route("slow", "idempotent", "maps", timeout_s=DEADLINE_SECONDS)
+    quick = route("quick", "idempotent", "rosters", timeout_s=DEADLINE_SECONDS)
+    await bed.start([slow, quick])
+    entry, maps, rosters = bed.machines
+    maps.endpoint.work_seconds = SLOW_SECONDS
+    rosters.endpoint.work_seconds = QUICK_SECONDS
+    clients = [run_client(bed, entry, number) for number in range(1, CLIENTS + 1)]
+    tasks = [asyncio.ensure_future(client) for client in clients]
+    await asyncio.sleep(SEND_SECONDS)
+    stopped_at = time.time()
     if trouble():
-        leaver.kill()
-        await asyncio.sleep(RESTART_SECONDS)
-        leaver.start_node()
-        await leaver.wait_ready()
-    for late, body in zip(LATE_AT_SECONDS, (first_late, second_late), strict=True):
-        await asyncio.sleep(max(0.0, left_at + late - time.time()))
-        await endpoint.call_node("PUT", body)
-    await asyncio.sleep(max(0.0, left_at + WATCH_SECONDS - time.time()))
-    traffic.cancel()
-    await asyncio.gather(traffic, return_exceptions=True)
-    allowed_until = left_at + DRAIN_SECONDS
+        entry.signal(signal.SIGTERM)
+    answers = await asyncio.gather(*tasks)
+    replies = {key: reply for each in answers for key, reply in each.items()}
     if trouble():
-        # The machine counts only from this time after its start.
-        calm_from = leaver.started_at + STABLE_WINDOW_SECONDS
-        allowed_until = max(allowed_until, calm_from)
-    late_runs = [
-        run
-        for run in bed.runs
-        if run.endpoint == endpoint.identity and run.at > allowed_until
+        assert entry.node is not None
+        while entry.node.poll() is None:
+            if time.time() - stopped_at > GRACE_SECONDS:
+                raise Unusable("the node did not stop in time")
+            await asyncio.sleep(0.02)
+        bed.note(f"node gone {time.time() - stopped_at:.2f} s after its SIGTERM")
+    done = [
+        run.attempt for run in bed.runs if run.endpoint == rosters.endpoint.identity
     ]
-    if not late_runs:
+    if len(done) < CLIENTS * QUICK_REQUESTS:
+        raise Unusable("not all quick reads ran")
+    lost = [attempt for attempt in done if replies[attempt] is NO_REPLY]
+    if not lost:
         return ""
-    after = late_runs[-1].at - left_at
     return (
-        f"DRAIN: {len(late_runs)} requests ran at {endpoint.identity} later than "
-        f"{DRAIN_SECONDS} s after its leaving was acknowledged, the last one "
-        f"{after:.1f} s after it"
+        f"LOST: {len(lost)} of {len(done)} reads that their endpoint had answered "
+        f"{QUICK_SECONDS} s after they were sent got no answer"
     )
 
 
-play(CASE, ["desk", "yard", "yard"], scenario)
+play(CASE, ["desk", "maps", "rosters"], scenario)
--- a/review/testbed.py
+++ b/review/testbed.py
@@ -29,9 +29,7 @@
 PORTS = ("outbound", "inbound", "ready", "control", "app", "metrics", "links")
 # Below the range of ephemeral ports.
 PORT_RANGE = range(12000, 32000, 10)
-DRAIN_SECONDS = 2.0
 GRACE_SECONDS = 6.0
-STABLE_WINDOW_SECONDS = 3.0
 HEARTBEAT_SECONDS = 1.5
 START_SECONDS = 20.0
 # A script may run for 120 seconds.
@@ -320,7 +318,7 @@
             f"memory_mb = {self.bed.memory_mb}",
             "[bounds]",
             f"grace_s = {GRACE_SECONDS}",
-            f"drain_s = {DRAIN_SECONDS}",
+            "drain_s = 2",
             "retry_budget_ratio = 0.2",
             "budget_window_s = 10",
             "budget_slack = 48",
@@ -392,10 +390,10 @@
         self.connections: set[asyncio.Task[None]] = set()
         self.beats: asyncio.Task[None] | None = None
 
-    async def start(self, clock_ahead: float = 0.0) -> None:
-        """Start a lifetime, on a machine whose clock is ahead by some seconds."""
+    async def start(self) -> None:
+        """Start a lifetime."""
         self.lifetime += 1
-        self.born = int((time.time() + clock_ahead) * 1000)
+        self.born = int(time.time() * 1000)
         self.sequence = 0
         self.phase = "ready"
         lifetime = self.lifetime
@@ -482,7 +480,7 @@
         return json.dumps(content).encode()
 
     async def call_node(self, method: str, body: bytes) -> Reply:
-        """Send a check-in, or say that the endpoint goes."""
+        """Send a check-in."""
         reply = await send_request(
             self.machine.addresses["control"],
             method,
@@ -497,12 +495,6 @@
         """Send a check-in; return whether it was acknowledged."""
         return (await self.call_node("PUT", self.next_check_in())).status == 200
 
-    async def leave(self) -> bool:
-        """Say that the endpoint goes; return whether it was acknowledged."""
-        self.stop_beats()
-        body = json.dumps({"born": self.born}).encode()
-        return (await self.call_node("DELETE", body)).status == 200
-
     async def run_beats(self) -> None:
         """Check in at intervals until cancelled."""
         while True:
@@ -527,8 +519,6 @@
         self.record = (case / "record.txt").open("w")
         self.base = find_ports(len(services))
         self.memory_mb = 300
-        # Requests a second and burst of the tenant; 0 for no limit.
-        self.tenant_limit = (0.0, 0.0)
         self.runs: list[Run] = []
         self.sent: list[Sent] = []
         self.counter = 0
@@ -556,7 +546,7 @@
             ],
             "limits": {
                 "max_header_bytes": 16384,
-                "max_body_bytes": 1 << 22,
+                "max_body_bytes": 1 << 26,
                 "header_timeout_s": 3,
                 "idle_timeout_s": 15,
             },
@@ -564,8 +554,8 @@
                 {
                     "name": "mill",
                     "api_keys": [KEY],
-                    "rate_per_s": self.tenant_limit[0],
-                    "burst": self.tenant_limit[1],
+                    "rate_per_s": 0,
+                    "burst": 0,
                 }
             ],
         }
